--- /dev/null
+++ b/crates/core/src/ids.rs
@@ -0,0 +1,71 @@
+//! Identifiers that travel between processes and live in the platform's tables.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::fmt,
+};
+
+/// A failure domain, numbered by the platform.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct Domain(pub u16);
+
+/// A worker, numbered by the platform.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct WorkerId(pub u32);
+
+/// One run of an entry process; a restarted process has another incarnation.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+/// The fencing token of an ownership; it grows with every change of a worker's owner.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct Epoch(pub u64);
+
+/// The version of a row in the platform's table; zero means that the row is absent.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct Version(pub u64);
+
+impl fmt::Display for Domain {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "d{}", self.0)
+    }
+}
+
+impl fmt::Display for WorkerId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "w{}", self.0)
+    }
+}
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl fmt::Display for Epoch {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "e{}", self.0)
+    }
+}
+
+impl fmt::Display for Version {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "v{}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,48 @@
+//! Decisions of the marigoldbend scheduler, free of I/O.
+//!
+//! Everything here is a plain state machine: time and randomness are passed in, and nothing
+//! blocks, sleeps or talks to a network. The daemons wire these parts to sockets; tests drive
+//! them through every order of events that a network could produce.
+//!
+//! # Examples
+//!
+//! Admit work to one worker, never beyond its capacity:
+//!
+//! ```
+//! use {
+//!     marigoldbend_core::admission::{Confirmation, Gate},
+//!     std::{
+//!         sync::Arc,
+//!         time::{Duration, Instant},
+//!     },
+//! };
+//!
+//! let now = Instant::now();
+//! let confirmation = Arc::new(Confirmation::new(now));
+//! confirmation.extend(now + Duration::from_secs(1));
+//! let gate = Gate::new(confirmation);
+//! // Two slots while the ownership is confirmed, one when it is not.
+//! gate.set_limits(2, 1);
+//! let first = gate.try_acquire(now).expect("a slot is free");
+//! let second = gate.try_acquire(now).expect("a slot is free");
+//! assert!(gate.try_acquire(now).is_none());
+//! drop(first);
+//! // The confirmation has lapsed, and one slot is still in use.
+//! assert!(gate.try_acquire(now + Duration::from_secs(2)).is_none());
+//! drop(second);
+//! assert!(gate.try_acquire(now + Duration::from_secs(2)).is_some());
+//! ```
+
+pub mod admission;
+pub mod clock;
+pub mod config;
+pub mod ejection;
+pub mod group_commit;
+pub mod hash;
+pub mod ids;
+pub mod interference;
+pub mod latency;
+pub mod ownership;
+pub mod retry;
+pub mod routing;
+pub mod task;
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,202 @@
+//! `marigoldctl`: the operators' command line.
+
+use {
+    marigoldbend::{
+        core::{config::Config, ids::Version},
+        operator::{
+            answers::Answers,
+            client::Operator,
+            plan::{Plan, plan},
+            questionnaire,
+        },
+    },
+    pico_args::Arguments,
+    serde_json::{Value, json},
+    std::{fs, net::SocketAddr, path::PathBuf, process::ExitCode},
+};
+
+const HELP: &str = "\
+Operates marigoldbend.
+
+Usage: marigoldctl COMMAND [OPTIONS]
+
+  questionnaire                  print a questionnaire to fill in
+  plan ANSWERS [--json]          show the configuration that follows, each value with its answer
+  apply ANSWERS --to ADDRESS     put that configuration in force
+        [--expect VERSION]       fail unless this version is in force
+  status --to ADDRESS [--json]   show what an instance knows
+  jobs ID --to ADDRESS           show a job
+  drain --to ADDRESS             make an instance finish what it has and end
+  check ANSWERS                  check a filled-in questionnaire
+
+  --to ADDRESS  an entry instance's operator port, such as 127.0.0.1:7001
+  --help        print this text
+
+Exit codes: 0 done, 1 refused or failed, 2 wrong arguments or answers.
+";
+
+/// Why a command did not do what was asked.
+enum Failure {
+    /// The arguments or the answers are wrong.
+    Usage(String),
+    /// The instance refused, or could not be reached.
+    Refused(String),
+}
+
+type Result<T, E = Failure> = std::result::Result<T, E>;
+
+fn main() -> ExitCode {
+    match run(Arguments::from_env()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Failure::Usage(problem)) => fail(2, &problem),
+        Err(Failure::Refused(problem)) => fail(1, &problem),
+    }
+}
+
+fn fail(code: u8, problem: &str) -> ExitCode {
+    eprintln!("marigoldctl: {problem}");
+    ExitCode::from(code)
+}
+
+fn run(mut args: Arguments) -> Result<()> {
+    if args.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(());
+    }
+    let command = args.subcommand().map_err(usage)?;
+    let as_json = args.contains("--json");
+    let to: Option<SocketAddr> = args.opt_value_from_str("--to").map_err(usage)?;
+    let expect: Option<u64> = args.opt_value_from_str("--expect").map_err(usage)?;
+    let free: Option<String> = args.opt_free_from_str().map_err(usage)?;
+    if let Some(rest) = args.finish().first() {
+        return Err(Failure::Usage(format!("unexpected argument {rest:?}")));
+    }
+    let operator = || {
+        let missing = || Failure::Usage("--to ADDRESS is missing".to_owned());
+        to.map(Operator::new).ok_or_else(missing)
+    };
+    match command.as_deref() {
+        Some("questionnaire") => {
+            print!("{}", questionnaire::BLANK);
+            Ok(())
+        }
+        Some("plan") => show_plan(&read_plan(free)?, as_json),
+        Some("check") => {
+            read_plan(free)?;
+            println!("the answers are complete");
+            Ok(())
+        }
+        Some("apply") => block_on(apply(operator()?, read_plan(free)?.config, expect)),
+        Some("status") => block_on(status(operator()?, as_json)),
+        Some("jobs") => block_on(job(operator()?, free)),
+        Some("drain") => block_on(drain(operator()?)),
+        Some(other) => Err(Failure::Usage(format!(
+            "unknown command {other:?}; see --help"
+        ))),
+        None => Err(Failure::Usage(
+            "a command is missing; see --help".to_owned(),
+        )),
+    }
+}
+
+fn usage(error: pico_args::Error) -> Failure {
+    Failure::Usage(error.to_string())
+}
+
+fn block_on(command: impl Future<Output = Result<()>>) -> Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    runtime
+        .map_err(|e| Failure::Refused(e.to_string()))?
+        .block_on(command)
+}
+
+fn read_plan(file: Option<String>) -> Result<Plan> {
+    let file = file.ok_or_else(|| Failure::Usage("ANSWERS is missing".to_owned()))?;
+    let path = PathBuf::from(file);
+    let wrong = |problem: String| Failure::Usage(format!("{}: {problem}", path.display()));
+    let text = fs::read_to_string(&path).map_err(|e| wrong(e.to_string()))?;
+    let answers = Answers::parse(&text).map_err(|e| wrong(e.to_string()))?;
+    plan(&answers).map_err(|e| wrong(e.to_string()))
+}
+
+fn show_plan(plan: &Plan, as_json: bool) -> Result<()> {
+    if as_json {
+        return print_json(&json!(plan.config));
+    }
+    for reason in &plan.reasons {
+        println!(
+            "{} = {}    ; from {}",
+            reason.field, reason.value, reason.answer
+        );
+    }
+    Ok(())
+}
+
+async fn apply(operator: Operator, config: Config, expect: Option<u64>) -> Result<()> {
+    let refused =
+        |e: marigoldbend::operator::client::OperatorError| Failure::Refused(e.to_string());
+    let expected = match expect {
+        Some(version) => Version(version),
+        None => operator.config().await.map_err(refused)?.0,
+    };
+    let put = operator.put_config(expected, &config).await;
+    let version = put.map_err(|e| match e.is_lost_race() {
+        true => Failure::Refused(format!("another operator was faster: {e}")),
+        false => refused(e),
+    })?;
+    println!("version {} is in force", version.0);
+    Ok(())
+}
+
+async fn status(operator: Operator, as_json: bool) -> Result<()> {
+    let status = operator.status().await;
+    let status = status.map_err(|e| Failure::Refused(e.to_string()))?;
+    if as_json {
+        return print_json(&status);
+    }
+    for key in [
+        "name",
+        "domain",
+        "confirmed",
+        "platform_up",
+        "config_version",
+        "row_version",
+    ] {
+        println!("{key}: {}", status[key]);
+    }
+    println!("live members: {}", status["live_members"]);
+    let workers = status["workers"].as_array().cloned().unwrap_or_default();
+    for worker in workers {
+        println!(
+            "worker {} {} limit={} in_use={} tasks={} {}",
+            worker["id"],
+            worker["epoch"],
+            worker["limit"],
+            worker["in_use"],
+            worker["tasks"],
+            worker["health"],
+        );
+    }
+    Ok(())
+}
+
+async fn job(operator: Operator, id: Option<String>) -> Result<()> {
+    let id = id.ok_or_else(|| Failure::Usage("ID is missing".to_owned()))?;
+    let job = operator.job(&id).await;
+    print_json(&job.map_err(|e| Failure::Refused(e.to_string()))?)
+}
+
+async fn drain(operator: Operator) -> Result<()> {
+    let drained = operator.drain().await;
+    drained.map_err(|e| Failure::Refused(e.to_string()))?;
+    println!("the instance is ending");
+    Ok(())
+}
+
+fn print_json(value: &Value) -> Result<()> {
+    let text = serde_json::to_string_pretty(value);
+    println!("{}", text.map_err(|e| Failure::Refused(e.to_string()))?);
+    Ok(())
+}
--- /dev/null
+++ b/crates/entry/src/callers.rs
@@ -0,0 +1,310 @@
+//! What callers can ask for: services and jobs.
+
+use {
+    crate::{
+        jobs::{self, Jobs, SubmitOutcome, inbox_key, job_key},
+        keyed::Keyed,
+        metrics::Metrics,
+        router::Router,
+    },
+    bytes::Bytes,
+    hyper::{
+        HeaderMap, Method, Request, StatusCode, Uri,
+        body::Incoming,
+        header::{HeaderValue, LOCATION},
+    },
+    marigoldbend::{
+        caller::{
+            answer,
+            request::{BODY_LIMIT, RequestError, ServiceRequest, read_job},
+        },
+        core::{
+            ids::Version,
+            task::{Job, Phase},
+        },
+        http::body::{Answer, BodyError, json, read_whole},
+        platform::{
+            table::{Outcome, Table},
+            wire::Commit,
+        },
+    },
+    rand::RngExt,
+    serde_json::{Value, json},
+    std::{sync::Arc, time::Duration},
+    tokio::{sync::oneshot, time::timeout},
+    xtra::prelude::*,
+};
+
+/// How long a caller waits for a job to become durable.
+const SUBMIT_LIMIT: Duration = Duration::from_secs(5);
+
+/// How long a cancellation is tried.
+const CANCEL_PATIENCE: Duration = Duration::from_secs(3);
+
+/// Tries of a cancellation that races with the job's progress.
+const CANCEL_TRIES: usize = 8;
+
+/// Answers callers.
+pub struct Callers {
+    router: Arc<Router>,
+    keyed: Keyed,
+    table: Table,
+    jobs: Address<Jobs>,
+    metrics: Arc<Metrics>,
+}
+
+impl Callers {
+    /// Creates the part that answers callers.
+    pub fn new(
+        router: Arc<Router>,
+        keyed: Keyed,
+        table: Table,
+        jobs: Address<Jobs>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self {
+            router,
+            keyed,
+            table,
+            jobs,
+            metrics,
+        }
+    }
+
+    /// Answers one request.
+    pub async fn answer(&self, req: Request<Incoming>) -> Answer {
+        let (parts, body) = req.into_parts();
+        let body = match read_whole(body, BODY_LIMIT).await {
+            Ok(body) => body,
+            Err(e) => {
+                let status = match e {
+                    BodyError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+                    BodyError::Cut => StatusCode::BAD_REQUEST,
+                };
+                return self.wrong(status, &e.to_string());
+            }
+        };
+        if parts.uri.path() == "/jobs" {
+            return self.jobs(&parts.method, &body).await;
+        }
+        if let Some(id) = parts.uri.path().strip_prefix("/jobs/") {
+            return self.job(&parts.method, id).await;
+        }
+        self.service(&parts.method, &parts.uri, &parts.headers, body)
+            .await
+    }
+
+    fn wrong(&self, status: StatusCode, reason: &str) -> Answer {
+        self.metrics.requests.with_label_values(&["wrong"]).inc();
+        answer::wrong(status, reason)
+    }
+
+    fn refuse(&self, error: &RequestError) -> Answer {
+        self.wrong(error.status(), &error.to_string())
+    }
+
+    async fn service(
+        &self,
+        method: &Method,
+        uri: &Uri,
+        headers: &HeaderMap,
+        body: Bytes,
+    ) -> Answer {
+        let req = match ServiceRequest::read(method, uri, headers, body) {
+            Ok(Some(req)) => req,
+            Ok(None) => return self.wrong(StatusCode::NOT_FOUND, "there is nothing at this path"),
+            Err(e) => return self.refuse(&e),
+        };
+        if self.is_unknown(&req.service) {
+            let reason = format!("service {:?} does not exist", req.service);
+            return self.wrong(StatusCode::NOT_FOUND, &reason);
+        }
+        let id = request_id(headers);
+        let outcome = match &req.key {
+            Some(key) => self.keyed.route(&id, &req, key).await,
+            None => self.router.route(&id, &req).await,
+        };
+        outcome.into_answer()
+    }
+
+    fn is_unknown(&self, service: &str) -> bool {
+        let directory = self.router.directory();
+        let config = directory.config.as_ref();
+        config.is_some_and(|c| !c.config.services.contains_key(service))
+    }
+
+    async fn jobs(&self, method: &Method, body: &[u8]) -> Answer {
+        if method != Method::POST {
+            return self.wrong(StatusCode::METHOD_NOT_ALLOWED, "jobs are created with POST");
+        }
+        let spec = match read_job(body) {
+            Ok(spec) => spec,
+            Err(e) => return self.refuse(&e),
+        };
+        let directory = self.router.directory();
+        let Some(config) = &directory.config else {
+            return answer::not_run("no configuration is known yet");
+        };
+        if !config.config.classes.contains_key(&spec.class) {
+            let reason = format!("class: {:?} is not in the configuration", spec.class);
+            return self.wrong(StatusCode::UNPROCESSABLE_ENTITY, &reason);
+        }
+        if !config.config.teams.contains_key(&spec.team) {
+            let reason = format!("team: {:?} is not in the configuration", spec.team);
+            return self.wrong(StatusCode::UNPROCESSABLE_ENTITY, &reason);
+        }
+        let (reply, rx) = oneshot::channel();
+        let submit = jobs::Submit { spec, reply };
+        if self.jobs.send(submit).await.is_err() {
+            return answer::not_run("the instance is ending");
+        }
+        match timeout(SUBMIT_LIMIT, rx).await {
+            Ok(Ok(SubmitOutcome::Accepted(id))) => accepted(&id),
+            Ok(Ok(SubmitOutcome::Refused(reason))) => answer::not_run(&reason),
+            Ok(Ok(SubmitOutcome::Unknown(id))) => {
+                answer::unknown(&format!("job {id} may have been accepted"))
+            }
+            Ok(Err(_)) | Err(_) => answer::unknown_late("the job may have been accepted"),
+        }
+    }
+
+    async fn job(&self, method: &Method, id: &str) -> Answer {
+        let plain = |c: char| c.is_ascii_alphanumeric() || c == '-';
+        if id.is_empty() || id.len() > 64 || !id.chars().all(plain) {
+            return self.wrong(StatusCode::NOT_FOUND, "there is no such job");
+        }
+        match *method {
+            Method::GET => self.read_job(id).await,
+            Method::DELETE => self.cancel_job(id).await,
+            _ => self.wrong(StatusCode::METHOD_NOT_ALLOWED, "a job knows GET and DELETE"),
+        }
+    }
+
+    async fn read_job(&self, id: &str) -> Answer {
+        match self.load(id).await {
+            Ok(Some((_, job))) => json(StatusCode::OK, &describe(&job)),
+            Ok(None) => self.wrong(StatusCode::NOT_FOUND, "there is no such job"),
+            Err(reason) => answer::not_run(&reason),
+        }
+    }
+
+    async fn load(&self, id: &str) -> Result<Option<(Version, Job)>, String> {
+        let row = self.table.read(&job_key(id)).await;
+        let row = row.map_err(|e| e.to_string())?;
+        if row.version == Version(0) {
+            return Ok(None);
+        }
+        let job = serde_json::from_value(row.value).map_err(|e| e.to_string())?;
+        Ok(Some((row.version, job)))
+    }
+
+    /// Cancels a job by its row, and tells its home.
+    async fn cancel_job(&self, id: &str) -> Answer {
+        for _ in 0..CANCEL_TRIES {
+            let (version, mut job) = match self.load(id).await {
+                Ok(Some(found)) => found,
+                Ok(None) => return self.wrong(StatusCode::NOT_FOUND, "there is no such job"),
+                Err(reason) => return answer::not_run(&reason),
+            };
+            if job.is_final() || job.cancelled {
+                return json(StatusCode::OK, &describe(&job));
+            }
+            job.cancelled = true;
+            match self.write_cancel(id, version, &job).await {
+                Ok(Outcome::Applied) => {
+                    log::info!("place: job={id} cancelled by its caller.");
+                    // A home elsewhere reads its inbox.
+                    let _ = self.jobs.send(jobs::Cancel(id.to_owned())).await;
+                    return json(StatusCode::ACCEPTED, &describe(&job));
+                }
+                Ok(_) => {}
+                Err(e) if e.is_unwritten() => return answer::not_run(&e.to_string()),
+                Err(e) => return answer::unknown(&e.to_string()),
+            }
+        }
+        answer::not_run("the job changes too fast; try again")
+    }
+
+    async fn write_cancel(
+        &self,
+        id: &str,
+        version: Version,
+        job: &Job,
+    ) -> Result<Outcome, marigoldbend::platform::table::TableError> {
+        let key = inbox_key(job.home);
+        let inbox = self.table.read(&key).await?;
+        let mut cancelled: Vec<Value> = match &inbox.value["cancelled"] {
+            Value::Array(ids) => ids.clone(),
+            _ => Vec::new(),
+        };
+        cancelled.push(json!(id));
+        let op = format!("cancel-{:032x}", rand::rng().random::<u128>());
+        let commit = Commit::new(op)
+            .write(job_key(id), version, json!(job))
+            .write(key, inbox.version, json!({ "cancelled": cancelled }));
+        self.table
+            .commit_until_known(&commit, CANCEL_PATIENCE)
+            .await
+    }
+}
+
+fn accepted(id: &str) -> Answer {
+    let mut answer = json(StatusCode::ACCEPTED, &json!({ "id": id }));
+    if let Ok(location) = HeaderValue::from_str(&format!("/jobs/{id}")) {
+        answer.headers_mut().insert(LOCATION, location);
+    }
+    answer
+}
+
+fn request_id(headers: &HeaderMap) -> String {
+    const LONGEST_ID: usize = 64;
+    let plain = |c: char| c.is_ascii_graphic();
+    let given = headers.get("x-request-id").and_then(|v| v.to_str().ok());
+    match given {
+        Some(id) if id.len() <= LONGEST_ID && id.chars().all(plain) => id.to_owned(),
+        _ => format!("{:016x}", rand::rng().random::<u64>()),
+    }
+}
+
+/// Describes a job for its caller.
+pub fn describe(job: &Job) -> Value {
+    let tasks: Vec<Value> = job.tasks.iter().map(describe_task).collect();
+    let state = if job.is_final() {
+        let has = |phase| job.tasks.iter().any(|t| t.phase == phase);
+        match (has(Phase::Parked), has(Phase::Cancelled)) {
+            (true, _) => "parked",
+            (_, true) => "cancelled",
+            _ => "done",
+        }
+    } else if job.cancelled {
+        "cancelling"
+    } else if job
+        .tasks
+        .iter()
+        .any(|t| matches!(t.phase, Phase::Claimed { .. }))
+    {
+        "running"
+    } else {
+        "queued"
+    };
+    json!({ "id": job.id, "state": state, "spec": job.spec, "tasks": tasks })
+}
+
+fn describe_task(task: &marigoldbend::core::task::Task) -> Value {
+    let (state, worker) = match task.phase {
+        Phase::Queued => ("queued", None),
+        Phase::Claimed { worker, .. } => ("running", Some(worker)),
+        Phase::Done => ("done", None),
+        Phase::Cancelled => ("cancelled", None),
+        Phase::Parked => ("parked", None),
+    };
+    json!({
+        "state": state,
+        "worker": worker,
+        "attempt": task.attempt,
+        "progress_ms": task.progress_ms,
+        "failures": task.failures,
+        "evictions": task.evictions,
+        "reason": task.reason,
+    })
+}
--- /dev/null
+++ b/crates/entry/src/control/platform.rs
@@ -0,0 +1,168 @@
+//! Reads of the platform, one at a time.
+
+use {
+    super::actor::{Control, ControlConfig, PlatformView, ReadDone, row_key},
+    marigoldbend::{
+        core::{
+            config::{Config, Versioned},
+            ids::{Domain, Version},
+            ownership::{DomainRow, Member},
+        },
+        platform::{
+            instances::Instances,
+            table::{Table, TableError},
+            wire::Row,
+        },
+    },
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    xtra::prelude::*,
+};
+
+/// The key of the configuration row.
+pub const CONFIG_KEY: &str = "config";
+
+/// Of how many reads one includes the configuration and the instance list.
+const FULL_READ_EVERY: u32 = 2;
+
+/// Of how many reads one includes the members of other domains.
+const FAR_READ_EVERY: u32 = 10;
+
+/// Reads the platform and remembers how fresh its newest answer is.
+pub(super) struct PlatformReader {
+    domain: Domain,
+    table: Table,
+    instances: Instances,
+    reading: bool,
+    count: u32,
+    newest: Option<Instant>,
+    up: Option<bool>,
+}
+
+impl PlatformReader {
+    pub(super) fn new(cfg: &ControlConfig, table: Table) -> Self {
+        let instances = Instances::new(&cfg.platform_url, cfg.platform_timeout, cfg.local_ip);
+        Self {
+            domain: cfg.domain,
+            table,
+            instances,
+            reading: false,
+            count: 0,
+            newest: None,
+            up: None,
+        }
+    }
+
+    /// Starts a read unless one is under way.
+    pub(super) fn start(&mut self, address: &Address<Control>, now: Instant) -> bool {
+        if self.reading {
+            return false;
+        }
+        self.reading = true;
+        let read = Read {
+            domain: self.domain,
+            table: self.table.clone(),
+            instances: self.instances.clone(),
+            full: self.count.is_multiple_of(FULL_READ_EVERY),
+            far: self.count.is_multiple_of(FAR_READ_EVERY),
+        };
+        self.count = self.count.wrapping_add(1);
+        let address = address.clone();
+        tokio::spawn(async move {
+            let result = read.run().await;
+            // The actor ends only with the process.
+            let _ = address.send(ReadDone { sent: now, result }).detach().await;
+        });
+        true
+    }
+
+    /// Records the end of a read; returns whether the platform went up or down.
+    pub(super) fn finish(&mut self, sent: Instant, up: bool) -> bool {
+        self.reading = false;
+        if up {
+            self.newest = self.newest.max(Some(sent));
+        }
+        self.up.replace(up) != Some(up)
+    }
+
+    /// Returns whether the newest answered read was sent within `age`.
+    pub(super) fn is_fresh(&self, now: Instant, age: Duration) -> bool {
+        let fresh = |sent| now.saturating_duration_since(sent) < age;
+        self.newest.is_some_and(fresh)
+    }
+}
+
+struct Read {
+    domain: Domain,
+    table: Table,
+    instances: Instances,
+    full: bool,
+    far: bool,
+}
+
+impl Read {
+    async fn run(&self) -> Result<PlatformView, TableError> {
+        let row = self.table.read(&row_key(self.domain)).await?;
+        let mut view = PlatformView {
+            row: (row.version, Arc::new(self.parse_row(&row))),
+            config: None,
+            list: None,
+            far: Vec::new(),
+        };
+        if self.full {
+            let row = self.table.read(CONFIG_KEY).await?;
+            view.config = parse_config(&row);
+            // The list lags anyway; a failed read of it does not make the row's read void.
+            view.list = self.instances.read().await.ok();
+        }
+        if self.far {
+            let rows = self.table.scan("ownership/").await?;
+            view.far = rows.iter().flat_map(|row| self.far_members(row)).collect();
+        }
+        Ok(view)
+    }
+
+    fn parse_row(&self, row: &Row) -> DomainRow {
+        let empty = || DomainRow {
+            domain: self.domain,
+            ..DomainRow::default()
+        };
+        if row.version == Version(0) {
+            return empty();
+        }
+        serde_json::from_value(row.value.clone()).unwrap_or_else(|e| {
+            log::error!("owner: row {} can't be read: {e}.", row.version);
+            empty()
+        })
+    }
+
+    fn far_members(&self, row: &Row) -> Vec<(Domain, Member)> {
+        let Ok(row) = serde_json::from_value::<DomainRow>(row.value.clone()) else {
+            return Vec::new();
+        };
+        if row.domain == self.domain {
+            return Vec::new();
+        }
+        let domain = row.domain;
+        row.members.into_iter().map(|m| (domain, m)).collect()
+    }
+}
+
+/// Reads the configuration from its row; `None` if it is absent or damaged.
+pub fn parse_config(row: &Row) -> Option<Versioned> {
+    if row.version == Version(0) {
+        return None;
+    }
+    match serde_json::from_value::<Config>(row.value.clone()) {
+        Ok(config) => Some(Versioned {
+            version: row.version,
+            config: Arc::new(config),
+        }),
+        Err(e) => {
+            log::error!("config: {} can't be read: {e}.", row.version);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,41 @@
+//! The entry instance of marigoldbend as a library: settings, wiring and threads.
+//!
+//! The binary `marigoldbend-entry` is a thin shell around [`entry::Entry`]; tests and the
+//! example start several instances in one process.
+//!
+//! # Examples
+//!
+//! ```no_run
+//! use marigoldbend_entry::{entry::Entry, settings::Settings};
+//!
+//! let text = "
+//! [instance]
+//! name = a1
+//! domain = 1
+//! [listen]
+//! callers = 127.0.0.1:0
+//! operators = 127.0.0.1:0
+//! peers = 127.0.0.1:0
+//! [platform]
+//! url = http://127.0.0.1:7000
+//! ";
+//! let settings = Settings::parse(text).expect("the settings are complete");
+//! let entry = Entry::start(settings).expect("the ports are free");
+//! println!("callers connect to {}", entry.addresses().callers);
+//! entry.stop();
+//! assert!(entry.join());
+//! ```
+
+mod callers;
+mod control;
+mod directory;
+pub mod entry;
+mod jobs;
+mod keyed;
+mod metrics;
+mod operators;
+mod pool;
+mod router;
+pub mod settings;
+mod wire;
+mod worker;
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,90 @@
+//! `marigoldbend-entry SETTINGS.ini`: runs one entry instance until it is told to end.
+
+use {
+    marigoldbend_entry::{entry::Entry, settings::Settings},
+    pico_args::Arguments,
+    simplelog::{ConfigBuilder, WriteLogger},
+    std::{io, path::PathBuf, process::ExitCode},
+    tokio::signal::unix::{SignalKind, signal},
+};
+
+const HELP: &str = "\
+Runs one entry instance of marigoldbend.
+
+Usage: marigoldbend-entry [--check] SETTINGS.ini
+
+  --check   check the settings and exit
+  --help    print this text
+
+It ends gracefully on SIGTERM and SIGINT.
+Exit codes: 0 graceful end, 1 failure, 2 wrong arguments or settings.
+";
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(1),
+        Err(Failure::Usage(problem)) => {
+            eprintln!("marigoldbend-entry: {problem}");
+            ExitCode::from(2)
+        }
+        Err(Failure::Run(problem)) => {
+            eprintln!("marigoldbend-entry: {problem}");
+            ExitCode::from(1)
+        }
+    }
+}
+
+enum Failure {
+    Usage(String),
+    Run(String),
+}
+
+fn run() -> Result<bool, Failure> {
+    let mut args = Arguments::from_env();
+    if args.contains(["-h", "--help"]) {
+        print!("{HELP}");
+        return Ok(true);
+    }
+    let check = args.contains("--check");
+    let path: PathBuf = args
+        .free_from_str()
+        .map_err(|_| Failure::Usage("SETTINGS.ini is missing; see --help".to_owned()))?;
+    let rest = args.finish();
+    if !rest.is_empty() {
+        return Err(Failure::Usage(format!("unexpected argument {:?}", rest[0])));
+    }
+    let settings = Settings::load(&path).map_err(|e| Failure::Usage(e.to_string()))?;
+    if check {
+        println!("{}: the settings are valid", path.display());
+        return Ok(true);
+    }
+    let log = ConfigBuilder::new()
+        .set_time_format_rfc3339()
+        .set_target_level(log::LevelFilter::Off)
+        .set_thread_level(log::LevelFilter::Off)
+        .build();
+    WriteLogger::init(settings.log_level, log, io::stderr())
+        .map_err(|e| Failure::Run(e.to_string()))?;
+    let entry = Entry::start(settings).map_err(|e| Failure::Run(e.to_string()))?;
+    wait_for_end(&entry).map_err(|e| Failure::Run(e.to_string()))?;
+    Ok(entry.join())
+}
+
+/// Waits for a signal, or for an operator who asks for the end.
+fn wait_for_end(entry: &Entry) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        tokio::select! {
+            _ = terminate.recv() => log::info!("entry: SIGTERM."),
+            _ = interrupt.recv() => log::info!("entry: SIGINT."),
+            () = entry.stopping() => {}
+        }
+        entry.stop();
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/entry/src/operators.rs
@@ -0,0 +1,219 @@
+//! What operators can ask for, on a port of their own.
+
+use {
+    crate::{
+        callers::describe,
+        control::{Control, ObserveConfig, Status},
+        jobs::job_key,
+        metrics::Metrics,
+        router::Router,
+    },
+    hyper::{
+        HeaderMap, Method, Request, StatusCode,
+        body::Incoming,
+        header::{ETAG, HeaderValue, IF_MATCH},
+    },
+    marigoldbend::{
+        caller::request::BODY_LIMIT,
+        core::{
+            config::{Config, Versioned},
+            ids::Version,
+            task::Job,
+        },
+        http::body::{Answer, json, problem, read_whole, text},
+        operator::client::{etag, parse_etag},
+        platform::{
+            table::{Outcome, Table},
+            wire::Commit,
+        },
+    },
+    rand::RngExt,
+    serde_json::json,
+    std::{sync::Arc, time::Duration},
+    tokio::sync::watch,
+    xtra::prelude::*,
+};
+
+/// The key of the configuration row.
+const CONFIG_KEY: &str = "config";
+
+/// How long a write of the configuration is tried.
+const PUT_PATIENCE: Duration = Duration::from_secs(5);
+
+/// Answers operators.
+pub struct Operators {
+    router: Arc<Router>,
+    control: Address<Control>,
+    table: Table,
+    metrics: Arc<Metrics>,
+    stop: watch::Sender<bool>,
+}
+
+impl Operators {
+    /// Creates the part that answers operators; `stop` ends the instance.
+    pub fn new(
+        router: Arc<Router>,
+        control: Address<Control>,
+        table: Table,
+        metrics: Arc<Metrics>,
+        stop: watch::Sender<bool>,
+    ) -> Self {
+        Self {
+            router,
+            control,
+            table,
+            metrics,
+            stop,
+        }
+    }
+
+    /// Answers one request.
+    pub async fn answer(&self, req: Request<Incoming>) -> Answer {
+        let (parts, body) = req.into_parts();
+        match (parts.method, parts.uri.path()) {
+            (Method::GET, "/livez") => text(StatusCode::OK, "live\n"),
+            (Method::GET, "/readyz") => self.readyz(),
+            (Method::GET, "/metrics") => self.metrics(),
+            (Method::GET, "/status") => self.status().await,
+            (Method::GET, "/config") => self.get_config(),
+            (Method::PUT, "/config") => match read_whole(body, BODY_LIMIT).await {
+                Ok(body) => self.put_config(&parts.headers, &body).await,
+                Err(e) => problem(StatusCode::BAD_REQUEST, &e.to_string()),
+            },
+            (Method::POST, "/drain") => self.drain(),
+            (Method::GET, path) => match path.strip_prefix("/jobs/") {
+                Some(id) => self.job(id).await,
+                None => problem(StatusCode::NOT_FOUND, "there is nothing at this path"),
+            },
+            _ => problem(StatusCode::NOT_FOUND, "there is nothing at this path"),
+        }
+    }
+
+    fn readyz(&self) -> Answer {
+        let directory = self.router.directory();
+        let peers = !directory.near.is_empty() || !directory.far.is_empty();
+        let has_slots = directory
+            .pools
+            .values()
+            .any(|p| p.slots(std::time::Instant::now()) > 0);
+        let reason = if *self.stop.borrow() {
+            "the instance is ending"
+        } else if directory.config.is_none() {
+            "no configuration is known yet"
+        } else if !has_slots && !peers {
+            "neither workers nor peers are known yet"
+        } else {
+            return text(StatusCode::OK, "ready\n");
+        };
+        problem(StatusCode::SERVICE_UNAVAILABLE, reason)
+    }
+
+    fn metrics(&self) -> Answer {
+        match self.metrics.encode() {
+            Ok(metrics) => text(StatusCode::OK, &metrics),
+            Err(e) => problem(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
+        }
+    }
+
+    async fn status(&self) -> Answer {
+        match self.control.send(Status).await {
+            Ok(status) => json(StatusCode::OK, &status),
+            Err(_) => problem(StatusCode::SERVICE_UNAVAILABLE, "the instance is ending"),
+        }
+    }
+
+    fn get_config(&self) -> Answer {
+        let directory = self.router.directory();
+        match &directory.config {
+            Some(current) => {
+                let answer = json(StatusCode::OK, &*current.config);
+                with_etag(answer, current.version)
+            }
+            None => problem(StatusCode::NOT_FOUND, "no configuration is known yet"),
+        }
+    }
+
+    async fn put_config(&self, headers: &HeaderMap, body: &[u8]) -> Answer {
+        let Some(tag) = headers.get(IF_MATCH) else {
+            let detail = "If-Match: it names the version to replace, \"0\" for the first";
+            return problem(StatusCode::PRECONDITION_REQUIRED, detail);
+        };
+        let Some(expected) = tag.to_str().ok().and_then(parse_etag) else {
+            return problem(
+                StatusCode::BAD_REQUEST,
+                "If-Match: it is not one entity tag",
+            );
+        };
+        let config: Config = match serde_json::from_slice(body) {
+            Ok(config) => config,
+            Err(e) if e.is_data() => {
+                return problem(StatusCode::UNPROCESSABLE_ENTITY, &e.to_string());
+            }
+            Err(e) => return problem(StatusCode::BAD_REQUEST, &e.to_string()),
+        };
+        if let Err(e) = config.check() {
+            return problem(StatusCode::UNPROCESSABLE_ENTITY, &e.to_string());
+        }
+        self.commit_config(expected, config).await
+    }
+
+    async fn commit_config(&self, expected: Version, config: Config) -> Answer {
+        let op = format!("config-{:032x}", rand::rng().random::<u128>());
+        let commit = Commit::new(op).write(CONFIG_KEY, expected, json!(config));
+        match self.table.commit_until_known(&commit, PUT_PATIENCE).await {
+            Ok(Outcome::Applied) => {
+                let version = Version(expected.0 + 1);
+                log::info!("config: an operator wrote {version}.");
+                let config = Arc::new(config);
+                // The actor ends only with the process.
+                let _ = self
+                    .control
+                    .send(ObserveConfig(Versioned { version, config }))
+                    .await;
+                with_etag(
+                    json(StatusCode::OK, &json!({ "version": version })),
+                    version,
+                )
+            }
+            Ok(Outcome::Conflict(_)) => {
+                let detail = format!(
+                    "the configuration is not at version {} any more",
+                    expected.0
+                );
+                problem(StatusCode::PRECONDITION_FAILED, &detail)
+            }
+            Ok(Outcome::Overtaken) => {
+                let detail = "the reply was lost and others have written since; read it again";
+                problem(StatusCode::BAD_GATEWAY, detail)
+            }
+            Err(e) if e.is_unwritten() => problem(
+                StatusCode::SERVICE_UNAVAILABLE,
+                &format!("not written: {e}"),
+            ),
+            Err(e) => problem(StatusCode::BAD_GATEWAY, &format!("unclear: {e}")),
+        }
+    }
+
+    fn drain(&self) -> Answer {
+        log::info!("entry: an operator asked for a drain.");
+        self.stop.send_replace(true);
+        json(StatusCode::ACCEPTED, &json!({ "draining": true }))
+    }
+
+    async fn job(&self, id: &str) -> Answer {
+        match self.table.read(&job_key(id)).await {
+            Ok(row) => match serde_json::from_value::<Job>(row.value) {
+                Ok(job) => json(StatusCode::OK, &describe(&job)),
+                Err(_) => problem(StatusCode::NOT_FOUND, "there is no such job"),
+            },
+            Err(e) => problem(StatusCode::SERVICE_UNAVAILABLE, &e.to_string()),
+        }
+    }
+}
+
+fn with_etag(mut answer: Answer, version: Version) -> Answer {
+    if let Ok(value) = HeaderValue::from_str(&etag(version)) {
+        answer.headers_mut().insert(ETAG, value);
+    }
+    answer
+}
--- /dev/null
+++ b/crates/entry/src/router.rs
@@ -0,0 +1,444 @@
+//! Brings requests to workers: an own slot, a peer's slot, a place in the queue, or a refusal.
+//!
+//! A non-idempotent request is sent once; whatever happens after the first byte, its caller
+//! learns that the outcome is unknown. An idempotent one is sent again to another worker, as
+//! far as the retry budget allows.
+
+use {
+    crate::{
+        directory::{Directory, Peer},
+        metrics::Metrics,
+        pool::{Grant, ServicePool},
+        wire,
+    },
+    arc_swap::ArcSwap,
+    bytes::Bytes,
+    hyper::{Request, Response, StatusCode},
+    marigoldbend::{
+        caller::{answer, headers::DEADLINE_MS, request::ServiceRequest},
+        core::{
+            config::{LONGEST_DEADLINE_MS, Service},
+            ids::{Incarnation, WorkerId},
+        },
+        http::body::Answer,
+        peer::{
+            call::{Call, Offer, Reply},
+            link::CallError,
+        },
+        upstream::{Exchange, ExchangeError},
+    },
+    rand::RngExt,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// The most tries of one idempotent request.
+const MOST_TRIES: usize = 3;
+
+/// The expected wait in the own queue from which a request is offered to another domain.
+const CROSS_DOMAIN_WAIT: Duration = Duration::from_millis(20);
+
+/// The time that is kept of a deadline to bring the answer back.
+const ANSWER_MARGIN: Duration = Duration::from_millis(5);
+
+/// How long after the deadline the reply of a peer is still waited for.
+const REPLY_MARGIN: Duration = Duration::from_millis(50);
+
+/// What became of a request.
+#[derive(Debug)]
+pub enum Outcome {
+    /// The upstream answered.
+    Answered(Response<Bytes>),
+    /// It was not run.
+    NotRun(String),
+    /// It was not run, since there is too much work.
+    TooMany(String),
+    /// It may have been run.
+    Unknown(String),
+    /// It may have been run, and its deadline has passed.
+    Late(String),
+}
+
+impl Outcome {
+    fn label(&self) -> &'static str {
+        match self {
+            Self::Answered(_) => "answered",
+            Self::NotRun(_) | Self::TooMany(_) => "not-run",
+            Self::Unknown(_) | Self::Late(_) => "unknown",
+        }
+    }
+
+    /// Makes the answer to the caller.
+    pub fn into_answer(self) -> Answer {
+        match self {
+            Self::Answered(response) => wire::to_caller(response),
+            Self::NotRun(reason) => answer::not_run(&reason),
+            Self::TooMany(reason) => answer::too_many(&reason),
+            Self::Unknown(reason) => answer::unknown(&reason),
+            Self::Late(reason) => answer::unknown_late(&reason),
+        }
+    }
+}
+
+/// A request on its way, with what was tried so far.
+struct Journey<'a> {
+    id: &'a str,
+    req: &'a ServiceRequest,
+    service: &'a Service,
+    pool: &'a Arc<ServicePool>,
+    deadline: Instant,
+    /// Workers that failed it.
+    failed: Vec<WorkerId>,
+    /// Peers that it was offered to.
+    offered: Vec<Incarnation>,
+    /// Why it may have been run, if it may.
+    maybe_run: Option<String>,
+}
+
+/// Where a request can go next.
+enum Place {
+    Own(Grant),
+    Peer(Peer),
+    Nowhere(Outcome),
+}
+
+/// Routes requests by the published directory.
+pub struct Router {
+    directory: Arc<ArcSwap<Directory>>,
+    metrics: Arc<Metrics>,
+}
+
+impl Router {
+    /// Creates a router that follows `directory`.
+    pub fn new(directory: Arc<ArcSwap<Directory>>, metrics: Arc<Metrics>) -> Self {
+        Self { directory, metrics }
+    }
+
+    /// Returns the newest directory.
+    pub fn directory(&self) -> Arc<Directory> {
+        self.directory.load_full()
+    }
+
+    /// Brings a request to a worker and its answer back.
+    pub async fn route(&self, id: &str, req: &ServiceRequest) -> Outcome {
+        let arrived = Instant::now();
+        let directory = self.directory();
+        let Some(config) = &directory.config else {
+            return Outcome::NotRun("no configuration is known yet".to_owned());
+        };
+        let found = (
+            config.config.services.get(&req.service),
+            directory.pools.get(&req.service),
+        );
+        let (Some(service), Some(pool)) = found else {
+            return Outcome::NotRun(format!("service {:?} has no workers yet", req.service));
+        };
+        let longest = Duration::from_millis(LONGEST_DEADLINE_MS);
+        let granted = req
+            .deadline
+            .unwrap_or(Duration::from_millis(service.deadline_ms));
+        let mut journey = Journey {
+            id,
+            req,
+            service,
+            pool,
+            deadline: arrived + granted.min(longest),
+            failed: Vec::new(),
+            offered: Vec::new(),
+            maybe_run: None,
+        };
+        pool.budget.record_try();
+        let outcome = self.travel(&directory, &mut journey).await;
+        self.metrics
+            .requests
+            .with_label_values(&[outcome.label()])
+            .inc();
+        self.metrics
+            .latency
+            .observe(arrived.elapsed().as_secs_f64());
+        outcome
+    }
+
+    async fn travel(&self, directory: &Directory, journey: &mut Journey<'_>) -> Outcome {
+        for turn in 0..MOST_TRIES {
+            let outcome = loop {
+                match self.place(directory, journey).await {
+                    Place::Own(grant) => break self.run_here(journey, grant).await,
+                    Place::Peer(peer) => {
+                        if let Some(outcome) = self.offer(journey, &peer).await {
+                            break outcome;
+                        }
+                    }
+                    Place::Nowhere(outcome) => return outcome,
+                }
+            };
+            let (reason, may_have_run) = match outcome {
+                Outcome::Answered(_) => return outcome,
+                Outcome::NotRun(reason) | Outcome::TooMany(reason) => (reason, false),
+                Outcome::Unknown(reason) => (reason, true),
+                Outcome::Late(_) => return outcome,
+            };
+            if may_have_run {
+                journey.maybe_run = Some(reason);
+                if !journey.req.is_idempotent() {
+                    break;
+                }
+            }
+            let last = turn + 1 == MOST_TRIES || Instant::now() >= journey.deadline;
+            if last || !journey.pool.budget.try_retry() {
+                break;
+            }
+            self.metrics.retries.inc();
+        }
+        give_up(journey, "the request could not be sent")
+    }
+
+    /// Finds the next place for a request, waiting in the queue if need be.
+    async fn place(&self, directory: &Directory, journey: &mut Journey<'_>) -> Place {
+        let now = Instant::now();
+        if let Some(grant) = journey.pool.try_take(now, &journey.failed) {
+            return Place::Own(grant);
+        }
+        let wait = journey.pool.expected_wait(now);
+        // Without slots of its own, the instance has no queue to fall back on.
+        let offers = match journey.pool.slots(now) {
+            0 => directory.near.len(),
+            _ => 1,
+        };
+        if let Some(peer) = untried(&directory.near, journey, offers) {
+            return Place::Peer(peer);
+        }
+        if wait > CROSS_DOMAIN_WAIT
+            && let Some(peer) = untried(&directory.far, journey, offers + 1)
+        {
+            return Place::Peer(peer);
+        }
+        let left = journey.deadline.saturating_duration_since(now);
+        if wait.saturating_add(ANSWER_MARGIN) >= left {
+            return Place::Nowhere(give_up(journey, "no slot is expected before the deadline"));
+        }
+        let until = journey.deadline - ANSWER_MARGIN;
+        match journey.pool.wait(until, journey.service.queue).await {
+            Some(grant) => Place::Own(grant),
+            None => Place::Nowhere(give_up(journey, "the queue is full")),
+        }
+    }
+
+    async fn run_here(&self, journey: &mut Journey<'_>, grant: Grant) -> Outcome {
+        let worker = grant.worker.id;
+        log::info!(
+            "route: request={} service={} worker={worker} epoch={} why={} try={}.",
+            journey.id,
+            journey.req.service,
+            grant.worker.epoch(),
+            if journey.failed.is_empty() {
+                "own-slot"
+            } else {
+                "retry"
+            },
+            journey.failed.len() + 1,
+        );
+        let outcome = self.exchange(journey, grant).await;
+        journey.failed.push(worker);
+        outcome
+    }
+
+    async fn exchange(&self, journey: &Journey<'_>, grant: Grant) -> Outcome {
+        let Grant { worker, permit } = grant;
+        let start = Instant::now();
+        let left = journey.deadline.saturating_duration_since(start);
+        if left.is_zero() {
+            return Outcome::NotRun("the deadline passed before a slot was free".to_owned());
+        }
+        let request = match upstream_request(journey.req, left) {
+            Ok(request) => request,
+            Err(_) => return Outcome::NotRun("the target is not valid".to_owned()),
+        };
+        // A non-idempotent request gains nothing from giving up early.
+        let first_byte = match journey.req.is_idempotent() {
+            true => journey.pool.first_byte_limit().min(left),
+            false => left,
+        };
+        let exchange = Exchange {
+            request,
+            permit,
+            first_byte,
+            deadline: journey.deadline,
+        };
+        match worker.upstream.exchange(exchange).await {
+            Ok(response) => {
+                self.record_answer(journey, &worker, response.status(), start.elapsed());
+                Outcome::Answered(response)
+            }
+            Err(e) => {
+                self.record_error(journey, &worker, e);
+                outcome_of(e, journey.deadline)
+            }
+        }
+    }
+
+    fn record_answer(
+        &self,
+        journey: &Journey<'_>,
+        worker: &crate::worker::Worker,
+        status: StatusCode,
+        latency: Duration,
+    ) {
+        if !status.is_server_error() {
+            worker.record_success(latency);
+            journey.pool.record_latency(latency);
+        } else if worker.record_failure(Instant::now()) {
+            self.ejected(worker.id, status.as_str());
+        }
+    }
+
+    fn record_error(
+        &self,
+        journey: &Journey<'_>,
+        worker: &crate::worker::Worker,
+        error: ExchangeError,
+    ) {
+        log::warn!(
+            "route: request={} service={} worker={} failed: {error}.",
+            journey.id,
+            journey.req.service,
+            worker.id,
+        );
+        if error.is_workers_fault() && worker.record_failure(Instant::now()) {
+            self.ejected(worker.id, &error.to_string());
+        }
+    }
+
+    fn ejected(&self, worker: WorkerId, why: &str) {
+        self.metrics.ejections.inc();
+        log::warn!("route: worker={worker} ejected after {why}.");
+    }
+
+    /// Offers a request to a peer; `None` if the peer did not run it.
+    async fn offer(&self, journey: &mut Journey<'_>, peer: &Peer) -> Option<Outcome> {
+        journey.offered.push(peer.incarnation);
+        let left = journey.deadline.saturating_duration_since(Instant::now());
+        let granted = left.checked_sub(ANSWER_MARGIN)?;
+        let offer = wire::offer(journey.id, journey.req, granted);
+        let reply = peer
+            .link
+            .call(&Call::Offer(offer), left + REPLY_MARGIN)
+            .await;
+        let (label, outcome) = match reply {
+            Ok(Reply::Answered(answer)) => match wire::from_peer(answer) {
+                Some(response) => ("answered", Some(Outcome::Answered(response))),
+                None => ("unknown", Some(lost("the peer's answer was not valid"))),
+            },
+            Ok(Reply::NotRun { .. }) => ("not-run", None),
+            Ok(Reply::Unknown { reason }) => ("unknown", Some(Outcome::Unknown(reason))),
+            Ok(Reply::Snapshot(_)) => ("unknown", Some(lost("the peer's reply was not valid"))),
+            Err(CallError::Unsent) => ("not-run", None),
+            Err(e) => ("unknown", Some(lost(&format!("peer {}: {e}", peer.name)))),
+        };
+        self.metrics.offers.with_label_values(&[label]).inc();
+        log::info!(
+            "route: request={} service={} peer={} domain={} result={label}.",
+            journey.id,
+            journey.req.service,
+            peer.name,
+            peer.domain,
+        );
+        outcome
+    }
+
+    /// Serves a request that a peer has no slot for, if a slot is free now.
+    pub async fn accept(&self, offer: Offer) -> Reply {
+        let directory = self.directory();
+        let not_run = |reason: &str| Reply::NotRun {
+            reason: reason.to_owned(),
+        };
+        let Some(pool) = directory.pools.get(&offer.service) else {
+            return not_run("the service is not known here");
+        };
+        let Some(config) = &directory.config else {
+            return not_run("no configuration is known yet");
+        };
+        let Some(service) = config.config.services.get(&offer.service) else {
+            return not_run("the service is not known here");
+        };
+        let now = Instant::now();
+        let Some(grant) = pool.try_take(now, &[]) else {
+            return not_run("no slot is free");
+        };
+        let Some((id, req, granted)) = wire::from_offer(offer) else {
+            return not_run("the offer is not valid");
+        };
+        let mut journey = Journey {
+            id: &id,
+            req: &req,
+            service,
+            pool,
+            deadline: now + granted.min(Duration::from_millis(LONGEST_DEADLINE_MS)),
+            failed: Vec::new(),
+            offered: Vec::new(),
+            maybe_run: None,
+        };
+        match self.run_here(&mut journey, grant).await {
+            Outcome::Answered(response) => Reply::Answered(wire::to_peer(response)),
+            Outcome::NotRun(reason) | Outcome::TooMany(reason) => Reply::NotRun { reason },
+            Outcome::Unknown(reason) | Outcome::Late(reason) => Reply::Unknown { reason },
+        }
+    }
+}
+
+/// Picks a peer at random that the request was not offered to, up to `most` offers in all.
+fn untried(peers: &[Peer], journey: &Journey<'_>, most: usize) -> Option<Peer> {
+    if journey.offered.len() >= most {
+        return None;
+    }
+    let fresh = |p: &&Peer| !journey.offered.contains(&p.incarnation);
+    let fresh: Vec<&Peer> = peers.iter().filter(fresh).collect();
+    if fresh.is_empty() {
+        return None;
+    }
+    let at = rand::rng().random_range(0..fresh.len());
+    Some(fresh[at].clone())
+}
+
+fn upstream_request(
+    req: &ServiceRequest,
+    left: Duration,
+) -> hyper::http::Result<Request<http_body_util::Full<Bytes>>> {
+    let builder = Request::builder()
+        .method(req.method.clone())
+        .uri(&req.target);
+    let mut request = builder.body(http_body_util::Full::new(req.body.clone()))?;
+    *request.headers_mut() = req.headers.clone();
+    let ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX).max(1);
+    request.headers_mut().insert(DEADLINE_MS, ms.into());
+    Ok(request)
+}
+
+fn outcome_of(error: ExchangeError, deadline: Instant) -> Outcome {
+    let reason = error.to_string();
+    if error.is_unsent() {
+        Outcome::NotRun(reason)
+    } else if Instant::now() >= deadline {
+        Outcome::Late(reason)
+    } else {
+        Outcome::Unknown(reason)
+    }
+}
+
+fn lost(reason: &str) -> Outcome {
+    Outcome::Unknown(reason.to_owned())
+}
+
+/// Ends a journey without an answer, truthfully: an earlier try may have been run.
+fn give_up(journey: &Journey<'_>, reason: &str) -> Outcome {
+    match &journey.maybe_run {
+        Some(earlier) if Instant::now() >= journey.deadline => Outcome::Late(earlier.clone()),
+        Some(earlier) => Outcome::Unknown(earlier.clone()),
+        None => {
+            log::info!("route: request={} refused: {reason}.", journey.id);
+            Outcome::TooMany(reason.to_owned())
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/settings.rs
@@ -0,0 +1,286 @@
+//! The settings of one entry instance, read from an INI file.
+//!
+//! Every key is known and checked; an error names the file, the line, the section and the key.
+
+use {
+    ini::{Ini, Properties},
+    marigoldbend::core::ids::Domain,
+    snafu::Snafu,
+    std::{
+        fs,
+        net::{IpAddr, SocketAddr},
+        path::Path,
+        time::Duration,
+    },
+};
+
+/// The sections and keys that a settings file may have.
+const KEYS: [(&str, &[&str]); 7] = [
+    ("instance", &["name", "domain"]),
+    (
+        "listen",
+        &[
+            "callers",
+            "operators",
+            "peers",
+            "peer_advertise",
+            "local_ip",
+        ],
+    ),
+    ("platform", &["url", "timeout_ms"]),
+    ("peers", &["seeds"]),
+    ("traffic", &["threads"]),
+    ("shutdown", &["balancer_wait_ms"]),
+    ("log", &["level"]),
+];
+
+/// A result of reading settings.
+pub type Result<T, E = SettingsError> = std::result::Result<T, E>;
+
+/// Settings that can't be used.
+#[derive(Debug, Snafu)]
+#[snafu(display("{file}: {problem}"))]
+pub struct SettingsError {
+    file: String,
+    problem: String,
+}
+
+/// How much is logged.
+pub type LogLevel = log::LevelFilter;
+
+/// The settings of one entry instance.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The name in the platform's instance list.
+    pub name: String,
+    /// The failure domain.
+    pub domain: Domain,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where operators connect.
+    pub operators: SocketAddr,
+    /// Where peers reach this instance, over UDP and TCP.
+    pub peers: SocketAddr,
+    /// The address that peers are told, if another than `peers`.
+    pub peer_advertise: Option<SocketAddr>,
+    /// The address that connections are made from.
+    pub local_ip: Option<IpAddr>,
+    /// The platform's address.
+    pub platform_url: String,
+    /// The time limit of a call to the platform.
+    pub platform_timeout: Duration,
+    /// Peers to ask before the platform has told of any.
+    pub seeds: Vec<SocketAddr>,
+    /// Threads that serve traffic.
+    pub threads: usize,
+    /// How long a stopping instance still accepts connections, so that the balancer notices.
+    pub balancer_wait: Duration,
+    /// How much is logged.
+    pub log_level: LogLevel,
+}
+
+impl Settings {
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file, and the line, section and key that is wrong.
+    pub fn load(path: &Path) -> Result<Self> {
+        let file = path.display().to_string();
+        let fail = |problem| SettingsError { file, problem };
+        let text = fs::read_to_string(path).map_err(|e| fail(format!("can't be read: {e}")));
+        let text = text?;
+        Self::parse(&text).map_err(|problem| {
+            let file = path.display().to_string();
+            SettingsError { file, problem }
+        })
+    }
+
+    /// Parses the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong, and where.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let ini = Ini::load_from_str_noescape(text);
+        let ini = ini.map_err(|e| format!("line {}: {}", e.line, e.msg))?;
+        check_keys(text, &ini)?;
+        let reader = Reader { text, ini: &ini };
+        let threads = reader.number("traffic", "threads", Some(2), 1, 64)?;
+        let timeout_ms = reader.number("platform", "timeout_ms", Some(500), 10, 10_000)?;
+        let balancer_ms = reader.number("shutdown", "balancer_wait_ms", Some(1_000), 0, 60_000)?;
+        let domain = reader.number("instance", "domain", None, 1, u64::from(u16::MAX))?;
+        Ok(Self {
+            name: reader.name("instance", "name")?,
+            domain: Domain(u16::try_from(domain).unwrap_or(u16::MAX)),
+            callers: reader.required("listen", "callers")?,
+            operators: reader.required("listen", "operators")?,
+            peers: reader.required("listen", "peers")?,
+            peer_advertise: reader.optional("listen", "peer_advertise")?,
+            local_ip: reader.optional("listen", "local_ip")?,
+            platform_url: reader.url("platform", "url")?,
+            platform_timeout: Duration::from_millis(timeout_ms),
+            seeds: reader.list("peers", "seeds")?,
+            threads: usize::try_from(threads).unwrap_or(1),
+            balancer_wait: Duration::from_millis(balancer_ms),
+            log_level: reader.optional("log", "level")?.unwrap_or(LogLevel::Info),
+        })
+    }
+}
+
+fn check_keys(text: &str, ini: &Ini) -> Result<(), String> {
+    for (section, properties) in ini {
+        let Some(section) = section else {
+            if let Some((key, _)) = properties.iter().next() {
+                let line = line_of(text, None, key);
+                return Err(format!("line {line}: key {key:?} is in no section"));
+            }
+            continue;
+        };
+        let known = KEYS.iter().find(|(name, _)| *name == section);
+        let Some((_, keys)) = known else {
+            let line = line_of_section(text, section);
+            return Err(format!("line {line}: section [{section}] is unknown"));
+        };
+        check_section(text, section, properties, keys)?;
+    }
+    Ok(())
+}
+
+fn check_section(
+    text: &str,
+    section: &str,
+    properties: &Properties,
+    keys: &[&str],
+) -> Result<(), String> {
+    for (key, _) in properties.iter() {
+        let line = line_of(text, Some(section), key);
+        if !keys.contains(&key) {
+            return Err(format!(
+                "line {line}: [{section}] {key}: the key is unknown"
+            ));
+        }
+        if properties.get_all(key).count() > 1 {
+            return Err(format!("line {line}: [{section}] {key}: it is given twice"));
+        }
+    }
+    Ok(())
+}
+
+/// Reads typed values and says where a wrong one stands.
+struct Reader<'a> {
+    text: &'a str,
+    ini: &'a Ini,
+}
+
+impl Reader<'_> {
+    fn get(&self, section: &str, key: &str) -> Option<&str> {
+        let value = self.ini.get_from(Some(section), key)?.trim();
+        (!value.is_empty()).then_some(value)
+    }
+
+    fn wrong(&self, section: &str, key: &str, problem: &str) -> String {
+        let line = line_of(self.text, Some(section), key);
+        format!("line {line}: [{section}] {key}: {problem}")
+    }
+
+    fn optional<T: std::str::FromStr>(&self, section: &str, key: &str) -> Result<Option<T>, String>
+    where
+        T::Err: std::fmt::Display,
+    {
+        let Some(value) = self.get(section, key) else {
+            return Ok(None);
+        };
+        let parsed = value.parse().map(Some);
+        parsed.map_err(|e| self.wrong(section, key, &format!("{value:?}: {e}")))
+    }
+
+    fn required<T: std::str::FromStr>(&self, section: &str, key: &str) -> Result<T, String>
+    where
+        T::Err: std::fmt::Display,
+    {
+        let value = self.optional(section, key)?;
+        value.ok_or_else(|| format!("[{section}] {key}: it is missing"))
+    }
+
+    fn number(
+        &self,
+        section: &str,
+        key: &str,
+        default: Option<u64>,
+        least: u64,
+        most: u64,
+    ) -> Result<u64, String> {
+        let value = match (self.optional(section, key)?, default) {
+            (Some(value), _) => value,
+            (None, Some(default)) => default,
+            (None, None) => return Err(format!("[{section}] {key}: it is missing")),
+        };
+        if (least..=most).contains(&value) {
+            return Ok(value);
+        }
+        let problem = format!("{value} is not within {least} to {most}");
+        Err(self.wrong(section, key, &problem))
+    }
+
+    fn name(&self, section: &str, key: &str) -> Result<String, String> {
+        let name: String = self.required(section, key)?;
+        let allowed = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
+        if name.len() <= 64 && name.chars().all(allowed) {
+            return Ok(name);
+        }
+        let problem = "a name has 1 to 64 letters, digits, '-' or '_'";
+        Err(self.wrong(section, key, problem))
+    }
+
+    fn url(&self, section: &str, key: &str) -> Result<String, String> {
+        let url: String = self.required(section, key)?;
+        let parsed = url.parse::<hyper::Uri>();
+        let plain = parsed.is_ok_and(|u| u.scheme_str() == Some("http") && u.host().is_some());
+        if plain {
+            return Ok(url);
+        }
+        let problem = format!("{url:?} is not an http:// address");
+        Err(self.wrong(section, key, &problem))
+    }
+
+    fn list<T: std::str::FromStr>(&self, section: &str, key: &str) -> Result<Vec<T>, String>
+    where
+        T::Err: std::fmt::Display,
+    {
+        let items = self.get(section, key).unwrap_or("").split(',');
+        let items = items.map(str::trim).filter(|item| !item.is_empty());
+        let parse = |item: &str| {
+            let parsed = item.parse();
+            parsed.map_err(|e| self.wrong(section, key, &format!("{item:?}: {e}")))
+        };
+        items.map(parse).collect()
+    }
+}
+
+/// Returns the line on which a key stands, from one; zero if it is not found.
+fn line_of(text: &str, section: Option<&str>, key: &str) -> usize {
+    let mut current = None;
+    let mut found = 0;
+    for (i, line) in text.lines().enumerate() {
+        let line = line.trim();
+        if let Some(name) = line.strip_prefix('[').and_then(|l| l.strip_suffix(']')) {
+            current = Some(name.trim());
+            continue;
+        }
+        let name = line.split(['=', ':']).next().map(str::trim);
+        if current == section && name == Some(key) {
+            found = i + 1;
+        }
+    }
+    found
+}
+
+fn line_of_section(text: &str, section: &str) -> usize {
+    let header = |line: &str| {
+        let name = line.trim().strip_prefix('[')?.strip_suffix(']')?;
+        Some(name.trim() == section)
+    };
+    let at = text.lines().position(|line| header(line) == Some(true));
+    at.map_or(0, |i| i + 1)
+}
--- /dev/null
+++ b/crates/http/src/body.rs
@@ -0,0 +1,80 @@
+//! Bodies that are read whole, within a limit.
+
+use {
+    bytes::Bytes,
+    http_body_util::{BodyExt, Full, LengthLimitError, Limited},
+    hyper::{Response, StatusCode, body::Body, header},
+    serde::Serialize,
+    snafu::Snafu,
+};
+
+/// A result of reading a body.
+pub type Result<T, E = BodyError> = std::result::Result<T, E>;
+
+/// An answer whose body is in memory.
+pub type Answer = Response<Full<Bytes>>;
+
+/// Why a body could not be read whole.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+pub enum BodyError {
+    /// It is longer than the limit.
+    #[snafu(display("the body is longer than the limit"))]
+    TooLong,
+    /// It ended early or was malformed.
+    #[snafu(display("the body was cut short"))]
+    Cut,
+}
+
+/// Reads a body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Returns an error if it is longer, or if the connection failed before its end.
+pub async fn read_whole<B>(body: B, limit: usize) -> Result<Bytes>
+where
+    B: Body,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    match Limited::new(body, limit).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(BodyError::TooLong),
+        Err(_) => Err(BodyError::Cut),
+    }
+}
+
+/// Makes a JSON answer.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Answer {
+    let (status, body) = match serde_json::to_vec(value) {
+        Ok(body) => (status, body),
+        Err(_) => (StatusCode::INTERNAL_SERVER_ERROR, Vec::new()),
+    };
+    with_type(status, "application/json", body)
+}
+
+/// Makes a plain text answer.
+pub fn text(status: StatusCode, text: &str) -> Answer {
+    with_type(status, "text/plain; charset=utf-8", text.to_owned().into())
+}
+
+/// Makes an `application/problem+json` answer (RFC 9457).
+pub fn problem(status: StatusCode, detail: &str) -> Answer {
+    let title = status.canonical_reason().unwrap_or("Error");
+    let value = serde_json::json!({
+        "title": title,
+        "status": status.as_u16(),
+        "detail": detail,
+    });
+    with_type(
+        status,
+        "application/problem+json",
+        value.to_string().into_bytes(),
+    )
+}
+
+fn with_type(status: StatusCode, media_type: &'static str, body: Vec<u8>) -> Answer {
+    let mut answer = Response::new(Full::new(Bytes::from(body)));
+    *answer.status_mut() = status;
+    let value = header::HeaderValue::from_static(media_type);
+    answer.headers_mut().insert(header::CONTENT_TYPE, value);
+    answer
+}
--- /dev/null
+++ b/crates/operator/src/lib.rs
@@ -0,0 +1,18 @@
+//! Towards operators: the questionnaire, and the configuration that follows from its answers.
+//!
+//! # Examples
+//!
+//! ```
+//! use marigoldbend_operator::{answers::Answers, plan::plan, questionnaire};
+//!
+//! let answers = Answers::parse(questionnaire::EXAMPLE).expect("the example is complete");
+//! let plan = plan(&answers).expect("its values fit together");
+//! assert!(plan.config.services.contains_key("inspection"));
+//! // Each value names the answer that it came from.
+//! assert!(plan.reasons.iter().any(|r| r.answer == "[service inspection] delay_ms"));
+//! ```
+
+pub mod answers;
+pub mod client;
+pub mod plan;
+pub mod questionnaire;
--- /dev/null
+++ b/crates/peer/src/call.rs
@@ -0,0 +1,148 @@
+//! Calls between entry instances and their replies, each in one frame of a TCP connection.
+
+use {
+    bytes::Bytes,
+    marigoldbend_core::{
+        config::Config,
+        ids::{Domain, Version},
+        ownership::DomainRow,
+    },
+    serde::{Deserialize, Serialize},
+    snafu::Snafu,
+    tokio_util::codec::LengthDelimitedCodec,
+};
+
+/// The longest frame, in bytes.
+pub const LONGEST_FRAME: usize = 16 << 20;
+
+/// A result of coding a frame.
+pub type Result<T, E = FrameError> = std::result::Result<T, E>;
+
+/// A frame that was not understood.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("damaged frame"))]
+pub struct FrameError;
+
+/// A header field of a forwarded message.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Field {
+    /// The name.
+    pub name: String,
+    /// The value.
+    pub value: Bytes,
+}
+
+/// A request that the sender has no slot for.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Offer {
+    /// Names the request in logs.
+    pub request_id: String,
+    /// The service.
+    pub service: String,
+    /// The method.
+    pub method: String,
+    /// The path and query for the upstream.
+    pub path: String,
+    /// The header fields.
+    pub headers: Vec<Field>,
+    /// The whole body.
+    pub body: Bytes,
+    /// What is left of the deadline, in milliseconds.
+    pub deadline_ms: u64,
+}
+
+/// The answer of an upstream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Answer {
+    /// The status.
+    pub status: u16,
+    /// The header fields.
+    pub headers: Vec<Field>,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// What one instance knows, for another that can't ask the platform.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Snapshot {
+    /// The configuration in force.
+    pub config: Option<(Version, Config)>,
+    /// The ownership row of the domain that was asked for.
+    pub row: Option<(Version, DomainRow)>,
+    /// The platform's instance list as it was last read, in JSON.
+    pub list: Option<String>,
+}
+
+/// What one instance asks of another.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Call {
+    /// Serve this request if a slot is free now.
+    Offer(Offer),
+    /// Tell what is known of this domain, and the configuration.
+    Snapshot(Domain),
+}
+
+/// The reply to a call.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum Reply {
+    /// The upstream's answer to the offered request.
+    Answered(Answer),
+    /// The offered request was not run.
+    NotRun {
+        /// Why.
+        reason: String,
+    },
+    /// The offered request may have been run.
+    Unknown {
+        /// Why.
+        reason: String,
+    },
+    /// What is known.
+    Snapshot(Box<Snapshot>),
+}
+
+/// A call or a reply, with the number that pairs them on one connection.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Frame<T> {
+    /// The number.
+    pub id: u64,
+    /// The contents.
+    pub body: T,
+}
+
+impl<T: Serialize> Frame<T> {
+    /// Encodes the frame.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is longer than [`LONGEST_FRAME`].
+    pub fn encode(&self) -> Result<Bytes> {
+        let buf = postcard::to_stdvec(self).map_err(|_| FrameError)?;
+        if buf.len() > LONGEST_FRAME {
+            return Err(FrameError);
+        }
+        Ok(buf.into())
+    }
+}
+
+impl<T: for<'a> Deserialize<'a>> Frame<T> {
+    /// Decodes a frame.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is damaged or has bytes left over.
+    pub fn decode(buf: &[u8]) -> Result<Self> {
+        let (frame, rest) = postcard::take_from_bytes(buf).map_err(|_| FrameError)?;
+        if !rest.is_empty() {
+            return Err(FrameError);
+        }
+        Ok(frame)
+    }
+}
+
+/// Returns the codec that cuts a connection into frames.
+pub fn codec() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(LONGEST_FRAME)
+        .new_codec()
+}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,37 @@
+//! The protocol between entry instances: `postcard` messages over UDP and TCP.
+//!
+//! Small state that may be lost travels over UDP ([`datagram`]): probes, their
+//! acknowledgements, and words against silent members. Offers of requests, and state too large
+//! for a datagram, travel over TCP ([`call`]), where many calls share a connection and answers
+//! return in any order ([`link`], [`server`]).
+//!
+//! # Examples
+//!
+//! ```
+//! use {
+//!     marigoldbend_core::ids::{Domain, Incarnation, Version},
+//!     marigoldbend_peer::datagram::{Datagram, Message, Sender},
+//! };
+//!
+//! let sender = Sender {
+//!     incarnation: Incarnation(7),
+//!     domain: Domain(1),
+//!     name: "a1".to_owned(),
+//!     peer: "127.0.0.1:7100".parse().expect("a valid address"),
+//! };
+//! let datagram = Datagram {
+//!     sender,
+//!     config: Version(3),
+//!     row: Version(9),
+//!     leaving: Vec::new(),
+//!     message: Message::Probe { nonce: 1 },
+//! };
+//! let bytes = datagram.encode().expect("it fits");
+//! assert_eq!(Datagram::decode(&bytes).expect("it is whole"), datagram);
+//! assert!(Datagram::decode(&bytes[1..]).is_err());
+//! ```
+
+pub mod call;
+pub mod datagram;
+pub mod link;
+pub mod server;
--- /dev/null
+++ b/crates/peer/src/link.rs
@@ -0,0 +1,188 @@
+//! The calling side: one connection a peer, shared by many calls.
+//!
+//! A connection that can go silent for good is never trusted for long: a call without a reply
+//! in time retires it, so that the next call opens a new one, while calls that are already
+//! under way may still get their replies.
+
+use {
+    crate::call::{Call, Frame, Reply, codec},
+    bytes::Bytes,
+    futures_util::{SinkExt, StreamExt},
+    marigoldbend_core::hash::HashMap,
+    parking_lot::Mutex,
+    snafu::Snafu,
+    std::{
+        net::{IpAddr, SocketAddr},
+        sync::{
+            Arc,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        net::{TcpSocket, TcpStream},
+        sync::{Mutex as AsyncMutex, mpsc, oneshot},
+        time::timeout,
+    },
+    tokio_util::codec::Framed,
+};
+
+/// The time in which a connection must be made.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// Calls that may wait to be written to one connection.
+const WRITE_QUEUE: usize = 256;
+
+/// A result of a call.
+pub type Result<T, E = CallError> = std::result::Result<T, E>;
+
+/// A call without a reply.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+pub enum CallError {
+    /// It was not sent.
+    #[snafu(display("the call was not sent"))]
+    Unsent,
+    /// It may have reached the peer.
+    #[snafu(display("the connection failed before the reply"))]
+    Lost,
+    /// There was no reply in time; it may have reached the peer.
+    #[snafu(display("no reply in time"))]
+    Late,
+}
+
+type Waiters = Arc<Mutex<HashMap<u64, oneshot::Sender<Reply>>>>;
+
+#[derive(Clone, Debug)]
+struct Connection {
+    tx: mpsc::Sender<Bytes>,
+    waiters: Waiters,
+}
+
+/// The link to one peer.
+#[derive(Debug)]
+pub struct Link {
+    peer: SocketAddr,
+    local: Option<IpAddr>,
+    next_id: AtomicU64,
+    connection: AsyncMutex<Option<Connection>>,
+}
+
+impl Link {
+    /// Creates a link that connects at its first call, from `local` if given.
+    pub fn new(peer: SocketAddr, local: Option<IpAddr>) -> Self {
+        Self {
+            peer,
+            local,
+            next_id: AtomicU64::new(1),
+            connection: AsyncMutex::new(None),
+        }
+    }
+
+    /// Returns the peer's address.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Sends a call and waits for its reply, for at most `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there was no reply; it tells whether the call was sent.
+    pub async fn call(&self, call: &Call, limit: Duration) -> Result<Reply> {
+        let id = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let frame = Frame { id, body: call }.encode();
+        let frame = frame.map_err(|_| CallError::Unsent)?;
+        let connection = self.connect().await?;
+        let (tx, rx) = oneshot::channel();
+        connection.waiters.lock().insert(id, tx);
+        if connection.tx.send(frame).await.is_err() {
+            connection.waiters.lock().remove(&id);
+            self.retire(&connection).await;
+            return Err(CallError::Unsent);
+        }
+        match timeout(limit, rx).await {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(_)) => {
+                self.retire(&connection).await;
+                Err(CallError::Lost)
+            }
+            Err(_) => {
+                connection.waiters.lock().remove(&id);
+                self.retire(&connection).await;
+                Err(CallError::Late)
+            }
+        }
+    }
+
+    async fn connect(&self) -> Result<Connection> {
+        let mut slot = self.connection.lock().await;
+        if let Some(connection) = &*slot
+            && !connection.tx.is_closed()
+        {
+            return Ok(connection.clone());
+        }
+        let stream = timeout(CONNECT_LIMIT, open(self.peer, self.local)).await;
+        let stream = stream.map_err(|_| CallError::Unsent)?;
+        let stream = stream.map_err(|_| CallError::Unsent)?;
+        let connection = start(stream);
+        *slot = Some(connection.clone());
+        Ok(connection)
+    }
+
+    async fn retire(&self, connection: &Connection) {
+        let mut slot = self.connection.lock().await;
+        let same = |c: &Connection| c.tx.same_channel(&connection.tx);
+        if slot.as_ref().is_some_and(same) {
+            *slot = None;
+        }
+    }
+}
+
+async fn open(peer: SocketAddr, local: Option<IpAddr>) -> std::io::Result<TcpStream> {
+    let socket = match peer {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    if let Some(local) = local {
+        socket.bind(SocketAddr::new(local, 0))?;
+    }
+    let stream = socket.connect(peer).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+/// Starts the task that serves a connection; it ends when the connection fails, or when the
+/// link has retired it and no call waits any more.
+fn start(stream: TcpStream) -> Connection {
+    let (tx, mut rx) = mpsc::channel::<Bytes>(WRITE_QUEUE);
+    let waiters = Waiters::default();
+    let pending = waiters.clone();
+    tokio::spawn(async move {
+        let (mut sink, mut frames) = Framed::new(stream, codec()).split();
+        let write = async {
+            while let Some(frame) = rx.recv().await {
+                if sink.send(frame).await.is_err() {
+                    break;
+                }
+            }
+        };
+        let read = async {
+            while let Some(Ok(buf)) = frames.next().await {
+                let Ok(frame) = Frame::<Reply>::decode(&buf) else {
+                    break;
+                };
+                if let Some(waiter) = pending.lock().remove(&frame.id) {
+                    // The caller may have given up in the meantime.
+                    let _ = waiter.send(frame.body);
+                }
+            }
+        };
+        tokio::select! {
+            () = write => {}
+            () = read => {}
+        }
+        rx.close();
+        pending.lock().clear();
+    });
+    Connection { tx, waiters }
+}
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,30 @@
+//! Client of the platform: its table service, object store, instance list and workers' leases.
+//!
+//! The platform is the only place where anything lasts. Its replies can be lost after a write
+//! took effect, so every write names its operation and the version that it expects, and an
+//! unclear write is read back rather than sent again blindly; see [`table`].
+//!
+//! # Examples
+//!
+//! ```no_run
+//! use {
+//!     marigoldbend_platform::{table::Table, wire::Commit},
+//!     std::time::Duration,
+//! };
+//!
+//! # async fn example() -> Result<(), marigoldbend_platform::table::TableError> {
+//! let table = Table::new("http://127.0.0.1:7000", Duration::from_secs(1), None);
+//! let row = table.read("config").await?;
+//! let commit = Commit::new("op-1").write("config", row.version, serde_json::json!({}));
+//! let outcome = table.commit_until_known(&commit, Duration::from_secs(5)).await?;
+//! println!("{outcome:?}");
+//! # Ok(())
+//! # }
+//! ```
+
+pub mod backoff;
+pub mod group;
+pub mod instances;
+pub mod table;
+pub mod wire;
+pub mod workers;
--- /dev/null
+++ b/crates/platform/src/workers.rs
@@ -0,0 +1,82 @@
+//! The platform's task agents on workers: start, renew, stop and throttle tasks under leases.
+
+use {
+    crate::wire::{AttemptStatus, RenewTasks, Renewed, StartTask, StopTask, ThrottleTask, Usage},
+    marigoldbend_http::client::{ClientError, JsonClient},
+    std::{
+        net::{IpAddr, SocketAddr},
+        time::Duration,
+    },
+};
+
+/// A result of a call to an agent.
+pub type Result<T, E = ClientError> = std::result::Result<T, E>;
+
+/// Calls the task agents of workers.
+#[derive(Clone, Debug)]
+pub struct Agents {
+    client: JsonClient,
+}
+
+impl Agents {
+    /// Creates a client that gives up after `limit`.
+    pub fn new(limit: Duration, local: Option<IpAddr>) -> Self {
+        Self {
+            client: JsonClient::new(limit, local),
+        }
+    }
+
+    /// Starts an attempt; repeating the call is harmless.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there was no usable reply; the attempt may have started.
+    pub async fn start(&self, agent: SocketAddr, start: &StartTask) -> Result<AttemptStatus> {
+        let url = format!("http://{agent}/tasks/start");
+        self.client.post_json(&url, start).await
+    }
+
+    /// Renews leases, and learns what became of the attempts.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there was no usable reply; the leases may have been renewed.
+    pub async fn renew(&self, agent: SocketAddr, renew: &RenewTasks) -> Result<Renewed> {
+        let url = format!("http://{agent}/tasks/renew");
+        self.client.post_json(&url, renew).await
+    }
+
+    /// Stops and fences an attempt; repeating the call is harmless.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there was no usable reply; the attempt may still run.
+    pub async fn stop(&self, agent: SocketAddr, stop: &StopTask) -> Result<AttemptStatus> {
+        let url = format!("http://{agent}/tasks/stop");
+        self.client.post_json(&url, stop).await
+    }
+
+    /// Slows an attempt down.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there was no usable reply.
+    pub async fn throttle(
+        &self,
+        agent: SocketAddr,
+        throttle: &ThrottleTask,
+    ) -> Result<AttemptStatus> {
+        let url = format!("http://{agent}/tasks/throttle");
+        self.client.post_json(&url, throttle).await
+    }
+
+    /// Reads a worker's lagging usage.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there was no usable reply.
+    pub async fn usage(&self, agent: SocketAddr) -> Result<Usage> {
+        let url = format!("http://{agent}/usage");
+        self.client.get_json(&url).await
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/guard.rs
@@ -0,0 +1,114 @@
+//! A stream that checks the ownership right before the first byte of a request is written.
+//!
+//! Between the choice of a worker and the write lie several steps, and the process may be
+//! paused in any of them. The check at the write leaves no step in between.
+
+use {
+    parking_lot::Mutex,
+    std::{
+        io,
+        pin::Pin,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        task::{Context, Poll},
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        net::TcpStream,
+    },
+};
+
+type Check = Box<dyn FnOnce() -> bool + Send>;
+
+/// Arms the check of the next write.
+#[derive(Default)]
+pub(crate) struct WriteGuard {
+    check: Mutex<Option<Check>>,
+    armed: AtomicBool,
+    blocked: AtomicBool,
+}
+
+impl WriteGuard {
+    /// Makes the next write depend on `check`.
+    pub(crate) fn arm(&self, check: Check) {
+        *self.check.lock() = Some(check);
+        self.armed.store(true, Ordering::Release);
+    }
+
+    /// Returns whether a write was refused.
+    pub(crate) fn blocked(&self) -> bool {
+        self.blocked.load(Ordering::Acquire)
+    }
+
+    /// Returns whether no write has passed since the guard was armed.
+    pub(crate) fn unwritten(&self) -> bool {
+        self.armed.load(Ordering::Acquire) || self.blocked()
+    }
+
+    fn allow(&self) -> io::Result<()> {
+        if self.blocked() {
+            return Err(io::ErrorKind::PermissionDenied.into());
+        }
+        if !self.armed.load(Ordering::Acquire) {
+            return Ok(());
+        }
+        let check = self.check.lock().take();
+        let allowed = check.is_none_or(|check| check());
+        if !allowed {
+            self.blocked.store(true, Ordering::Release);
+            return Err(io::ErrorKind::PermissionDenied.into());
+        }
+        self.armed.store(false, Ordering::Release);
+        Ok(())
+    }
+}
+
+/// A TCP stream under a [`WriteGuard`].
+pub(crate) struct GuardedStream {
+    pub(crate) stream: TcpStream,
+    pub(crate) guard: Arc<WriteGuard>,
+}
+
+impl AsyncRead for GuardedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for GuardedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.guard.allow()?;
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.guard.allow()?;
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/upstream/src/lib.rs
@@ -0,0 +1,52 @@
+//! HTTP towards upstreams: bounded connections, whole answers, and slots that stay counted.
+//!
+//! A slot is in use for as long as the upstream may still be working, not for as long as the
+//! caller waits. So an exchange owns its [`Permit`](marigoldbend_core::admission::Permit) and
+//! keeps it after its caller has given up, until the upstream has answered or must have ended.
+//!
+//! Connections can go silent for good while new ones work. They are reused only for a short
+//! time, and one that stays silent casts doubt on all that were opened before it was noticed.
+//!
+//! # Examples
+//!
+//! ```no_run
+//! use {
+//!     bytes::Bytes,
+//!     http_body_util::Full,
+//!     hyper::Request,
+//!     marigoldbend_core::admission::{Confirmation, Gate},
+//!     marigoldbend_upstream::{Exchange, Upstream},
+//!     std::{
+//!         sync::Arc,
+//!         time::{Duration, Instant},
+//!     },
+//! };
+//!
+//! # async fn example() {
+//! let upstream = Upstream::new("127.0.0.1:8080".parse().expect("a valid address"), None);
+//! let gate = Gate::new(Arc::new(Confirmation::new(Instant::now())));
+//! gate.set_limits(8, 6);
+//! let permit = gate.try_acquire(Instant::now()).expect("a slot is free");
+//! let exchange = Exchange {
+//!     request: Request::new(Full::new(Bytes::new())),
+//!     permit,
+//!     first_byte: Duration::from_millis(500),
+//!     deadline: Instant::now() + Duration::from_secs(2),
+//! };
+//! match upstream.exchange(exchange).await {
+//!     Ok(answer) => println!("{}", answer.status()),
+//!     Err(e) if e.is_unsent() => println!("not run: {e}"),
+//!     Err(e) => println!("may have run: {e}"),
+//! }
+//! # }
+//! ```
+
+mod connection;
+mod error;
+mod exchange;
+mod guard;
+
+pub use {
+    error::{ExchangeError, Result},
+    exchange::{Exchange, Upstream},
+};
--- /dev/null
+++ b/stand-ins/src/platform.rs
@@ -0,0 +1,322 @@
+//! The platform: a transactional table, objects and the instance list, with faults.
+
+use {
+    hyper::{Method, Request, StatusCode, body::Incoming},
+    marigoldbend_core::{hash::HashMap, ids::Version},
+    marigoldbend_http::{
+        body::{Answer, json, problem, read_whole},
+        server::{Limits, serve},
+    },
+    marigoldbend_platform::wire::{Commit, Conflicts, EntryInstance, InstanceList, Liveness, Row},
+    parking_lot::Mutex,
+    rand::RngExt,
+    serde::{Deserialize, Serialize},
+    serde_json::{Value, json},
+    std::{
+        collections::{BTreeMap, HashSet},
+        future::pending,
+        io,
+        net::{IpAddr, SocketAddr},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{net::TcpListener, sync::watch, time::sleep},
+};
+
+/// The longest body that is read, in bytes.
+const BODY_LIMIT: usize = 64 << 20;
+
+/// How the platform misbehaves.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Every call is refused.
+    pub down: bool,
+    /// Calls are held up and never answered.
+    pub frozen: bool,
+    /// Every call takes this long, in milliseconds.
+    pub delay_ms: u64,
+    /// The share of transactions whose reply is lost after they took effect, in percent.
+    pub lose_replies_percent: u32,
+    /// Callers at these addresses get no answer at all.
+    pub cut: Vec<IpAddr>,
+    /// How far the instance list lags, in milliseconds.
+    pub list_lag_ms: u64,
+}
+
+/// What was asked of the platform.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+pub struct Stats {
+    /// Reads of rows and prefixes.
+    pub reads: u64,
+    /// Transactions that took effect.
+    pub commits: u64,
+    /// Rows that they wrote.
+    pub rows_written: u64,
+    /// Transactions that lost a race.
+    pub conflicts: u64,
+    /// Bytes of rows written, as JSON.
+    pub bytes_written: u64,
+}
+
+#[derive(Default)]
+struct State {
+    rows: BTreeMap<String, Row>,
+    objects: HashMap<String, Value>,
+    list: InstanceList,
+    /// Earlier lists with the time at which each was replaced.
+    older_lists: Vec<(Instant, InstanceList)>,
+    faults: Faults,
+    stats: Stats,
+}
+
+/// A running platform.
+#[derive(Clone)]
+pub struct Platform {
+    state: Arc<Mutex<State>>,
+    address: SocketAddr,
+    stop: watch::Sender<bool>,
+}
+
+impl Platform {
+    /// Starts the platform on the current runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be bound.
+    pub async fn start(address: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind(address).await?;
+        let (stop, stopped) = watch::channel(false);
+        let platform = Self {
+            state: Arc::default(),
+            address: listener.local_addr()?,
+            stop,
+        };
+        let served = platform.clone();
+        let handler = move |peer: SocketAddr, req| {
+            let platform = served.clone();
+            async move { platform.answer(peer.ip(), req).await }
+        };
+        tokio::spawn(serve(listener, Limits::default(), handler, stopped));
+        Ok(platform)
+    }
+
+    /// Returns the platform's address as a URL.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.address)
+    }
+
+    /// Ends the platform.
+    pub fn stop(&self) {
+        self.stop.send_replace(true);
+    }
+
+    /// Sets how the platform misbehaves.
+    pub fn set_faults(&self, faults: Faults) {
+        self.state.lock().faults = faults;
+    }
+
+    /// Returns how the platform misbehaves.
+    pub fn faults(&self) -> Faults {
+        self.state.lock().faults.clone()
+    }
+
+    /// Returns what was asked so far.
+    pub fn stats(&self) -> Stats {
+        self.state.lock().stats
+    }
+
+    /// Changes the instance list.
+    pub fn update_list(&self, change: impl FnOnce(&mut InstanceList)) {
+        let mut state = self.state.lock();
+        let old = state.list.clone();
+        change(&mut state.list);
+        state.older_lists.push((Instant::now(), old));
+    }
+
+    /// Lists an entry instance in a state.
+    pub fn set_entry(&self, name: &str, liveness: Liveness) {
+        self.update_list(|list| {
+            list.entries.retain(|e| e.name != name);
+            list.entries.push(EntryInstance {
+                name: name.to_owned(),
+                state: liveness,
+            });
+        });
+    }
+
+    /// Reads a row, past any fault.
+    pub fn row(&self, key: &str) -> Row {
+        self.state.lock().read(key)
+    }
+
+    /// Reads the rows whose keys begin with `prefix`, past any fault.
+    pub fn rows(&self, prefix: &str) -> Vec<Row> {
+        self.state.lock().scan(prefix)
+    }
+
+    /// Writes a row, past any fault; returns its version.
+    pub fn put(&self, key: &str, value: Value) -> Version {
+        let mut state = self.state.lock();
+        let version = Version(state.read(key).version.0 + 1);
+        let row = Row {
+            key: key.to_owned(),
+            version,
+            op: "stand-in".to_owned(),
+            value,
+        };
+        state.rows.insert(key.to_owned(), row);
+        version
+    }
+
+    async fn answer(&self, from: IpAddr, req: Request<Incoming>) -> Answer {
+        let path = req.uri().path().to_owned();
+        if path == "/faults" || path == "/stats" {
+            return self.steer(&path, req).await;
+        }
+        let faults = self.faults();
+        if faults.frozen || faults.cut.contains(&from) {
+            pending::<()>().await;
+        }
+        if faults.down {
+            return problem(StatusCode::SERVICE_UNAVAILABLE, "the platform is down");
+        }
+        sleep(Duration::from_millis(faults.delay_ms)).await;
+        let method = req.method().clone();
+        let Ok(body) = read_whole(req.into_body(), BODY_LIMIT).await else {
+            return problem(StatusCode::BAD_REQUEST, "the body was cut");
+        };
+        let answer = self.serve(&method, &path, &body);
+        let lost = path == "/table/commit" && answer.status() == StatusCode::OK;
+        if lost && rand::rng().random_range(0..100) < faults.lose_replies_percent {
+            pending::<()>().await;
+        }
+        answer
+    }
+
+    async fn steer(&self, path: &str, req: Request<Incoming>) -> Answer {
+        if path == "/stats" {
+            return json(StatusCode::OK, &self.stats());
+        }
+        if req.method() == Method::GET {
+            return json(StatusCode::OK, &self.faults());
+        }
+        let body = read_whole(req.into_body(), BODY_LIMIT).await;
+        match body.ok().map(|body| serde_json::from_slice(&body)) {
+            Some(Ok(faults)) => {
+                self.set_faults(faults);
+                json(StatusCode::OK, &self.faults())
+            }
+            Some(Err(e)) => problem(StatusCode::UNPROCESSABLE_ENTITY, &e.to_string()),
+            None => problem(StatusCode::BAD_REQUEST, "the body was cut"),
+        }
+    }
+
+    fn serve(&self, method: &Method, path: &str, body: &[u8]) -> Answer {
+        let mut state = self.state.lock();
+        if path == "/table/commit" {
+            return match serde_json::from_slice::<Commit>(body) {
+                Ok(commit) => state.commit(commit),
+                Err(e) => problem(StatusCode::BAD_REQUEST, &e.to_string()),
+            };
+        }
+        if path == "/instances" {
+            return match (method, serde_json::from_slice(body)) {
+                (&Method::GET, _) => json(StatusCode::OK, &state.lagging_list()),
+                (_, Ok(list)) => {
+                    let old = std::mem::replace(&mut state.list, list);
+                    state.older_lists.push((Instant::now(), old));
+                    json(StatusCode::OK, &json!({}))
+                }
+                (_, Err(e)) => problem(StatusCode::BAD_REQUEST, &e.to_string()),
+            };
+        }
+        if let Some(key) = path.strip_prefix("/table/row/") {
+            state.stats.reads += 1;
+            return json(StatusCode::OK, &state.read(key));
+        }
+        if let Some(prefix) = path.strip_prefix("/table/rows/") {
+            state.stats.reads += 1;
+            return json(StatusCode::OK, &state.scan(prefix));
+        }
+        if let Some(name) = path.strip_prefix("/objects/") {
+            return state.object(method, name, body);
+        }
+        problem(StatusCode::NOT_FOUND, "there is nothing at this path")
+    }
+}
+
+impl State {
+    fn read(&self, key: &str) -> Row {
+        let absent = || Row {
+            key: key.to_owned(),
+            ..Row::default()
+        };
+        self.rows.get(key).cloned().unwrap_or_else(absent)
+    }
+
+    fn scan(&self, prefix: &str) -> Vec<Row> {
+        let from = self.rows.range(prefix.to_owned()..);
+        let found = from.take_while(|(key, _)| key.starts_with(prefix));
+        found.map(|(_, row)| row.clone()).collect()
+    }
+
+    fn commit(&mut self, commit: Commit) -> Answer {
+        let checks = commit.checks.iter().map(|c| (&c.key, c.version));
+        let writes = commit.writes.iter().map(|w| (&w.key, w.version));
+        let lost = |(key, version): &(&String, Version)| self.read(key).version != *version;
+        let mut conflicts: Vec<String> = checks
+            .chain(writes)
+            .filter(lost)
+            .map(|(key, _)| key.clone())
+            .collect();
+        conflicts.dedup();
+        let distinct: HashSet<&String> = commit.writes.iter().map(|w| &w.key).collect();
+        if distinct.len() != commit.writes.len() {
+            return problem(StatusCode::BAD_REQUEST, "a row is written twice");
+        }
+        if !conflicts.is_empty() {
+            self.stats.conflicts += 1;
+            return json(StatusCode::CONFLICT, &Conflicts { conflicts });
+        }
+        self.stats.commits += 1;
+        for write in commit.writes {
+            let row = Row {
+                key: write.key.clone(),
+                version: Version(write.version.0 + 1),
+                op: commit.op.clone(),
+                value: write.value,
+            };
+            self.stats.rows_written += 1;
+            self.stats.bytes_written += row.value.to_string().len() as u64;
+            self.rows.insert(write.key, row);
+        }
+        json(StatusCode::OK, &json!({}))
+    }
+
+    fn object(&mut self, method: &Method, name: &str, body: &[u8]) -> Answer {
+        if method == Method::GET {
+            return match self.objects.get(name) {
+                Some(value) => json(StatusCode::OK, value),
+                None => problem(StatusCode::NOT_FOUND, "there is no such object"),
+            };
+        }
+        match serde_json::from_slice(body) {
+            Ok(value) => {
+                self.objects.insert(name.to_owned(), value);
+                json(StatusCode::OK, &json!({}))
+            }
+            Err(e) => problem(StatusCode::BAD_REQUEST, &e.to_string()),
+        }
+    }
+
+    /// Returns the list as it was when the lag began.
+    fn lagging_list(&mut self) -> InstanceList {
+        let lag = Duration::from_millis(self.faults.list_lag_ms);
+        let now = Instant::now();
+        self.older_lists
+            .retain(|(replaced, _)| now.duration_since(*replaced) < lag);
+        let oldest = self.older_lists.first();
+        oldest.map_or_else(|| self.list.clone(), |(_, list)| list.clone())
+    }
+}
