--- a/crates/core/src/ownership/state.rs
+++ b/crates/core/src/ownership/state.rs
@@ -18,7 +18,7 @@
     },
     crate::{
         hash::{HashMap, HashSet},
-        ids::{Incarnation, Version, WorkerId},
+        ids::{Domain, Incarnation, Version, WorkerId},
     },
     std::{
         sync::Arc,
@@ -130,15 +130,19 @@
 }
 
 impl Ownership {
-    /// Creates the view of an instance that has not seen a row yet; each worker of the domain
-    /// has `slots` slots.
-    pub fn new(me: Member, timing: Timing, slots: u32) -> Self {
+    /// Creates the view of an instance that has not seen a row of `domain` yet; each worker of
+    /// the domain has `slots` slots.
+    pub fn new(me: Member, domain: Domain, timing: Timing, slots: u32) -> Self {
+        let row = DomainRow {
+            domain,
+            ..DomainRow::default()
+        };
         Self {
             me,
             timing,
             slots,
             version: Version(0),
-            row: Arc::default(),
+            row: Arc::new(row),
             waiting: HashMap::default(),
             releasing: HashSet::default(),
             releasing_before: HashSet::default(),
--- a/crates/core/tests/ownership_model.rs
+++ b/crates/core/tests/ownership_model.rs
@@ -8,7 +8,7 @@
 use {
     marigoldbend_core::{
         hash::{HashMap, HashSet},
-        ids::{Incarnation, Version, WorkerId},
+        ids::{Domain, Incarnation, Version, WorkerId},
         ownership::{Ack, Action, Busy, DomainRow, Member, Ownership, Timing, WordRequest},
     },
     proptest::{prelude::*, test_runner::RngSeed},
@@ -168,7 +168,7 @@
             _ => timing(),
         };
         self.instances.push(Instance {
-            ownership: Ownership::new(me, timing, SLOTS),
+            ownership: Ownership::new(me, Domain(1), timing, SLOTS),
             alive: true,
             paused_until: self.now,
             platform_cut: false,
--- a/crates/entry/src/control/actor.rs
+++ b/crates/entry/src/control/actor.rs
@@ -151,7 +151,7 @@
         let members = Members::new(&cfg, socket, metrics.clone());
         Self {
             domain: cfg.domain,
-            ownership: Ownership::new(cfg.me, cfg.timing, UNKNOWN_SLOTS),
+            ownership: Ownership::new(cfg.me, cfg.domain, cfg.timing, UNKNOWN_SLOTS),
             newest: Newest::default(),
             list: Arc::default(),
             members,
--- /dev/null
+++ b/crates/entry/tests/common/mod.rs
@@ -0,0 +1,81 @@
+//! What the tests over real processes share.
+
+use {
+    stand_ins::{
+        cluster::{Cluster, ClusterConfig},
+        load::{LoadConfig, Report, Seen},
+        workers::ServiceTime,
+    },
+    std::time::Duration,
+};
+
+/// Slots and connections of a worker, as both teams declare them.
+const SLOTS: u32 = 8;
+const CONNECTIONS: u32 = 64;
+
+/// A deployment of `domains` domains; each has three instances and six workers.
+pub fn config(domains: u16) -> ClusterConfig {
+    ClusterConfig {
+        domains: (1..=domains).collect(),
+        workers_per_domain: 6,
+        service_time: ServiceTime {
+            mean_ms: 20.0,
+            cv: 1.0,
+            slowdown: 0.0,
+        },
+        ..ClusterConfig::new(env!("CARGO_BIN_EXE_marigoldbend-entry"))
+    }
+}
+
+/// A mixed load on all instances.
+pub fn load(cluster: &Cluster, prefix: &str, rate: f64, seconds: u64) -> LoadConfig {
+    LoadConfig {
+        targets: cluster.targets(),
+        path: "/services/inspection/check".to_owned(),
+        rate,
+        duration: Duration::from_secs(seconds),
+        post_percent: 30,
+        keyed: false,
+        size: 500,
+        deadline: Duration::from_millis(1_500),
+        seed: 7,
+        prefix: prefix.to_owned(),
+    }
+}
+
+/// Checks what must hold of every run, by the workers' own record.
+pub fn check_record(cluster: &Cluster, report: &Report) {
+    println!("{}", report.line());
+    let record = &cluster.workers.record;
+    let summary = record.summary();
+    for (id, worker) in &summary.workers {
+        assert!(worker.peak_slots <= SLOTS, "worker {id}: {worker:?}");
+        assert!(
+            worker.peak_connections <= CONNECTIONS,
+            "worker {id}: {worker:?}"
+        );
+        assert_eq!(worker.after_leaving, 0, "worker {id}: {worker:?}");
+    }
+    assert_eq!(report.count(Seen::Wrong), 0, "{}", report.line());
+    for request in report.requests.iter().filter(|r| !r.idempotent) {
+        assert!(record.runs_of(&request.id) <= 1, "{request:?} ran twice");
+    }
+    for id in report.ids(Seen::NotRun) {
+        assert_eq!(record.runs_of(id), 0, "{id} was said to be not run");
+    }
+    for id in report.ids(Seen::Whole) {
+        assert!(record.runs_of(id) >= 1, "{id} was answered but not run");
+    }
+    assert_eq!(summary.overlaps, Vec::<String>::new());
+    assert_eq!(summary.finished_twice, Vec::<String>::new());
+}
+
+/// Checks that at least this share of the requests was answered, in percent.
+pub fn check_answered(report: &Report, percent: usize) {
+    let whole = report.count(Seen::Whole);
+    assert!(
+        whole * 100 >= report.requests.len() * percent,
+        "{}",
+        report.line()
+    );
+}
--- a/crates/marigoldbend/src/lib.rs
+++ b/crates/marigoldbend/src/lib.rs
@@ -12,7 +12,7 @@
 //! use {
 //!     marigoldbend::core::{
 //!         ids::{Domain, Incarnation, Version, WorkerId},
-//!         ownership::{Action, Busy, DomainRow, Member, Ownership, Timing},
+//!         ownership::{Action, Busy, Member, Ownership, Timing},
 //!     },
 //!     std::{sync::Arc, time::Instant},
 //! };
@@ -23,7 +23,7 @@
 //!     peer: "127.0.0.1:7100".parse().expect("a valid address"),
 //! };
 //! let now = Instant::now();
-//! let mut ownership = Ownership::new(me, Timing::default(), 8);
+//! let mut ownership = Ownership::new(me, Domain(1), Timing::default(), 8);
 //! let workers = [WorkerId(1), WorkerId(2)];
 //! let idle = |_| Busy::default();
 //!
--- a/stand-ins/src/cluster.rs
+++ b/stand-ins/src/cluster.rs
@@ -26,7 +26,10 @@
         time::{Duration, Instant},
     },
     tempfile::TempDir,
-    tokio::time::sleep,
+    tokio::{
+        sync::{Mutex, MutexGuard},
+        time::sleep,
+    },
 };
 
 /// The time between two looks at something that is waited for.
@@ -161,6 +164,33 @@
     pub entries: Vec<EntryProcess>,
     dir: TempDir,
     started: u32,
+    /// Two deployments at once would take the machine from each other.
+    _alone: MutexGuard<'static, ()>,
+}
+
+/// Held by the only deployment of this process.
+static ALONE: Mutex<()> = Mutex::const_new(());
+
+impl Drop for Cluster {
+    /// Shows the ends of the logs when a test fails.
+    fn drop(&mut self) {
+        const LINES: usize = 20;
+        if !std::thread::panicking() {
+            return;
+        }
+        for entry in &self.entries {
+            let log = entry.log();
+            let lines: Vec<_> = log
+                .lines()
+                .filter(|l| !l.contains("route: request"))
+                .collect();
+            let tail = lines.len().saturating_sub(LINES);
+            eprintln!("--- {} of domain {}", entry.name, entry.domain);
+            eprintln!("{}", lines[tail..].join("\n"));
+            let refusals: Vec<_> = log.lines().filter(|l| l.contains("refused")).collect();
+            eprintln!("{} refusals, such as {:?}", refusals.len(), refusals.last());
+        }
+    }
 }
 
 impl Cluster {
@@ -189,6 +219,7 @@
     ///
     /// Returns an error if something does not start.
     pub async fn start_bare(cfg: ClusterConfig) -> io::Result<Self> {
+        let alone = ALONE.lock().await;
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let platform = Platform::start(any).await?;
         let workers = Workers::start(&WorkersConfig {
@@ -208,6 +239,7 @@
             entries: Vec::new(),
             dir: TempDir::new()?,
             started: 0,
+            _alone: alone,
             cfg,
         };
         for domain in cluster.cfg.domains.clone() {
@@ -349,7 +381,11 @@
             return false;
         }
         let row = self.platform.row(&format!("ownership/{domain}")).value;
-        let members = row["members"].as_array().map_or(0, Vec::len).max(1);
+        let members = row["members"].as_array().map_or(0, Vec::len);
+        let running = self.entries.iter().filter(|e| e.domain == domain).count();
+        if members != running {
+            return false;
+        }
         let fair = self.cfg.workers_per_domain as usize / members;
         let counts = row["members"].as_array().cloned().unwrap_or_default();
         counts.iter().all(|m| {
