Prove requests under failure; mend dead own workers and silent connections

Cause: (1) an instance whose own workers had all died ignored their ejection and refused 816 of 4,040 requests instead of offering them to peers; failed connects also used up the retry budget. (2) When all connections to the upstreams went silent, requests went on filling them until every slot was held, and the queue refused. Change: ejected workers are used only as the last resort, after peers; a try that sent nothing is no retry; an upstream that owes three answers for twice its usual latency gets new connections. A slot whose upstream stays mute past its deadline is held for 5 s more rather than 30 s. Ruled out: closing a silent connection to free its slot, since the request may be running.

--- a/crates/entry/examples/main_job.rs
+++ b/crates/entry/examples/main_job.rs
@@ -9,7 +9,7 @@
     marigoldbend_entry::{entry::Entry, settings::Settings},
     serde_json::{Value, json},
     stand_ins::{
-        load::{self, LoadConfig, Seen},
+        load::{self, LoadConfig, Seen, Targets},
         platform::Platform,
         workers::{ServiceTime, Workers, WorkersConfig},
     },
@@ -66,7 +66,7 @@
 
     let job = submit_job(callers[0]).await?;
     let report = load::run(&LoadConfig {
-        targets: callers.iter().map(|&c| (c, 1)).collect(),
+        targets: Targets::even(callers.iter().copied()),
         path: "/services/inspection/check".to_owned(),
         rate: 1_000.0,
         duration: Duration::from_secs(5),
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -74,10 +74,12 @@
         self.queue.lock().len()
     }
 
-    /// Returns the slots that this instance may use now.
+    /// Returns the slots of healthy workers that this instance may use now.
     pub fn slots(&self, now: Instant) -> u32 {
         let workers = self.workers.load();
-        workers.iter().map(|w| w.gate.limit(now)).sum()
+        let usable = |w: &&Arc<Worker>| w.health(now) == Health::Healthy && !w.is_leaving();
+        let usable = workers.iter().filter(usable);
+        usable.map(|w| w.gate.limit(now)).sum()
     }
 
     /// Records the latency of one good answer.
@@ -107,7 +109,13 @@
         if !self.queue.lock().is_empty() {
             return None;
         }
-        self.pick(now, except)
+        self.pick(now, except, false)
+    }
+
+    /// Takes a slot of any worker, ejected ones among them: when all are ejected, the fault is
+    /// hardly theirs.
+    pub fn try_take_any(&self, now: Instant, except: &[WorkerId]) -> Option<Grant> {
+        self.pick(now, except, true)
     }
 
     /// Waits for a slot until `until`; `None` if there was none, or no room to wait.
@@ -139,7 +147,7 @@
             if queue.is_empty() {
                 return;
             }
-            let Some(grant) = self.pick(now, &[]) else {
+            let Some(grant) = self.pick(now, &[], false) else {
                 return;
             };
             let waiter = queue.pop_front();
@@ -151,12 +159,12 @@
         }
     }
 
-    fn pick(&self, now: Instant, except: &[WorkerId]) -> Option<Grant> {
+    fn pick(&self, now: Instant, except: &[WorkerId], any: bool) -> Option<Grant> {
         const TRIES: usize = 3;
         let workers = self.workers.load();
         let mut rng = rand::rng();
         for _ in 0..TRIES {
-            let candidates = candidates(&workers, now, except);
+            let candidates = candidates(&workers, now, except, any);
             let at = choose(&candidates, &mut rng)?;
             let worker = &workers[at];
             // Another thread may have taken the slot since.
@@ -175,14 +183,15 @@
     }
 }
 
-/// Describes the workers for a choice.
-///
-/// When most of them are ejected, the fault is hardly theirs, and ejection is ignored.
-fn candidates(workers: &[Arc<Worker>], now: Instant, except: &[WorkerId]) -> Vec<Candidate> {
-    let ejected = |w: &&Arc<Worker>| w.health(now) != Health::Healthy;
-    let ignore_health = workers.iter().filter(ejected).count() * 2 > workers.len();
+/// Describes the workers for a choice; `any` makes ejected ones count as healthy.
+fn candidates(
+    workers: &[Arc<Worker>],
+    now: Instant,
+    except: &[WorkerId],
+    any: bool,
+) -> Vec<Candidate> {
     let describe = |w: &Arc<Worker>| {
-        let mut candidate = w.candidate(now, ignore_health);
+        let mut candidate = w.candidate(now, any);
         if except.contains(&w.id) {
             candidate.free = 0;
         }
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -187,7 +187,8 @@
                 }
             }
             let last = turn + 1 == MOST_TRIES || Instant::now() >= journey.deadline;
-            if last || !journey.pool.budget.try_retry() {
+            // A try that sent nothing added no load, so the next one is no retry.
+            if last || (may_have_run && !journey.pool.budget.try_retry()) {
                 break;
             }
             self.metrics.retries.inc();
@@ -215,6 +216,11 @@
         {
             return Place::Peer(peer);
         }
+        if wait == Duration::MAX
+            && let Some(grant) = journey.pool.try_take_any(now, &journey.failed)
+        {
+            return Place::Own(grant);
+        }
         let left = journey.deadline.saturating_duration_since(now);
         if wait.saturating_add(ANSWER_MARGIN) >= left {
             return Place::Nowhere(give_up(journey, "no slot is expected before the deadline"));
@@ -266,6 +272,7 @@
             permit,
             first_byte,
             deadline: journey.deadline,
+            typical: worker.typical_latency(),
         };
         match worker.upstream.exchange(exchange).await {
             Ok(response) => {
--- a/crates/entry/src/worker.rs
+++ b/crates/entry/src/worker.rs
@@ -135,6 +135,11 @@
         }
     }
 
+    /// Returns the moving mean of its latency; zero if unknown.
+    pub fn typical_latency(&self) -> Duration {
+        self.record.lock().latency.mean()
+    }
+
     /// Records that a probe is on its way.
     pub fn probe_sent(&self, now: Instant) {
         self.record.lock().ejector.probe_sent(now);
--- a/crates/entry/tests/capacity.rs
+++ b/crates/entry/tests/processes/capacity.rs
@@ -1,12 +1,14 @@
 //! No worker is given more than it holds, and every domain goes on serving, while instances die
 //! or freeze and domains are cut off.
 
-mod common;
-
 use {
-    common::{check_answered, check_record, config, load},
+    crate::common::{check_answered, check_record, config, load},
     marigoldbend::platform::wire::Liveness,
-    stand_ins::{cluster::Cluster, load, platform::Faults},
+    stand_ins::{
+        cluster::Cluster,
+        load::{self, Targets},
+        platform::Faults,
+    },
     std::time::{Duration, Instant},
     tokio::{join, time::sleep_until},
 };
@@ -163,7 +165,7 @@
         "it learns no configuration"
     );
     let mut cfg = load(&cluster, "restarted", 200.0, 3);
-    cfg.targets = vec![(cluster.entries[at].callers, 1)];
+    cfg.targets = Targets::even([cluster.entries[at].callers]);
     let report = load::run(&cfg).await;
     check_record(&cluster, &report);
     check_answered(&report, 99);
--- a/crates/entry/tests/path.rs
+++ b/crates/entry/tests/processes/path.rs
@@ -1,9 +1,7 @@
 //! The whole path over real processes: nine entry instances, the platform and 48 workers.
 
-mod common;
-
 use {
-    common::{check_answered, check_record, config, load},
+    crate::common::{check_answered, check_record, config, load},
     stand_ins::{
         cluster::{Cluster, ClusterConfig},
         load,
--- /dev/null
+++ b/crates/entry/tests/processes/tasks.rs
@@ -0,0 +1,297 @@
+//! Tasks never run twice at once, resume once after each interruption, and are never lost.
+
+use {
+    crate::common::config,
+    marigoldbend::platform::wire::Liveness,
+    serde_json::{Value, json},
+    stand_ins::{cluster::Cluster, platform::Faults, workers::WorkerFaults},
+    std::time::Duration,
+    test_case::test_case,
+};
+
+/// The time in which interrupted work must have been resumed and finished: silence, lease and
+/// takeover wait, and the work itself.
+const LIMIT: Duration = Duration::from_secs(40);
+
+fn job(tasks: u32, run_ms: u64) -> Value {
+    json!({ "team": "reviews", "class": "load-review", "tasks": tasks, "run_ms": run_ms })
+}
+
+/// Checks by the workers' record that nothing ran twice, and that all of it was finished.
+fn check_tasks(cluster: &Cluster, finished: usize) {
+    let summary = cluster.workers.record.summary();
+    assert_eq!(summary.overlaps, Vec::<String>::new());
+    assert_eq!(summary.finished_twice, Vec::<String>::new());
+    assert_eq!(summary.finished, finished);
+    for (id, worker) in &summary.workers {
+        assert!(worker.peak_slots <= 8, "worker {id}: {worker:?}");
+    }
+}
+
+async fn running(cluster: &Cluster, tasks: u32) -> bool {
+    let record = &cluster.workers.record;
+    cluster
+        .wait(LIMIT, || async { record.tasks_running() >= tasks })
+        .await
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_home_of_a_job_is_killed() {
+    let mut cluster = Cluster::start(config(1)).await.expect("the cluster starts");
+    let id = cluster
+        .submit(0, &job(6, 4_000))
+        .await
+        .expect("it is accepted");
+    assert!(running(&cluster, 6).await);
+    let name = cluster.entries[0].name.clone();
+    cluster.entries[0].kill();
+    cluster.platform.set_entry(&name, Liveness::Gone);
+    assert!(
+        cluster.wait_job(1, &id, "done", LIMIT).await,
+        "{}",
+        cluster.job(1, &id).await
+    );
+    check_tasks(&cluster, 6);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_home_of_a_job_is_frozen_past_its_leases() {
+    let cluster = Cluster::start(config(1)).await.expect("the cluster starts");
+    let id = cluster
+        .submit(0, &job(6, 8_000))
+        .await
+        .expect("it is accepted");
+    assert!(running(&cluster, 6).await);
+    cluster.entries[0].freeze();
+    let record = &cluster.workers.record;
+    let lapsed = || async { record.tasks_running() == 0 };
+    assert!(
+        cluster.wait(LIMIT, lapsed).await,
+        "the leases did not lapse"
+    );
+    cluster.entries[0].resume();
+    assert!(
+        cluster.wait_job(1, &id, "done", LIMIT).await,
+        "{}",
+        cluster.job(1, &id).await
+    );
+    check_tasks(&cluster, 6);
+}
+
+#[test_case(30, 0; "lost replies")]
+#[test_case(0, 200; "slow")]
+#[test_case(30, 100; "lost replies and slow")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_platform_misbehaves(lose_replies_percent: u32, delay_ms: u64) {
+    let cluster = Cluster::start(config(1)).await.expect("the cluster starts");
+    cluster.platform.set_faults(Faults {
+        lose_replies_percent,
+        delay_ms,
+        ..Faults::default()
+    });
+    let mut accepted = Vec::new();
+    for n in 0..6 {
+        if let Ok(id) = cluster.submit(n % 3, &job(4, 300)).await {
+            accepted.push(id);
+        }
+    }
+    assert!(!accepted.is_empty());
+    for id in &accepted {
+        assert!(
+            cluster.wait_job(1, id, "done", LIMIT).await,
+            "{}",
+            cluster.job(1, id).await
+        );
+    }
+    cluster.platform.set_faults(Faults::default());
+    // A submission whose outcome was unknown may have been accepted as well.
+    let jobs = cluster.platform.rows("jobs/").len();
+    assert!(jobs >= accepted.len());
+    let all = || async { cluster.workers.record.summary().finished == jobs * 4 };
+    assert!(cluster.wait(LIMIT, all).await, "{} jobs", jobs);
+    check_tasks(&cluster, jobs * 4);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn the_platform_is_down_for_a_while() {
+    let cluster = Cluster::start(config(1)).await.expect("the cluster starts");
+    let id = cluster
+        .submit(0, &job(12, 3_000))
+        .await
+        .expect("it is accepted");
+    assert!(running(&cluster, 6).await);
+    cluster.platform.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    // What needs a new durable fact is refused as not run.
+    let refused = cluster
+        .submit(1, &job(1, 100))
+        .await
+        .expect_err("it is refused");
+    assert!(refused.to_string().contains("503"), "{refused}");
+    let record = &cluster.workers.record;
+    let ended = || async { record.tasks_running() == 0 };
+    assert!(
+        cluster.wait(LIMIT, ended).await,
+        "running tasks did not go on"
+    );
+    cluster.platform.set_faults(Faults::default());
+    assert!(
+        cluster.wait_job(1, &id, "done", LIMIT).await,
+        "{}",
+        cluster.job(1, &id).await
+    );
+    check_tasks(&cluster, 12);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_worker_ends_while_it_runs_tasks() {
+    let cluster = Cluster::start(config(1)).await.expect("the cluster starts");
+    let id = cluster
+        .submit(0, &job(6, 3_000))
+        .await
+        .expect("it is accepted");
+    assert!(running(&cluster, 6).await);
+    let with_tasks =
+        |(id, w): (&u32, &stand_ins::record::WorkerRecord)| (w.tasks > 0).then_some(*id);
+    let summary = cluster.workers.record.summary();
+    let worker = summary
+        .workers
+        .iter()
+        .find_map(with_tasks)
+        .expect("one has tasks");
+    cluster.workers.get(worker).expect("it exists").kill();
+    assert!(
+        cluster.wait_job(1, &id, "done", LIMIT).await,
+        "{}",
+        cluster.job(1, &id).await
+    );
+    check_tasks(&cluster, 6);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_leaving_worker_gives_its_tasks_back_with_their_progress() {
+    let cluster = Cluster::start(config(1)).await.expect("the cluster starts");
+    let id = cluster
+        .submit(0, &job(6, 4_000))
+        .await
+        .expect("it is accepted");
+    assert!(running(&cluster, 6).await);
+    let with_tasks =
+        |(id, w): (&u32, &stand_ins::record::WorkerRecord)| (w.tasks > 0).then_some(*id);
+    let summary = cluster.workers.record.summary();
+    let worker = summary
+        .workers
+        .iter()
+        .find_map(with_tasks)
+        .expect("one has tasks");
+    cluster.platform.update_list(|list| {
+        let listed = list.workers.iter_mut().find(|w| w.id.0 == worker);
+        listed.expect("it is listed").state = Liveness::Leaving;
+    });
+    assert!(
+        cluster.wait_job(1, &id, "done", LIMIT).await,
+        "{}",
+        cluster.job(1, &id).await
+    );
+    check_tasks(&cluster, 6);
+    let tasks = cluster.job(1, &id).await["tasks"]
+        .as_array()
+        .cloned()
+        .unwrap_or_default();
+    let evicted: Vec<_> = tasks.iter().filter(|t| t["evictions"] == 1).collect();
+    assert!(!evicted.is_empty());
+    assert!(
+        evicted
+            .iter()
+            .all(|t| t["attempt"] == 2 && t["progress_ms"].as_u64() > Some(0))
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_wave_of_cancellations_stops_everything_once() {
+    let cluster = Cluster::start(config(2)).await.expect("the cluster starts");
+    let mut ids = Vec::new();
+    for n in 0..24 {
+        let id = cluster.submit(n % 3, &job(2, 60_000)).await;
+        ids.push(id.expect("it is accepted"));
+    }
+    assert!(running(&cluster, 12).await);
+    for (n, id) in ids.iter().enumerate() {
+        // Through instances of both domains, some of them twice.
+        let status = cluster.cancel(n % 6, id).await.expect("it is answered");
+        assert!(status == 202 || status == 200, "{status}");
+        if n % 3 == 0 {
+            cluster
+                .cancel((n + 3) % 6, id)
+                .await
+                .expect("it is answered");
+        }
+    }
+    for id in &ids {
+        assert!(
+            cluster.wait_job(1, id, "cancelled", LIMIT).await,
+            "{}",
+            cluster.job(1, id).await
+        );
+    }
+    assert_eq!(cluster.workers.record.tasks_running(), 0);
+    check_tasks(&cluster, 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_worker_that_fails_every_task_does_not_attract_them() {
+    let cluster = Cluster::start(config(1)).await.expect("the cluster starts");
+    cluster
+        .workers
+        .get(1)
+        .expect("it exists")
+        .set_faults(WorkerFaults {
+            fail_tasks: true,
+            ..WorkerFaults::default()
+        });
+    let mut ids = Vec::new();
+    for entry in 0..3 {
+        ids.push(
+            cluster
+                .submit(entry, &job(10, 500))
+                .await
+                .expect("it is accepted"),
+        );
+    }
+    for id in &ids {
+        assert!(
+            cluster.wait_job(1, id, "done", LIMIT).await,
+            "{}",
+            cluster.job(1, id).await
+        );
+    }
+    check_tasks(&cluster, 30);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn jobs_that_can_never_run_are_parked_with_a_reason() {
+    let cluster = Cluster::start(config(1)).await.expect("the cluster starts");
+    for worker in &cluster.workers.handles {
+        worker.set_faults(WorkerFaults {
+            fail_tasks: true,
+            ..WorkerFaults::default()
+        });
+    }
+    let id = cluster
+        .submit(0, &job(1, 500))
+        .await
+        .expect("it is accepted");
+    assert!(
+        cluster.wait_job(0, &id, "parked", LIMIT).await,
+        "{}",
+        cluster.job(0, &id).await
+    );
+    let reason = cluster.job(0, &id).await["tasks"][0]["reason"].clone();
+    assert!(
+        reason.as_str().is_some_and(|r| r.contains("failed")),
+        "{reason}"
+    );
+    check_tasks(&cluster, 0);
+}
--- a/crates/upstream/src/connection.rs
+++ b/crates/upstream/src/connection.rs
@@ -31,6 +31,12 @@
 /// The time in which a connection must be made.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
+/// Requests without an answer from which an upstream counts as quiet.
+const QUIET_REQUESTS: u32 = 3;
+
+/// How many times the typical latency a quiet upstream has said nothing.
+const QUIET_FACTOR: u32 = 2;
+
 /// The time after which the kernel gives up on unacknowledged bytes.
 const USER_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -70,6 +76,40 @@
     open: Arc<AtomicU32>,
     /// Connections opened before this instant are not used again.
     doubted: Mutex<Instant>,
+    quiet: Mutex<Quiet>,
+}
+
+/// How long the upstream has been quiet although answers are due.
+struct Quiet {
+    /// Requests without an answer.
+    outstanding: u32,
+    /// The newest answer, or the moment when a first request was sent after none.
+    since: Instant,
+}
+
+/// Counts a request as outstanding until it is dropped.
+pub(crate) struct Outstanding(Arc<Pool>);
+
+impl Outstanding {
+    pub(crate) fn new(pool: &Arc<Pool>, now: Instant) -> Self {
+        let mut quiet = pool.quiet.lock();
+        if quiet.outstanding == 0 {
+            quiet.since = now;
+        }
+        quiet.outstanding += 1;
+        Self(pool.clone())
+    }
+
+    /// Records that the upstream gave a sign of life.
+    pub(crate) fn heard(&self, now: Instant) {
+        self.0.quiet.lock().since = now;
+    }
+}
+
+impl Drop for Outstanding {
+    fn drop(&mut self) {
+        self.0.quiet.lock().outstanding -= 1;
+    }
 }
 
 impl Pool {
@@ -80,6 +120,10 @@
             idle: Mutex::new(Vec::new()),
             open: Arc::new(AtomicU32::new(0)),
             doubted: Mutex::new(Instant::now()),
+            quiet: Mutex::new(Quiet {
+                outstanding: 0,
+                since: Instant::now(),
+            }),
         }
     }
 
@@ -88,13 +132,26 @@
     }
 
     /// Takes an idle connection, or opens one.
-    pub(crate) async fn take(&self, now: Instant) -> Result<Connection> {
+    ///
+    /// If several answers are due for longer than usual and none has come, all open connections
+    /// may have gone silent: a new one finds out before more requests are lost on old ones.
+    pub(crate) async fn take(&self, now: Instant, typical: Duration) -> Result<Connection> {
+        if self.is_quiet(now, typical) {
+            self.doubt(now);
+        }
         if let Some(connection) = self.take_idle(now) {
             return Ok(connection);
         }
         self.open_new().await
     }
 
+    fn is_quiet(&self, now: Instant, typical: Duration) -> bool {
+        let quiet = self.quiet.lock();
+        let silence = now.saturating_duration_since(quiet.since);
+        let due = quiet.outstanding >= QUIET_REQUESTS;
+        due && !typical.is_zero() && silence > typical * QUIET_FACTOR
+    }
+
     fn take_idle(&self, now: Instant) -> Option<Connection> {
         let mut idle = self.idle.lock();
         // The newest one comes first, so that the others grow old and are closed.
--- a/crates/upstream/src/exchange.rs
+++ b/crates/upstream/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        connection::{Connection, Pool},
+        connection::{Connection, Outstanding, Pool},
         error::{Kind, Result},
     },
     bytes::Bytes,
@@ -28,7 +28,7 @@
 const ANSWER_LIMIT: usize = 8 << 20;
 
 /// How long after its deadline an unanswered request still counts as running.
-const LINGER_LIMIT: Duration = Duration::from_secs(30);
+const LINGER_LIMIT: Duration = Duration::from_secs(5);
 
 /// A request that has been admitted.
 pub struct Exchange {
@@ -40,6 +40,8 @@
     pub first_byte: Duration,
     /// When the answer must be whole.
     pub deadline: Instant,
+    /// How long the upstream's answers usually take; zero if unknown.
+    pub typical: Duration,
 }
 
 /// One upstream and the connections to it.
@@ -78,12 +80,14 @@
             permit,
             first_byte,
             deadline,
+            typical,
         } = exchange;
         let begun = Arc::new(AtomicBool::new(false));
         let run = Run {
             pool: self.pool.clone(),
             begun: begun.clone(),
             deadline,
+            typical,
         };
         let mut task = tokio::spawn(run.run(request, permit));
         let whole = timeout(first_byte, &mut task).await;
@@ -114,6 +118,7 @@
     pool: Arc<Pool>,
     begun: Arc<AtomicBool>,
     deadline: Instant,
+    typical: Duration,
 }
 
 impl Run {
@@ -140,7 +145,7 @@
         request: Request<Full<Bytes>>,
         permit: Arc<Permit>,
     ) -> Result<Response<Bytes>> {
-        let connection = self.pool.take(Instant::now()).await?;
+        let connection = self.pool.take(Instant::now(), self.typical).await?;
         let reused = connection.is_reused();
         let kept = reused.then(|| copy(&request));
         match self.send_on(connection, request, permit.clone()).await {
@@ -160,6 +165,7 @@
         request: Request<Full<Bytes>>,
         permit: Arc<Permit>,
     ) -> Result<Response<Bytes>> {
+        let outstanding = Outstanding::new(&self.pool, Instant::now());
         let guard = connection.guard.clone();
         guard.arm(Box::new(move || permit.may_dispatch(Instant::now())));
         let response = match connection.sender.try_send_request(request).await {
@@ -171,6 +177,8 @@
             Err(_) => return Err(Kind::Cut.into()),
         };
         self.begun.store(true, Ordering::Release);
+        outstanding.heard(Instant::now());
+        drop(outstanding);
         let (parts, body) = response.into_parts();
         let body = read_whole(body, ANSWER_LIMIT).await.map_err(|e| match e {
             BodyError::TooLong => Kind::TooLong,
--- a/crates/upstream/src/lib.rs
+++ b/crates/upstream/src/lib.rs
@@ -32,6 +32,7 @@
 //!     permit,
 //!     first_byte: Duration::from_millis(500),
 //!     deadline: Instant::now() + Duration::from_secs(2),
+//!     typical: Duration::from_millis(20),
 //! };
 //! match upstream.exchange(exchange).await {
 //!     Ok(answer) => println!("{}", answer.status()),
--- a/stand-ins/src/cluster.rs
+++ b/stand-ins/src/cluster.rs
@@ -5,11 +5,14 @@
 
 use {
     crate::{
+        load::Targets,
         platform::{Faults, Platform},
         relay::Relay,
         workers::{ServiceTime, Workers, WorkersConfig},
     },
+    hyper::{HeaderMap, Method},
     marigoldbend_core::ids::Version,
+    marigoldbend_http::client::JsonClient,
     marigoldbend_operator::{answers::Answers, client::Operator, plan::plan},
     marigoldbend_platform::wire::Liveness,
     nix::{
@@ -38,6 +41,9 @@
 /// The time in which an instance must have bound its ports.
 const START_LIMIT: Duration = Duration::from_secs(10);
 
+/// The time limit of a caller's call.
+const CALLER_LIMIT: Duration = Duration::from_secs(8);
+
 /// What a deployment is made of.
 #[derive(Clone, Debug)]
 pub struct ClusterConfig {
@@ -414,9 +420,49 @@
         false
     }
 
-    /// Returns the targets of a load: all running instances alike.
-    pub fn targets(&self) -> Vec<(SocketAddr, u32)> {
-        self.entries.iter().map(|e| (e.callers, 1)).collect()
+    /// Returns the targets of a load: all instances alike.
+    pub fn targets(&self) -> Targets {
+        Targets::even(self.entries.iter().map(|e| e.callers))
+    }
+
+    /// Submits a job through an instance; the id if it was accepted, otherwise the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it was refused or if that is unclear.
+    pub async fn submit(&self, at: usize, spec: &Value) -> io::Result<String> {
+        let url = format!("http://{}/jobs", self.entries[at].callers);
+        let reply = callers_client().post(&url, spec).await;
+        let reply = reply.map_err(io::Error::other)?;
+        let body: Value = reply.json().unwrap_or_default();
+        match body["id"].as_str() {
+            Some(id) => Ok(id.to_owned()),
+            None => Err(io::Error::other(format!("{}: {body}", reply.status))),
+        }
+    }
+
+    /// Reads a job through an instance; null if that fails.
+    pub async fn job(&self, at: usize, id: &str) -> Value {
+        let url = format!("http://{}/jobs/{id}", self.entries[at].callers);
+        callers_client().get_json(&url).await.unwrap_or_default()
+    }
+
+    /// Cancels a job through an instance; returns the status of the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there was no answer.
+    pub async fn cancel(&self, at: usize, id: &str) -> io::Result<u16> {
+        let url = format!("http://{}/jobs/{id}", self.entries[at].callers);
+        let client = callers_client();
+        let sent = client.send(Method::DELETE, &url, HeaderMap::new(), Vec::new().into());
+        Ok(sent.await.map_err(io::Error::other)?.status.as_u16())
+    }
+
+    /// Waits until a job is in this state, by the word of an instance.
+    pub async fn wait_job(&self, at: usize, id: &str, state: &str, limit: Duration) -> bool {
+        self.wait(limit, || async { self.job(at, id).await["state"] == state })
+            .await
     }
 
     /// Cuts a domain off from the platform, or heals that.
@@ -454,6 +500,10 @@
     }
 }
 
+fn callers_client() -> JsonClient {
+    JsonClient::new(CALLER_LIMIT, None)
+}
+
 /// Returns the address of an instance in the loopback range.
 pub fn entry_ip(domain: u16, number: u8) -> IpAddr {
     let domain = u8::try_from(domain).unwrap_or(u8::MAX);
--- a/stand-ins/src/load.rs
+++ b/stand-ins/src/load.rs
@@ -30,11 +30,56 @@
 /// The longest latency that is told apart, in microseconds.
 const LONGEST_US: u64 = 120_000_000;
 
+/// Where callers' requests go, with a weight each; it may change while a load runs, as a
+/// balancer's targets do.
+#[derive(Clone, Debug, Default)]
+pub struct Targets(Arc<Mutex<Vec<(SocketAddr, u32)>>>);
+
+impl Targets {
+    /// Creates targets with equal weights.
+    pub fn even(targets: impl IntoIterator<Item = SocketAddr>) -> Self {
+        Self::weighted(targets.into_iter().map(|t| (t, 1)))
+    }
+
+    /// Creates targets with their weights.
+    pub fn weighted(targets: impl IntoIterator<Item = (SocketAddr, u32)>) -> Self {
+        Self(Arc::new(Mutex::new(targets.into_iter().collect())))
+    }
+
+    /// Adds a target.
+    pub fn add(&self, target: SocketAddr) {
+        self.0.lock().push((target, 1));
+    }
+
+    /// Removes a target.
+    pub fn remove(&self, target: SocketAddr) {
+        self.0.lock().retain(|(t, _)| *t != target);
+    }
+
+    /// Returns the targets.
+    pub fn list(&self) -> Vec<SocketAddr> {
+        self.0.lock().iter().map(|(t, _)| *t).collect()
+    }
+
+    fn pick(&self, rng: &mut StdRng) -> Option<SocketAddr> {
+        let targets = self.0.lock();
+        let total: u32 = targets.iter().map(|(_, weight)| weight).sum();
+        let mut left = rng.random_range(0..total.max(1));
+        for (target, weight) in targets.iter() {
+            if left < *weight {
+                return Some(*target);
+            }
+            left -= weight;
+        }
+        None
+    }
+}
+
 /// The load that callers make.
 #[derive(Clone, Debug)]
 pub struct LoadConfig {
-    /// Where the requests go, with a weight each.
-    pub targets: Vec<(SocketAddr, u32)>,
+    /// Where the requests go.
+    pub targets: Targets,
     /// The path of each request, such as `/services/inspection/check`.
     pub path: String,
     /// Requests a second.
@@ -162,9 +207,12 @@
     let mut number = 0u64;
     while at < cfg.duration {
         sleep_until((start + at).into()).await;
+        let Some(target) = cfg.targets.pick(&mut rng) else {
+            break;
+        };
         let call = Call {
             id: format!("{}-{number}", cfg.prefix),
-            target: pick(&cfg.targets, &mut rng),
+            target,
             idempotent: rng.random_range(0..100) >= cfg.post_percent,
             intended: start + at,
         };
@@ -189,18 +237,6 @@
     std::mem::take(&mut *report.lock())
 }
 
-fn pick(targets: &[(SocketAddr, u32)], rng: &mut StdRng) -> SocketAddr {
-    let total: u32 = targets.iter().map(|(_, weight)| weight).sum();
-    let mut left = rng.random_range(0..total.max(1));
-    for (target, weight) in targets {
-        if left < *weight {
-            return *target;
-        }
-        left -= weight;
-    }
-    targets[0].0
-}
-
 struct Call {
     id: String,
     target: SocketAddr,
