--- a/crates/entry/src/control/actor.rs
+++ b/crates/entry/src/control/actor.rs
@@ -86,6 +86,8 @@
     committing: bool,
     /// The version over which a write of unclear outcome may still take effect.
     unclear_base: Option<Version>,
+    /// Whether peers are told to offer nothing more.
+    ending: bool,
     leaving: bool,
     left: bool,
     was_confirmed: bool,
@@ -103,6 +105,9 @@
 /// A configuration was accepted by the platform.
 pub struct ObserveConfig(pub Versioned);
 
+/// The instance begins to end: peers are told at once.
+pub struct Announce;
+
 /// The instance is to leave its domain; answers whether it has.
 pub struct Leave;
 
@@ -164,6 +169,7 @@
             clock,
             committing: false,
             unclear_base: None,
+            ending: false,
             leaving: false,
             left: false,
             was_confirmed: false,
@@ -185,6 +191,9 @@
         }
         if now >= self.next_far_probe {
             self.next_far_probe = now + jittered(FAR_PROBE_INTERVAL);
+            if self.ending {
+                self.members.probe_all(&self.header(), now);
+            }
             self.members.probe_far(&self.header(), now);
             self.members
                 .ask_snapshot(address, self.domain, self.newest.version());
@@ -200,6 +209,7 @@
             sender: self.members.sender().clone(),
             config: self.newest.version(),
             row: self.ownership.version(),
+            ending: self.ending,
             leaving: self.workers.leaving(),
             message: Message::Probe { nonce: 0 },
         }
@@ -480,6 +490,15 @@
     }
 }
 
+impl Handler<Announce> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, _: Announce, _: &mut Context<Self>) {
+        self.ending = true;
+        self.members.probe_all(&self.header(), self.clock.now());
+    }
+}
+
 impl Handler<Leave> for Control {
     type Return = bool;
 
--- a/crates/entry/src/control/members.rs
+++ b/crates/entry/src/control/members.rs
@@ -46,6 +46,7 @@
 struct Known {
     sender: Sender,
     heard: Instant,
+    ending: bool,
 }
 
 struct Probe {
@@ -150,6 +151,14 @@
         }
     }
 
+    /// Probes every peer that was heard of.
+    pub(super) fn probe_all(&mut self, header: &Datagram, now: Instant) {
+        let known: Vec<SocketAddr> = self.known.values().map(|k| k.sender.peer).collect();
+        for to in known {
+            self.probe(header, to, now);
+        }
+    }
+
     /// Records who sent a datagram.
     pub(super) fn observe(&mut self, datagram: &Datagram, now: Instant) {
         let sender = &datagram.sender;
@@ -160,6 +169,7 @@
         let known = Known {
             sender: sender.clone(),
             heard: now,
+            ending: datagram.ending,
         };
         self.known.insert(sender.incarnation, known);
     }
@@ -250,6 +260,7 @@
         let heard: Vec<(Sender, Duration)> = self
             .known
             .values()
+            .filter(|k| !k.ending)
             .map(|k| (k.sender.clone(), now.saturating_duration_since(k.heard)))
             .collect();
         let mut near = Vec::new();
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -9,4 +9,6 @@
 mod platform;
 mod workers;
 
-pub use actor::{Control, ControlConfig, Incoming, Leave, ObserveConfig, Status, TICK, Tick};
+pub use actor::{
+    Announce, Control, ControlConfig, Incoming, Leave, ObserveConfig, Status, TICK, Tick,
+};
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         callers::Callers,
-        control::{Control, ControlConfig, Incoming, Leave, Tick},
+        control::{Announce, Control, ControlConfig, Incoming, Leave, Tick},
         directory::Directory,
         jobs::{self, Jobs, JobsConfig},
         keyed::Keyed,
@@ -39,7 +39,7 @@
     tokio::{
         runtime::{Builder, Handle, Runtime},
         sync::watch,
-        time::{MissedTickBehavior, interval, sleep},
+        time::{MissedTickBehavior, interval, sleep, timeout},
     },
     xtra::prelude::*,
 };
@@ -50,6 +50,12 @@
 /// How long the release of the ownerships may take.
 const LEAVE_LIMIT: Duration = Duration::from_secs(12);
 
+/// How long offers are still refused after the ownerships were released.
+const LAST_OFFERS: Duration = Duration::from_millis(300);
+
+/// How long offers that were accepted may take to be answered.
+const PEERS_LIMIT: Duration = Duration::from_secs(6);
+
 /// The time between two looks at whether a step of the end is done.
 const END_STEP: Duration = Duration::from_millis(50);
 
@@ -258,6 +264,7 @@
     callers_stop: watch::Sender<bool>,
     callers: tokio::task::JoinHandle<bool>,
     rest_stop: watch::Sender<bool>,
+    peers: tokio::task::JoinHandle<()>,
 }
 
 fn wire_up(parts: &Parts, sockets: Sockets, traffic: &Handle) -> io::Result<Running> {
@@ -335,11 +342,8 @@
     let callers = traffic.spawn(serve(listener, Limits::default(), handler, callers_stopped));
     let listener = tokio::net::TcpListener::from_std(sockets.peers)?;
     let handler = move |call| answer_peer(router.clone(), call);
-    traffic.spawn(marigoldbend::peer::server::serve(
-        listener,
-        handler,
-        rest_stopped,
-    ));
+    let peers = marigoldbend::peer::server::serve(listener, handler, rest_stopped);
+    let peers = traffic.spawn(peers);
     drop(inside);
     Ok(Running {
         control,
@@ -347,6 +351,7 @@
         callers_stop,
         callers,
         rest_stop,
+        peers,
     })
 }
 
@@ -441,6 +446,8 @@
         // The sender lives as long as the instance.
         let _ = stop.wait_for(|&stop| stop).await;
         log::info!("entry: {} is ending.", parts.settings.name);
+        // The actor ends only with the process.
+        let _ = self.control.send(Announce).await;
         sleep(parts.settings.balancer_wait).await;
         self.callers_stop.send_replace(true);
         let callers = self.callers.await.unwrap_or(false);
@@ -457,7 +464,11 @@
         });
         let left = left.await;
         log::info!("entry: ownerships released={left}.");
+        // Offers that were on their way are refused, rather than lost.
+        sleep(LAST_OFFERS).await;
         self.rest_stop.send_replace(true);
+        let peers = timeout(PEERS_LIMIT, self.peers).await.is_ok();
+        log::info!("entry: offers ended={peers}.");
         callers && stopped && left
     }
 }
--- a/crates/entry/src/jobs/actor.rs
+++ b/crates/entry/src/jobs/actor.rs
@@ -591,6 +591,9 @@
             }
         }
         let Some(statuses) = heard.statuses else {
+            if let Some(running) = heard.places.first().and_then(|p| self.running.get(p)) {
+                self.record_task_failure(running, "its agent did not answer");
+            }
             return;
         };
         for (place, status) in heard.places.iter().zip(statuses) {
@@ -641,17 +644,25 @@
             running.task.task,
             running.worker,
         );
-        if state == AttemptState::Failed
-            && let Some(slot) = &running.slot
-            && slot.worker.record_failure(self.clock.now())
-        {
+        match (state, &running.slot) {
+            (AttemptState::Done, Some(slot)) => slot.worker.record_task_success(),
+            (AttemptState::Failed, _) => self.record_task_failure(&running, "a failed task"),
+            _ => {}
+        }
+        self.count(event);
+    }
+
+    fn record_task_failure(&self, running: &Running, why: &str) {
+        let Some(slot) = &running.slot else {
+            return;
+        };
+        if slot.worker.record_task_failure(self.clock.now()) {
             self.metrics.ejections.inc();
             log::warn!(
-                "place: worker={} ejected after failed tasks.",
+                "place: worker={} ejected from batch work after {why}.",
                 running.worker
             );
         }
-        self.count(event);
     }
 
     fn look_for_orphans(&mut self, address: &Address<Self>, directory: &Directory) {
--- a/crates/entry/src/worker.rs
+++ b/crates/entry/src/worker.rs
@@ -46,6 +46,8 @@
     leaving: AtomicBool,
     tasks: AtomicU32,
     record: Mutex<Record>,
+    /// Follows the task agent, which can fail while the upstream serves, and the other way.
+    task_ejector: Mutex<Ejector>,
 }
 
 impl Worker {
@@ -66,6 +68,7 @@
             leaving: AtomicBool::new(false),
             tasks: AtomicU32::new(0),
             record: Mutex::default(),
+            task_ejector: Mutex::default(),
         })
     }
 
@@ -105,7 +108,14 @@
         if self.is_leaving() || !healthy || self.tasks() >= most || self.gate.free(now) <= spare {
             return None;
         }
+        let mut ejector = self.task_ejector.lock();
+        if ejector.health(now) == Health::Ejected {
+            return None;
+        }
         let permit = self.gate.try_acquire(now)?;
+        if ejector.health(now) == Health::Probe {
+            ejector.probe_sent(now);
+        }
         self.tasks.fetch_add(1, Ordering::AcqRel);
         Some(TaskSlot {
             worker: self.clone(),
@@ -113,6 +123,17 @@
         })
     }
 
+    /// Records that a task has finished on it.
+    pub fn record_task_success(&self) {
+        self.task_ejector.lock().success();
+    }
+
+    /// Records that a task failed on it or that its agent did not answer; returns whether it is
+    /// ejected from batch work now.
+    pub fn record_task_failure(&self, now: Instant) -> bool {
+        self.task_ejector.lock().failure(now)
+    }
+
     /// Returns what may be sent to it.
     pub fn health(&self, now: Instant) -> Health {
         self.record.lock().ejector.health(now)
--- a/crates/entry/tests/processes/operations.rs
+++ b/crates/entry/tests/processes/operations.rs
@@ -161,9 +161,8 @@
     for at in 0..3 {
         let replacement = cluster.add_entry(1, entry_ip(1, 10 + at as u8)).await;
         let replacement = replacement.expect("it starts");
-        let ready = cluster.entries[replacement].operator();
-        let knows = || async { matches!(ready.config().await, Ok((_, Some(_)))) };
-        assert!(cluster.wait(IN_FORCE, knows).await);
+        let ready = || cluster.entries[replacement].is_ready();
+        assert!(cluster.wait(IN_FORCE, ready).await);
         targets.add(cluster.entries[replacement].callers);
         // The balancer stops sending before the instance closes its port.
         cluster.entries[at].terminate();
--- a/crates/peer/src/datagram.rs
+++ b/crates/peer/src/datagram.rs
@@ -58,6 +58,8 @@
     pub config: Version,
     /// The version of its domain's ownership row that the sender knows.
     pub row: Version,
+    /// Whether the sender is ending and takes no more offers.
+    pub ending: bool,
     /// Workers that the sender knows to be leaving.
     pub leaving: Vec<WorkerId>,
     /// What it says.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -23,6 +23,7 @@
 //!     sender,
 //!     config: Version(3),
 //!     row: Version(9),
+//!     ending: false,
 //!     leaving: Vec::new(),
 //!     message: Message::Probe { nonce: 1 },
 //! };
--- a/stand-ins/src/cluster.rs
+++ b/stand-ins/src/cluster.rs
@@ -146,6 +146,13 @@
         self.operator().status().await.ok()
     }
 
+    /// Returns whether it says that it is ready, as the platform's balancer asks.
+    pub async fn is_ready(&self) -> bool {
+        let url = format!("http://{}/readyz", self.operators);
+        let reply = callers_client().get(&url).await;
+        reply.is_ok_and(|reply| reply.status.is_success())
+    }
+
     /// Returns its log so far.
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
--- a/stand-ins/src/tasks.rs
+++ b/stand-ins/src/tasks.rs
@@ -80,6 +80,17 @@
         }
     }
 
+    /// Ends everything that runs, as the end of the worker does.
+    pub fn crash(&mut self, now: Instant) {
+        self.advance(now);
+        for (task, attempt) in &mut self.attempts {
+            if attempt.state == AttemptState::Running {
+                attempt.state = AttemptState::Lapsed;
+                self.record.task_ended(task, false);
+            }
+        }
+    }
+
     /// Starts an attempt unless it is fenced or came too late.
     pub fn start(&mut self, start: &StartTask, now: Instant) -> AttemptStatus {
         self.advance(now);
--- a/stand-ins/src/workers.rs
+++ b/stand-ins/src/workers.rs
@@ -159,8 +159,10 @@
         *self.shared.leaving.lock() = Some(Instant::now());
     }
 
-    /// Ends the worker at once: requests in flight are cut, connections are refused.
+    /// Ends the worker at once: requests in flight are cut, connections are refused, its tasks
+    /// end unfinished.
     pub fn kill(&self) {
+        self.shared.agent.lock().crash(Instant::now());
         self.shared.closed.store(true, Ordering::Release);
     }
 }
