--- /dev/null
+++ b/stand-ins/examples/experiment.rs
@@ -0,0 +1,243 @@
+//! Experiments on a deployment of real entry processes: added latency, steady load, and what
+//! control costs.
+//!
+//! Run it with `cargo run --release -p stand-ins --example experiment -- --help`.
+
+use {
+    pico_args::Arguments,
+    stand_ins::{
+        cluster::{Cluster, ClusterConfig},
+        load::{self, LoadConfig, Report, Seen, Targets},
+        workers::ServiceTime,
+    },
+    std::{
+        error::Error,
+        path::PathBuf,
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+};
+
+const HELP: &str = "\
+Runs an experiment on a deployment of entry processes.
+
+Usage: experiment KIND --entry PATH [OPTIONS]
+
+  added      latency that an entry instance adds to a direct call, side by side
+  steady     nine instances and 48 workers under a steady load
+  control    processor time, memory and bytes of idle control, for several sizes
+
+  --entry PATH  the entry binary
+  --rate N      requests a second (added: 500, steady: 2000)
+  --seconds N   length of each load (added: 5, steady: 20, control: 10)
+  --runs N      repetitions (3)
+";
+
+type Result<T> = std::result::Result<T, Box<dyn Error>>;
+
+struct Options {
+    entry: PathBuf,
+    rate: Option<f64>,
+    seconds: Option<u64>,
+    runs: usize,
+}
+
+fn main() -> Result<()> {
+    let mut args = Arguments::from_env();
+    if args.contains("--help") {
+        print!("{HELP}");
+        return Ok(());
+    }
+    let kind = args.subcommand()?.ok_or("a kind is missing; see --help")?;
+    let options = Options {
+        entry: args.value_from_str("--entry")?,
+        rate: args.opt_value_from_str("--rate")?,
+        seconds: args.opt_value_from_str("--seconds")?,
+        runs: args.opt_value_from_str("--runs")?.unwrap_or(3),
+    };
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(3)
+        .enable_all()
+        .build()?;
+    runtime.block_on(async {
+        match kind.as_str() {
+            "added" => added(&options).await,
+            "steady" => steady(&options).await,
+            "control" => control(&options).await,
+            other => Err(format!("unknown kind {other:?}; see --help").into()),
+        }
+    })
+}
+
+fn load_config(
+    targets: Targets,
+    path: &str,
+    rate: f64,
+    seconds: u64,
+    prefix: String,
+) -> LoadConfig {
+    LoadConfig {
+        targets,
+        path: path.to_owned(),
+        rate,
+        duration: Duration::from_secs(seconds),
+        post_percent: 20,
+        keyed: false,
+        size: 200,
+        deadline: Duration::from_millis(1_500),
+        seed: 11,
+        prefix,
+    }
+}
+
+/// Alternates direct calls and calls through one entry instance.
+async fn added(options: &Options) -> Result<()> {
+    let cluster = Cluster::start(ClusterConfig {
+        domains: vec![1],
+        entries_per_domain: 1,
+        workers_per_domain: 8,
+        ..ClusterConfig::new(&options.entry)
+    })
+    .await?;
+    let rate = options.rate.unwrap_or(500.0);
+    let seconds = options.seconds.unwrap_or(5);
+    let upstreams = cluster.workers.handles.iter().map(|w| w.listed().upstream);
+    let direct = Targets::even(upstreams);
+    for run in 0..options.runs {
+        let cfg = load_config(
+            direct.clone(),
+            "/check?ms=2",
+            rate,
+            seconds,
+            format!("direct-{run}"),
+        );
+        let direct = load::run(&cfg).await;
+        let path = "/services/inspection/check?ms=2";
+        let cfg = load_config(
+            cluster.targets(),
+            path,
+            rate,
+            seconds,
+            format!("through-{run}"),
+        );
+        let through = load::run(&cfg).await;
+        println!("run {run} direct:  {}", direct.line());
+        println!("run {run} through: {}", through.line());
+        let us = |r: &Report, q| r.latencies(Seen::Whole).value_at_quantile(q);
+        for (name, q) in [("p50", 0.5), ("p99", 0.99), ("p99.9", 0.999)] {
+            let added = us(&through, q) as i64 - us(&direct, q) as i64;
+            println!("run {run} added {name}: {added} us");
+        }
+    }
+    Ok(())
+}
+
+/// Puts a steady load on a whole deployment and checks the workers' record.
+async fn steady(options: &Options) -> Result<()> {
+    for run in 0..options.runs {
+        let cluster = Cluster::start(ClusterConfig {
+            service_time: ServiceTime {
+                mean_ms: 20.0,
+                cv: 1.5,
+                slowdown: 0.02,
+            },
+            ..ClusterConfig::new(&options.entry)
+        })
+        .await?;
+        let rate = options.rate.unwrap_or(2_000.0);
+        let seconds = options.seconds.unwrap_or(20);
+        let path = "/services/inspection/check";
+        let cfg = load_config(
+            cluster.targets(),
+            path,
+            rate,
+            seconds,
+            format!("steady-{run}"),
+        );
+        let before = cpu_of(&cluster);
+        let report = load::run(&cfg).await;
+        let cpu = cpu_of(&cluster) - before;
+        let record = cluster.workers.record.summary();
+        let slots = record.workers.values().map(|w| w.peak_slots).max();
+        let connections = record.workers.values().map(|w| w.peak_connections).max();
+        let twice = |r: &&load::Observation| cluster.workers.record.runs_of(&r.id) > 1;
+        let posts = report.requests.iter().filter(|r| !r.idempotent);
+        println!("run {run}: {}", report.line());
+        println!(
+            "run {run}: most slots {slots:?}, most connections {connections:?}, \
+             non-idempotent run twice {}, requests per second of processor time {:.0}",
+            posts.filter(twice).count(),
+            report.requests.len() as f64 / cpu.as_secs_f64(),
+        );
+    }
+    Ok(())
+}
+
+/// Measures what control costs while no request arrives.
+async fn control(options: &Options) -> Result<()> {
+    let seconds = options.seconds.unwrap_or(10);
+    for (domains, workers) in [(1, 16), (3, 16), (6, 16), (3, 64), (3, 256)] {
+        let cluster = Cluster::start(ClusterConfig {
+            domains: (1..=domains).collect(),
+            workers_per_domain: workers,
+            ..ClusterConfig::new(&options.entry)
+        })
+        .await?;
+        // Rebalancing and start-up are not steady cost.
+        sleep(Duration::from_secs(2)).await;
+        let (cpu, bytes) = (cpu_of(&cluster), bytes_of(&cluster).await);
+        let stats = cluster.platform.stats();
+        let start = Instant::now();
+        sleep(Duration::from_secs(seconds)).await;
+        let elapsed = start.elapsed().as_secs_f64();
+        let nodes = cluster.entries.len() as f64;
+        let cpu = (cpu_of(&cluster) - cpu).as_secs_f64() / elapsed / nodes;
+        let bytes = (bytes_of(&cluster).await - bytes) / elapsed / nodes;
+        let reads = (cluster.platform.stats().reads - stats.reads) as f64 / elapsed / nodes;
+        println!(
+            "domains={domains} nodes={nodes} workers/domain={workers}: a node uses {:.2}% of a \
+             core, {:.1} MB, sends {bytes:.0} B/s to peers, {reads:.1} reads/s",
+            cpu * 100.0,
+            memory_of(&cluster) / nodes,
+        );
+    }
+    Ok(())
+}
+
+/// Returns the processor time of all entry processes.
+fn cpu_of(cluster: &Cluster) -> Duration {
+    const TICKS_PER_SECOND: f64 = 100.0;
+    const USER_TIME: usize = 11;
+    let ticks = |pid: u32| -> f64 {
+        let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+        let after_name = stat.rsplit(')').next().unwrap_or_default().to_owned();
+        let fields: Vec<&str> = after_name.split_whitespace().collect();
+        let field = |i: usize| fields.get(i).and_then(|f| f.parse::<f64>().ok());
+        field(USER_TIME).unwrap_or(0.0) + field(USER_TIME + 1).unwrap_or(0.0)
+    };
+    let total: f64 = cluster.entries.iter().map(|e| ticks(e.pid())).sum();
+    Duration::from_secs_f64(total / TICKS_PER_SECOND)
+}
+
+/// Returns the resident memory of all entry processes, in MB.
+fn memory_of(cluster: &Cluster) -> f64 {
+    let rss = |pid: u32| -> f64 {
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let line = status.lines().find(|l| l.starts_with("VmRSS:"));
+        let kb = line.and_then(|l| l.split_whitespace().nth(1)?.parse::<f64>().ok());
+        kb.unwrap_or(0.0) / 1024.0
+    };
+    cluster.entries.iter().map(|e| rss(e.pid())).sum()
+}
+
+/// Returns the bytes that all entry processes have sent to peers over UDP.
+async fn bytes_of(cluster: &Cluster) -> f64 {
+    let mut bytes = 0.0;
+    for entry in &cluster.entries {
+        bytes += entry
+            .metric("marigoldbend_datagram_bytes_total")
+            .await
+            .unwrap_or(0.0);
+    }
+    bytes
+}
--- a/stand-ins/src/cluster.rs
+++ b/stand-ins/src/cluster.rs
@@ -63,8 +63,6 @@
     pub answers: String,
     /// The service.
     pub service: String,
-    /// The log level of the instances.
-    pub log: &'static str,
 }
 
 impl ClusterConfig {
@@ -80,7 +78,6 @@
             threads: 1,
             answers: marigoldbend_operator::questionnaire::EXAMPLE.to_owned(),
             service: "inspection".to_owned(),
-            log: "info",
         }
     }
 }
@@ -153,6 +150,20 @@
         reply.is_ok_and(|reply| reply.status.is_success())
     }
 
+    /// Returns the id of its process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Reads one of its metrics that has no labels.
+    pub async fn metric(&self, name: &str) -> Option<f64> {
+        let url = format!("http://{}/metrics", self.operators);
+        let reply = callers_client().get(&url).await.ok()?;
+        let text = String::from_utf8_lossy(&reply.body).into_owned();
+        let value = |line: &str| line.strip_prefix(name)?.trim().parse().ok();
+        text.lines().find_map(value)
+    }
+
     /// Returns its log so far.
     pub fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
@@ -300,12 +311,11 @@
              [listen]\ncallers = {ip}:0\noperators = {ip}:0\npeers = {ip}:0\n\
              peer_advertise = {}\nlocal_ip = {ip}\n\
              [platform]\nurl = {}\ntimeout_ms = 500\n[peers]\nseeds = {}\n\
-             [traffic]\nthreads = {}\n[shutdown]\nbalancer_wait_ms = 200\n[log]\nlevel = {}\n",
+             [traffic]\nthreads = {}\n[shutdown]\nbalancer_wait_ms = 200\n",
             relay.address(),
             self.platform.url(),
             seeds.join(", "),
             self.cfg.threads,
-            self.cfg.log,
         );
         fs::write(&settings, text)?;
         let child = Command::new(&self.cfg.binary)
