--- /dev/null
+++ b/crates/peer/tests/hostile.rs
@@ -0,0 +1,116 @@
+//! Datagrams and frames from anywhere: no panic, and whatever is understood is what was sent.
+
+use {
+    marigoldbend_core::ids::{Domain, Incarnation, Version, WorkerId},
+    marigoldbend_peer::{
+        call::{Answer, Call, Field, Frame, Offer, Reply},
+        datagram::{Datagram, LONGEST, MOST_LEAVING, Message, Sender},
+    },
+    proptest::{prelude::*, test_runner::RngSeed},
+};
+
+fn cases() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(5),
+        failure_persistence: None,
+        cases: 2_000,
+        ..ProptestConfig::default()
+    }
+}
+
+fn datagram(name: String, nonce: u64, leaving: Vec<u32>) -> Datagram {
+    Datagram {
+        sender: Sender {
+            incarnation: Incarnation(nonce ^ 9),
+            domain: Domain(3),
+            name,
+            peer: "10.1.2.3:700".parse().expect("a valid address"),
+        },
+        config: Version(nonce),
+        row: Version(7),
+        ending: nonce.is_multiple_of(2),
+        leaving: leaving.into_iter().map(WorkerId).collect(),
+        message: Message::Answer {
+            nonce,
+            confirms: Some(Version(1)),
+        },
+    }
+}
+
+proptest! {
+    #![proptest_config(cases())]
+
+    #[test]
+    fn a_datagram_comes_back_as_it_was(
+        name in "[a-z]{0,64}",
+        nonce: u64,
+        leaving in prop::collection::vec(any::<u32>(), 0..=MOST_LEAVING),
+    ) {
+        let sent = datagram(name, nonce, leaving);
+        let bytes = sent.encode().expect("it fits");
+        prop_assert!(bytes.len() <= LONGEST);
+        prop_assert_eq!(Datagram::decode(&bytes), Ok(sent));
+    }
+
+    #[test]
+    fn mutated_datagrams_do_no_harm(
+        nonce: u64,
+        flips in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..8),
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let mut bytes = datagram("a1".to_owned(), nonce, vec![1, 2]).encode().expect("it fits");
+        for (at, value) in flips {
+            let at = at.index(bytes.len());
+            bytes[at] = value;
+        }
+        bytes.truncate(cut.index(bytes.len()) + 1);
+        // It is dropped or it is a datagram within all bounds; it is never a panic.
+        if let Ok(datagram) = Datagram::decode(&bytes) {
+            prop_assert!(datagram.leaving.len() <= MOST_LEAVING);
+        }
+    }
+
+    #[test]
+    fn random_bytes_do_no_harm(bytes in prop::collection::vec(any::<u8>(), 0..1_500)) {
+        let mut marked = b"mgb1".to_vec();
+        marked.extend_from_slice(&bytes);
+        let _ = Datagram::decode(&bytes);
+        let _ = Datagram::decode(&marked);
+        let _ = Frame::<Call>::decode(&bytes);
+        let _ = Frame::<Reply>::decode(&bytes);
+    }
+
+    #[test]
+    fn a_shortened_frame_is_never_taken_for_whole(
+        id: u64,
+        body in prop::collection::vec(any::<u8>(), 0..300),
+        cut in any::<prop::sample::Index>(),
+    ) {
+        let answer = Answer {
+            status: 200,
+            headers: vec![Field { name: "a".to_owned(), value: "b".into() }],
+            body: body.into(),
+        };
+        let frame = Frame { id, body: Reply::Answered(answer) };
+        let bytes = frame.encode().expect("it fits");
+        prop_assert_eq!(Frame::decode(&bytes), Ok(frame));
+        let cut = cut.index(bytes.len());
+        prop_assert!(Frame::<Reply>::decode(&bytes[..cut]).is_err());
+    }
+
+    #[test]
+    fn an_offer_comes_back_as_it_was(path in "/[a-z?=]{0,40}", deadline_ms: u64) {
+        let offer = Offer {
+            request_id: "r".to_owned(),
+            service: "inspection".to_owned(),
+            method: "POST".to_owned(),
+            path,
+            headers: Vec::new(),
+            body: "sent".into(),
+            deadline_ms,
+        };
+        let frame = Frame { id: 1, body: Call::Offer(offer) };
+        let bytes = frame.encode().expect("it fits");
+        prop_assert_eq!(Frame::decode(&bytes), Ok(frame));
+    }
+}
--- /dev/null
+++ b/crates/platform/tests/lost_replies.rs
@@ -0,0 +1,108 @@
+//! Writes whose replies are lost: each takes effect once, and its fate is told truthfully.
+
+use {
+    marigoldbend_core::ids::Version,
+    marigoldbend_platform::{
+        group::{GroupWriter, Written},
+        table::{Outcome, Table},
+        wire::{Commit, Write},
+    },
+    serde_json::json,
+    stand_ins::platform::{Faults, Platform},
+    std::time::Duration,
+    test_case::test_case,
+    tokio::task::JoinSet,
+};
+
+const LIMIT: Duration = Duration::from_millis(60);
+const PATIENCE: Duration = Duration::from_secs(20);
+
+async fn start(lose_replies_percent: u32) -> (Platform, Table) {
+    let any = "127.0.0.1:0".parse().expect("a valid address");
+    let platform = Platform::start(any).await.expect("it starts");
+    platform.set_faults(Faults {
+        lose_replies_percent,
+        ..Faults::default()
+    });
+    let table = Table::new(&platform.url(), LIMIT, None);
+    (platform, table)
+}
+
+#[test_case(0; "no loss")]
+#[test_case(60; "most are lost")]
+#[test_case(100; "all are lost")]
+#[tokio::test]
+async fn a_write_takes_effect_once(lose_replies_percent: u32) {
+    let (platform, table) = start(lose_replies_percent).await;
+    for n in 0..10u64 {
+        let commit = Commit::new(format!("op-{n}")).write("row", Version(n), json!(n));
+        let outcome = table.commit_until_known(&commit, PATIENCE).await;
+        assert_eq!(outcome.expect("it becomes known"), Outcome::Applied);
+        assert_eq!(platform.row("row").version, Version(n + 1));
+    }
+    assert_eq!(platform.stats().commits, 10);
+}
+
+#[tokio::test]
+async fn of_racing_writers_exactly_one_wins_although_replies_are_lost() {
+    let (platform, table) = start(50).await;
+    for round in 0..5u64 {
+        let mut writers = JoinSet::new();
+        for n in 0..6 {
+            let table = table.clone();
+            let commit =
+                Commit::new(format!("op-{round}-{n}")).write("row", Version(round), json!(n));
+            writers.spawn(async move { table.commit_until_known(&commit, PATIENCE).await });
+        }
+        let outcomes = writers.join_all().await;
+        let won = outcomes
+            .iter()
+            .filter(|o| matches!(o, Ok(Outcome::Applied)));
+        assert_eq!(won.count(), 1, "{outcomes:?}");
+        assert_eq!(platform.row("row").version, Version(round + 1));
+    }
+}
+
+#[tokio::test]
+async fn a_table_that_is_down_has_written_nothing() {
+    let (platform, table) = start(0).await;
+    platform.set_faults(Faults {
+        down: true,
+        ..Faults::default()
+    });
+    let commit = Commit::new("op").write("row", Version(0), json!(1));
+    let error = table
+        .commit_until_known(&commit, LIMIT)
+        .await
+        .expect_err("it is down");
+    assert!(error.is_unwritten(), "{error}");
+    assert_eq!(platform.row("row").version, Version(0));
+}
+
+#[test_case(0; "no loss")]
+#[test_case(50; "half are lost")]
+#[tokio::test]
+async fn grouped_writes_share_transactions_and_each_learns_its_fate(lose_replies_percent: u32) {
+    let (platform, table) = start(lose_replies_percent).await;
+    let writer = GroupWriter::start(table);
+    let mut writes = JoinSet::new();
+    for n in 0..200u32 {
+        let writer = writer.clone();
+        // Two writers for each of a hundred rows: one of them must lose.
+        let write = Write {
+            key: format!("row-{}", n % 100),
+            version: Version(0),
+            value: json!(n),
+        };
+        writes.spawn(async move { writer.write(write).await });
+    }
+    let fates = writes.join_all().await;
+    let count = |fate| fates.iter().filter(|f| **f == fate).count();
+    assert_eq!(
+        (count(Written::Applied), count(Written::Conflict)),
+        (100, 100)
+    );
+    assert_eq!(platform.rows("row-").len(), 100);
+    let commits = platform.stats().commits;
+    assert!(commits <= 20, "{commits} transactions for 100 rows");
+}
