--- a/crates/core/src/ownership/state.rs
+++ b/crates/core/src/ownership/state.rs
@@ -209,6 +209,13 @@
         now: Instant,
     ) {
         self.observe_row(version, row, now);
+        self.confirm_read(sent, version);
+    }
+
+    /// Takes in the word of the table that the row had this version, by a read sent at `sent`.
+    ///
+    /// A version older than the one that is already known confirms nothing.
+    pub fn confirm_read(&mut self, sent: Instant, version: Version) {
         if version == self.version {
             self.read_sent = self.read_sent.max(Some(sent));
         }
--- a/crates/entry/src/control/actor.rs
+++ b/crates/entry/src/control/actor.rs
@@ -1,7 +1,11 @@
 //! The control actor and its messages.
 
 use {
-    super::{members::Members, platform::PlatformReader, workers::Workers},
+    super::{
+        members::Members,
+        platform::{KnownVersions, PlatformReader},
+        workers::Workers,
+    },
     crate::{directory::Directory, metrics::Metrics},
     arc_swap::ArcSwap,
     marigoldbend::{
@@ -17,6 +21,7 @@
             datagram::{Datagram, Message},
         },
         platform::{
+            instances::Listed,
             table::{Outcome, Table, TableError},
             wire::{Commit, InstanceList, Liveness},
         },
@@ -122,9 +127,12 @@
 
 /// What one read of the platform brought.
 pub(super) struct PlatformView {
-    pub(super) row: (Version, Arc<DomainRow>),
+    /// The version of the row that was known when the read was sent.
+    pub(super) known: Version,
+    /// The row, if it was newer.
+    pub(super) row: Option<(Version, Arc<DomainRow>)>,
     pub(super) config: Option<Versioned>,
-    pub(super) list: Option<InstanceList>,
+    pub(super) list: Option<Listed>,
     pub(super) far: Vec<(Domain, Member)>,
 }
 
@@ -181,7 +189,11 @@
 
     fn tick(&mut self, address: &Address<Self>) {
         let now = self.clock.now();
-        if now >= self.next_read && self.reader.start(address, now) {
+        let known = KnownVersions {
+            row: self.ownership.version(),
+            config: self.newest.version(),
+        };
+        if now >= self.next_read && self.reader.start(address, known, now) {
             self.next_read = now + READ_INTERVAL;
         }
         if now >= self.next_probe {
@@ -415,15 +427,18 @@
                 if changed {
                     log::info!("platform: it answers.");
                 }
-                if let Some(list) = view.list {
-                    self.observe_list(list);
+                if let Some(listed) = view.list {
+                    self.reader.set_list_tag(listed.tag);
+                    self.observe_list(listed.list);
                 }
                 if let Some(config) = view.config {
                     self.observe_config(config);
                 }
-                let (version, row) = view.row;
-                self.observe_row(version, &row, now);
-                self.ownership.observe_read(done.sent, version, row, now);
+                if let Some((version, row)) = &view.row {
+                    self.observe_row(*version, row, now);
+                }
+                let version = view.row.map_or(view.known, |(version, _)| version);
+                self.ownership.confirm_read(done.sent, version);
                 self.members.observe_far(view.far);
             }
             Err(e) if changed => log::warn!("platform: it does not answer: {e}."),
--- a/crates/entry/src/control/platform.rs
+++ b/crates/entry/src/control/platform.rs
@@ -2,6 +2,7 @@
 
 use {
     super::actor::{Control, ControlConfig, PlatformView, ReadDone, row_key},
+    hyper::header::HeaderValue,
     marigoldbend::{
         core::{
             config::{Config, Versioned},
@@ -39,6 +40,7 @@
     count: u32,
     newest: Option<Instant>,
     up: Option<bool>,
+    list_tag: Option<HeaderValue>,
 }
 
 impl PlatformReader {
@@ -52,11 +54,17 @@
             count: 0,
             newest: None,
             up: None,
+            list_tag: None,
         }
     }
 
-    /// Starts a read unless one is under way.
-    pub(super) fn start(&mut self, address: &Address<Control>, now: Instant) -> bool {
+    /// Starts a read of what is newer than known, unless one is under way.
+    pub(super) fn start(
+        &mut self,
+        address: &Address<Control>,
+        known: KnownVersions,
+        now: Instant,
+    ) -> bool {
         if self.reading {
             return false;
         }
@@ -67,6 +75,8 @@
             instances: self.instances.clone(),
             full: self.count.is_multiple_of(FULL_READ_EVERY),
             far: self.count.is_multiple_of(FAR_READ_EVERY),
+            list_tag: self.list_tag.clone(),
+            known,
         };
         self.count = self.count.wrapping_add(1);
         let address = address.clone();
@@ -87,6 +97,11 @@
         self.up.replace(up) != Some(up)
     }
 
+    /// Remembers which list was read, so that it is not read again.
+    pub(super) fn set_list_tag(&mut self, tag: Option<HeaderValue>) {
+        self.list_tag = tag;
+    }
+
     /// Returns whether the newest answered read was sent within `age`.
     pub(super) fn is_fresh(&self, now: Instant, age: Duration) -> bool {
         let fresh = |sent| now.saturating_duration_since(sent) < age;
@@ -94,28 +109,40 @@
     }
 }
 
+/// The versions that the instance knows already.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct KnownVersions {
+    pub(super) row: Version,
+    pub(super) config: Version,
+}
+
 struct Read {
     domain: Domain,
     table: Table,
     instances: Instances,
     full: bool,
     far: bool,
+    list_tag: Option<HeaderValue>,
+    known: KnownVersions,
 }
 
 impl Read {
     async fn run(&self) -> Result<PlatformView, TableError> {
-        let row = self.table.read(&row_key(self.domain)).await?;
+        let key = row_key(self.domain);
+        let row = self.table.read_newer(&key, self.known.row).await?;
         let mut view = PlatformView {
-            row: (row.version, Arc::new(self.parse_row(&row))),
+            known: self.known.row,
+            row: row.map(|row| (row.version, Arc::new(self.parse_row(&row)))),
             config: None,
             list: None,
             far: Vec::new(),
         };
         if self.full {
-            let row = self.table.read(CONFIG_KEY).await?;
-            view.config = parse_config(&row);
+            let row = self.table.read_newer(CONFIG_KEY, self.known.config).await?;
+            view.config = row.as_ref().and_then(parse_config);
             // The list lags anyway; a failed read of it does not make the row's read void.
-            view.list = self.instances.read().await.ok();
+            let list = self.instances.read_newer(self.list_tag.as_ref()).await;
+            view.list = list.ok().flatten();
         }
         if self.far {
             let rows = self.table.scan("ownership/").await?;
--- /dev/null
+++ b/crates/entry/src/jobs/attempts.rs
@@ -0,0 +1,271 @@
+//! The life of an attempt after its claim: start, leases, stop and end.
+
+use {
+    super::{
+        actor::{Heard, Jobs},
+        running::{Place, Running, StopReason},
+    },
+    marigoldbend::{
+        core::hash::HashMap,
+        platform::wire::{AttemptState, RenewTasks, StartTask, StopTask, TaskRef},
+    },
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    },
+    xtra::prelude::*,
+};
+
+/// How long a lease holds without a renewal.
+const LEASE: Duration = Duration::from_secs(4);
+
+/// After the newest renewal that was sent, the time by which a lease has surely lapsed: the
+/// lease, a tenth for clock drift, and the time that the call itself may take.
+const SURELY_LAPSED: Duration = Duration::from_millis(4_000 + 400 + 1_000);
+
+/// The time without a reply after which leases are not renewed any more, so that they lapse.
+const GIVE_UP_RENEWING: Duration = Duration::from_secs(10);
+
+impl Jobs {
+    pub(super) fn start(&mut self, address: &Address<Self>, place: Place) {
+        let now = self.clock.now();
+        let Some(stored) = self.store.get(&place.0) else {
+            return;
+        };
+        let task = &stored.job.tasks[place.1];
+        let Some(running) = self.running.get_mut(&place) else {
+            return;
+        };
+        if task.attempt != running.task.attempt || running.stopping.is_some() {
+            return;
+        }
+        running.started = true;
+        running.calling = true;
+        running.sent = now;
+        let start = StartTask {
+            task: running.task.clone(),
+            class: stored.job.spec.class.clone(),
+            run_ms: stored.job.spec.run_ms,
+            progress_ms: task.progress_ms,
+            lease_ms: millis(LEASE),
+            not_after_unix_ms: unix_millis(SystemTime::now() + LEASE),
+        };
+        let agent = running.agent;
+        let agents = self.agents.clone();
+        let address = address.clone();
+        self.count("started");
+        tokio::spawn(async move {
+            let status = agents.start(agent, &start).await.ok();
+            let heard = Heard {
+                places: vec![place],
+                statuses: status.map(|s| vec![s]),
+            };
+            // The actor ends only with the process.
+            let _ = address.send(heard).detach().await;
+        });
+    }
+
+    /// Renews the leases of all running attempts, one call a worker.
+    pub(super) fn renew(&mut self, address: &Address<Self>, now: Instant) {
+        let mut by_agent: HashMap<SocketAddr, Vec<Place>> = HashMap::default();
+        for (place, running) in &mut self.running {
+            let given_up = now.saturating_duration_since(running.heard) > GIVE_UP_RENEWING;
+            let held = running.started && running.stopping.is_none();
+            if held && !running.calling && !given_up {
+                running.calling = true;
+                running.sent = now;
+                by_agent
+                    .entry(running.agent)
+                    .or_default()
+                    .push(place.clone());
+            }
+        }
+        for (agent, places) in by_agent {
+            let renew = RenewTasks {
+                tasks: self.task_refs(&places),
+                lease_ms: millis(LEASE),
+            };
+            let agents = self.agents.clone();
+            let address = address.clone();
+            tokio::spawn(async move {
+                let renewed = agents.renew(agent, &renew).await.ok();
+                let statuses = renewed.map(|r| r.tasks);
+                // The actor ends only with the process.
+                let _ = address.send(Heard { places, statuses }).detach().await;
+            });
+        }
+    }
+
+    fn task_refs(&self, places: &[Place]) -> Vec<TaskRef> {
+        let running = places.iter().filter_map(|p| self.running.get(p));
+        running.map(|r| r.task.clone()).collect()
+    }
+
+    pub(super) fn stop_tasks(&mut self, address: &Address<Self>) {
+        for (place, running) in &mut self.running {
+            let Some(reason) = running.stopping else {
+                continue;
+            };
+            if running.calling || !running.started {
+                continue;
+            }
+            running.calling = true;
+            let stop = StopTask {
+                task: running.task.clone(),
+                checkpoint: true,
+            };
+            log::info!(
+                "place: task={} attempt={} worker={} stop why={reason:?}.",
+                stop.task.task,
+                stop.task.attempt,
+                running.worker,
+            );
+            let agent = running.agent;
+            let place = place.clone();
+            let agents = self.agents.clone();
+            let address = address.clone();
+            tokio::spawn(async move {
+                let status = agents.stop(agent, &stop).await.ok();
+                let heard = Heard {
+                    places: vec![place],
+                    statuses: status.map(|s| vec![s]),
+                };
+                // The actor ends only with the process.
+                let _ = address.send(heard).detach().await;
+            });
+        }
+        self.return_unstarted();
+    }
+
+    /// Gives back claims that were never started and are to be stopped.
+    fn return_unstarted(&mut self) {
+        self.return_where(|r| !r.started && r.stopping.is_some());
+    }
+
+    /// Gives back claims that could not be written.
+    pub(super) fn return_claims(&mut self) {
+        self.return_where(|r| !r.started);
+    }
+
+    fn return_where(&mut self, matches: impl Fn(&Running) -> bool) {
+        let due: Vec<Place> = self
+            .running
+            .iter()
+            .filter(|(_, r)| matches(r))
+            .map(|(place, _)| place.clone())
+            .collect();
+        for place in due {
+            self.end(&place, AttemptState::Stopped, 0);
+        }
+    }
+
+    pub(super) fn drop_lapsed(&mut self, now: Instant) {
+        let lapsed = |r: &Running| {
+            let unheard = now.saturating_duration_since(r.heard) > GIVE_UP_RENEWING;
+            unheard && now.saturating_duration_since(r.sent) > SURELY_LAPSED && !r.calling
+        };
+        let due: Vec<Place> = self
+            .running
+            .iter()
+            .filter(|(_, r)| r.started && lapsed(r))
+            .map(|(place, _)| place.clone())
+            .collect();
+        for place in due {
+            self.end(&place, AttemptState::Lapsed, 0);
+        }
+    }
+
+    pub(super) fn on_heard(&mut self, heard: Heard) {
+        let now = self.clock.now();
+        for place in &heard.places {
+            if let Some(running) = self.running.get_mut(place) {
+                running.calling = false;
+                if heard.statuses.is_some() {
+                    running.heard = now;
+                }
+            }
+        }
+        let Some(statuses) = heard.statuses else {
+            if let Some(running) = heard.places.first().and_then(|p| self.running.get(p)) {
+                self.record_task_failure(running, "its agent did not answer");
+            }
+            return;
+        };
+        for (place, status) in heard.places.iter().zip(statuses) {
+            let current = self.running.get(place);
+            let same = current.is_some_and(|r| r.task == status.task);
+            if same && status.state == AttemptState::Unknown {
+                // Its start may still be on the way.
+                if let Some(running) = self.running.get_mut(place) {
+                    running.stopping.get_or_insert(StopReason::Unknown);
+                }
+            } else if same && status.state != AttemptState::Running {
+                self.end(place, status.state, status.progress_ms);
+            }
+        }
+    }
+
+    /// Records the end of an attempt.
+    fn end(&mut self, place: &Place, state: AttemptState, progress_ms: u64) {
+        let Some(running) = self.running.remove(place) else {
+            return;
+        };
+        let Some(stored) = self.store.get_mut(&place.0) else {
+            return;
+        };
+        stored.dirty = true;
+        let cancelled = stored.job.cancelled;
+        let attempt = running.task.attempt;
+        let task = &mut stored.job.tasks[place.1];
+        let evicted = running.stopping == Some(StopReason::Evicted) && running.started;
+        let (event, step) = match state {
+            AttemptState::Done => ("done", task.finish(attempt)),
+            _ if cancelled => ("cancelled", task.cancel_stopped(attempt)),
+            AttemptState::Failed => {
+                let reason = "it failed on every worker that tried it";
+                ("failed", task.fail(attempt, reason).map(|_| ()))
+            }
+            AttemptState::Stopped if evicted => {
+                ("evicted", task.requeue(attempt, progress_ms, true))
+            }
+            AttemptState::Lapsed => ("lapsed", task.requeue(attempt, progress_ms, false)),
+            _ => ("returned", task.requeue(attempt, progress_ms, false)),
+        };
+        if let Err(e) = step {
+            log::error!("place: task={}: {e}.", running.task.task);
+        }
+        log::info!(
+            "place: task={} attempt={attempt} worker={} ended={event} progress_ms={progress_ms}.",
+            running.task.task,
+            running.worker,
+        );
+        match (state, &running.slot) {
+            (AttemptState::Done, Some(slot)) => slot.worker.record_task_success(),
+            (AttemptState::Failed, _) => self.record_task_failure(&running, "a failed task"),
+            _ => {}
+        }
+        self.count(event);
+    }
+
+    fn record_task_failure(&self, running: &Running, why: &str) {
+        let Some(slot) = &running.slot else {
+            return;
+        };
+        if slot.worker.record_task_failure(self.clock.now()) {
+            self.metrics.ejections.inc();
+            log::warn!(
+                "place: worker={} ejected from batch work after {why}.",
+                running.worker
+            );
+        }
+    }
+}
+
+/// Returns a wall-clock time in milliseconds since the Unix epoch.
+pub(super) fn unix_millis(time: SystemTime) -> u64 {
+    millis(time.duration_since(UNIX_EPOCH).unwrap_or_default())
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/entry/src/jobs/claims.rs
@@ -0,0 +1,140 @@
+//! Which queued task goes to which worker, within quotas and the slots left to requests.
+
+use {
+    super::{
+        actor::Jobs,
+        running::{Place, Running},
+    },
+    crate::{directory::Directory, worker::TaskSlot},
+    marigoldbend::{
+        core::{ids::Version, ownership::row::fallback_share, task::Phase},
+        platform::wire::TaskRef,
+    },
+    std::time::Instant,
+};
+
+/// Slots of each worker that batch tasks leave to requests and urgent tasks.
+const SPARE_SLOTS: u32 = 2;
+
+impl Jobs {
+    /// Gives queued tasks to workers with a slot: urgent ones first, then older jobs.
+    pub(super) fn claim_tasks(&mut self, directory: &Directory, now: Instant) {
+        let Some(config) = directory.config.as_ref().map(|c| c.config.clone()) else {
+            return;
+        };
+        let members = directory.row.1.members.len().max(1);
+        for id in self.claim_order() {
+            let Some(stored) = self.store.get(&id) else {
+                continue;
+            };
+            let spec = stored.job.spec.clone();
+            let Some(class) = config.classes.get(&spec.class) else {
+                self.park(&id, "its batch class is not in the configuration");
+                continue;
+            };
+            let Some(team) = config.teams.get(&spec.team) else {
+                self.park(&id, "its team is not in the configuration");
+                continue;
+            };
+            // Each member of the domain enforces its part of the quota.
+            let quota = (team.running_tasks as usize).div_ceil(members);
+            let room = quota.saturating_sub(self.running_of_team(&spec.team));
+            let most = if spec.urgent {
+                // Urgent tasks may use what other batch work leaves free, up to the share that
+                // an unconfirmed owner keeps.
+                fallback_share(config.worker.slots)
+            } else {
+                class.slots_per_worker
+            };
+            let spare = if spec.urgent { 0 } else { SPARE_SLOTS };
+            for index in self.queued_tasks(&id).into_iter().take(room) {
+                let Some(slot) = take_slot(directory, most, spare, now) else {
+                    return;
+                };
+                self.claim(&id, index, slot, now);
+            }
+        }
+    }
+
+    /// Returns the jobs that may have something to claim, in the order of their turn.
+    fn claim_order(&self) -> Vec<String> {
+        let open = self.store.iter().filter(|s| {
+            let written = s.version > Version(0);
+            written && !s.job.cancelled && !s.job.is_final()
+        });
+        let mut order: Vec<(bool, String)> = open
+            .map(|s| (!s.job.spec.urgent, s.job.id.clone()))
+            .collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, id)| id).collect()
+    }
+
+    fn queued_tasks(&self, id: &str) -> Vec<usize> {
+        let tasks = self.store.get(id).map_or(&[][..], |s| &s.job.tasks);
+        let queued = tasks.iter().enumerate();
+        let queued = queued.filter(|(_, t)| t.phase == Phase::Queued);
+        queued.map(|(index, _)| index).collect()
+    }
+
+    fn running_of_team(&self, team: &str) -> usize {
+        let of_team = |(id, _): &&Place| {
+            let stored = self.store.get(id);
+            stored.is_some_and(|s| s.job.spec.team == team)
+        };
+        self.running.keys().filter(of_team).count()
+    }
+
+    fn claim(&mut self, id: &str, index: usize, slot: TaskSlot, now: Instant) {
+        let Some(stored) = self.store.get_mut(id) else {
+            return;
+        };
+        let worker = slot.worker.id;
+        let Ok(attempt) = stored.job.tasks[index].claim(worker, self.cfg.me) else {
+            return;
+        };
+        stored.dirty = true;
+        log::info!(
+            "place: task={id}/{index} attempt={attempt} worker={worker} epoch={} why=free-slot.",
+            slot.worker.epoch(),
+        );
+        let running = Running {
+            task: TaskRef {
+                task: format!("{id}/{index}"),
+                attempt,
+            },
+            agent: slot.worker.agent,
+            worker,
+            slot: Some(slot),
+            sent: now,
+            heard: now,
+            carried_by: None,
+            started: false,
+            calling: false,
+            stopping: None,
+        };
+        self.running.insert((id.to_owned(), index), running);
+    }
+
+    fn park(&mut self, id: &str, reason: &str) {
+        let Some(stored) = self.store.get_mut(id) else {
+            return;
+        };
+        for task in &mut stored.job.tasks {
+            if task.phase == Phase::Queued {
+                log::warn!("place: job={id} parked: {reason}.");
+                task.park(reason);
+                stored.dirty = true;
+            }
+        }
+    }
+}
+
+/// Takes a slot for a task on the worker with the fewest tasks.
+fn take_slot(directory: &Directory, most: u32, spare: u32, now: Instant) -> Option<TaskSlot> {
+    let mut workers: Vec<_> = directory.workers.values().collect();
+    workers.sort_unstable_by_key(|w| (w.tasks(), w.gate.in_use(), w.id));
+    let mut slots = workers
+        .into_iter()
+        .map(|w| w.try_take_for_task(most, spare, now));
+    slots.find_map(|slot| slot)
+}
--- a/crates/entry/src/jobs/mod.rs
+++ b/crates/entry/src/jobs/mod.rs
@@ -5,7 +5,12 @@
 //! home that is gone writes its index row first, which fences the former home altogether.
 
 mod actor;
+mod adoption;
+mod attempts;
+mod claims;
+mod commits;
 mod keys;
+mod running;
 mod store;
 
 pub use {
--- a/crates/entry/tests/processes/capacity.rs
+++ b/crates/entry/tests/processes/capacity.rs
@@ -6,11 +6,11 @@
     marigoldbend::platform::wire::Liveness,
     stand_ins::{
         cluster::Cluster,
-        load::{self, Targets},
+        load::{self, Targets, at},
         platform::Faults,
     },
     std::time::{Duration, Instant},
-    tokio::{join, time::sleep_until},
+    tokio::join,
 };
 
 /// The slots of one domain.
@@ -22,10 +22,6 @@
 /// Offered load of about four fifths of one domain's capacity.
 const HEAVY: f64 = 1_900.0;
 
-async fn at(start: Instant, ms: u64) {
-    sleep_until((start + Duration::from_millis(ms)).into()).await;
-}
-
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn an_owner_is_killed_and_its_capacity_comes_back() {
     let mut cluster = Cluster::start(config(1)).await.expect("the cluster starts");
--- a/crates/entry/tests/processes/operations.rs
+++ b/crates/entry/tests/processes/operations.rs
@@ -8,11 +8,11 @@
     },
     stand_ins::{
         cluster::{Cluster, entry_ip},
-        load::{self, Seen},
+        load::{self, Seen, at},
         platform::Faults,
     },
     std::time::{Duration, Instant},
-    tokio::{task::JoinSet, time::sleep_until},
+    tokio::task::JoinSet,
 };
 
 /// The time in which an accepted configuration must be in force.
@@ -138,7 +138,7 @@
     let cfg = load(&cluster, "leaving", 1_000.0, 8);
     let load = tokio::spawn(async move { load::run(&cfg).await });
     let start = Instant::now();
-    sleep_until((start + Duration::from_millis(1_500)).into()).await;
+    at(start, 1_500).await;
     for worker in [2, 5] {
         cluster.workers.get(worker).expect("it exists").leave();
         cluster.platform.update_list(|list| {
--- a/crates/entry/tests/processes/requests.rs
+++ b/crates/entry/tests/processes/requests.rs
@@ -6,18 +6,14 @@
     marigoldbend::http::client::{JsonClient, Reply},
     stand_ins::{
         cluster::Cluster,
-        load::{self, Seen},
+        load::{self, Seen, at},
         platform::Faults,
         workers::{WorkerFaults, expected_body},
     },
     std::time::{Duration, Instant},
-    tokio::{join, task::JoinSet, time::sleep_until},
+    tokio::{join, task::JoinSet},
 };
 
-async fn at(start: Instant, ms: u64) {
-    sleep_until((start + Duration::from_millis(ms)).into()).await;
-}
-
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn upstreams_die_during_requests() {
     let cluster = Cluster::start(config(1)).await.expect("the cluster starts");
@@ -91,7 +87,7 @@
     cfg.post_percent = 0;
     let silence = Duration::from_millis(3_000);
     let (report, ()) = join!(load::run(&cfg), async {
-        sleep_until((start + silence).into()).await;
+        at(start, 3_000).await;
         for worker in &cluster.workers.handles {
             worker.silence_connections();
         }
--- a/crates/entry/tests/processes/tasks.rs
+++ b/crates/entry/tests/processes/tasks.rs
@@ -5,7 +5,7 @@
     marigoldbend::platform::wire::Liveness,
     serde_json::{Value, json},
     stand_ins::{cluster::Cluster, platform::Faults, workers::WorkerFaults},
-    std::time::Duration,
+    std::time::{Duration, Instant},
     test_case::test_case,
 };
 
@@ -13,6 +13,9 @@
 /// takeover wait, and the work itself.
 const LIMIT: Duration = Duration::from_secs(40);
 
+/// The time within which urgent work must start, and the 200 ms that it takes here.
+const URGENT_LIMIT: Duration = Duration::from_millis(2_900 + 200);
+
 fn job(tasks: u32, run_ms: u64) -> Value {
     json!({ "team": "reviews", "class": "load-review", "tasks": tasks, "run_ms": run_ms })
 }
@@ -295,3 +298,28 @@
     );
     check_tasks(&cluster, 0);
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn urgent_work_starts_in_time_although_batch_work_fills_its_share() {
+    let cluster = Cluster::start(config(1)).await.expect("the cluster starts");
+    for entry in 0..3 {
+        let id = cluster.submit(entry, &job(20, 120_000)).await;
+        id.expect("it is accepted");
+    }
+    // Four slots on each of six workers is all that the class may use.
+    assert!(running(&cluster, 24).await);
+    let mut urgent = job(4, 200);
+    urgent["urgent"] = json!(true);
+    let submitted = Instant::now();
+    let id = cluster.submit(1, &urgent).await.expect("it is accepted");
+    assert!(
+        cluster.wait_job(1, &id, "done", URGENT_LIMIT).await,
+        "{}",
+        cluster.job(1, &id).await
+    );
+    println!(
+        "urgent tasks of 200 ms were done {:?} after they came",
+        submitted.elapsed()
+    );
+    check_tasks(&cluster, 4);
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -117,6 +117,15 @@
         parse(Method::GET, url, &reply)
     }
 
+    /// Parses the reply to a GET request of `url`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body is not JSON of this type.
+    pub fn parse_reply<T: DeserializeOwned>(&self, url: &str, reply: &Reply) -> Result<T> {
+        parse(Method::GET, url, reply)
+    }
+
     /// Sends a JSON value with POST and parses the reply's body.
     ///
     /// # Errors
--- a/crates/platform/src/table.rs
+++ b/crates/platform/src/table.rs
@@ -11,7 +11,11 @@
         backoff::Backoff,
         wire::{Commit, Conflicts, Row},
     },
-    hyper::StatusCode,
+    bytes::Bytes,
+    hyper::{
+        HeaderMap, Method, StatusCode,
+        header::{HeaderValue, IF_NONE_MATCH},
+    },
     marigoldbend_core::ids::Version,
     marigoldbend_http::client::{ClientError, JsonClient, Reply},
     snafu::Snafu,
@@ -104,6 +108,32 @@
         parse(&reply)
     }
 
+    /// Reads one row unless it still has the version `known`; `None` if it does.
+    ///
+    /// The reply is then small, however large the row is, and as good a proof of the version as
+    /// a whole one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the service gave no usable reply.
+    pub async fn read_newer(&self, key: &str, known: Version) -> Result<Option<Row>> {
+        let url = format!("{}/table/row/{key}", self.base);
+        let mut headers = HeaderMap::new();
+        if known > Version(0)
+            && let Ok(tag) = HeaderValue::from_str(&format!("\"{}\"", known.0))
+        {
+            headers.insert(IF_NONE_MATCH, tag);
+        }
+        let reply = self
+            .client
+            .send(Method::GET, &url, headers, Bytes::new())
+            .await?;
+        if reply.status == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
+        parse(&reply).map(Some)
+    }
+
     /// Reads the rows whose keys begin with `prefix`.
     ///
     /// # Errors
--- a/stand-ins/examples/experiment.rs
+++ b/stand-ins/examples/experiment.rs
@@ -25,6 +25,7 @@
 
   added      latency that an entry instance adds to a direct call, side by side
   steady     nine instances and 48 workers under a steady load
+  policy     latency by load and skew, beside a single owner of all workers
   control    processor time, memory and bytes of idle control, for several sizes
 
   --entry PATH  the entry binary
@@ -63,6 +64,7 @@
         match kind.as_str() {
             "added" => added(&options).await,
             "steady" => steady(&options).await,
+            "policy" => policy(&options).await,
             "control" => control(&options).await,
             other => Err(format!("unknown kind {other:?}; see --help").into()),
         }
@@ -173,6 +175,51 @@
     Ok(())
 }
 
+/// Mean service time of the policy runs; long enough that slots, not this machine, are scarce.
+const POLICY_MEAN_MS: f64 = 100.0;
+
+/// Compares nine instances, under even and skewed load, with one owner of all workers.
+async fn policy(options: &Options) -> Result<()> {
+    let nine = ClusterConfig {
+        service_time: ServiceTime {
+            mean_ms: POLICY_MEAN_MS,
+            cv: 1.5,
+            slowdown: 0.0,
+        },
+        ..ClusterConfig::new(&options.entry)
+    };
+    let single = ClusterConfig {
+        domains: vec![1],
+        entries_per_domain: 1,
+        workers_per_domain: 48,
+        threads: 3,
+        ..nine.clone()
+    };
+    for percent in [50, 70, 85, 95, 120] {
+        for (name, cfg, weights) in [
+            ("single owner", &single, [1, 1, 1]),
+            ("nine, even", &nine, [1, 1, 1]),
+            ("nine, 60:20:20", &nine, [3, 1, 1]),
+        ] {
+            let cluster = Cluster::start(cfg.clone()).await?;
+            let capacity = 48.0 * 8.0 / (POLICY_MEAN_MS / 1e3);
+            let rate = capacity * f64::from(percent) / 100.0;
+            let entries = cluster.entries.iter().enumerate();
+            let targets = Targets::weighted(entries.map(|(i, e)| (e.callers, weights[i % 3])));
+            let path = "/services/inspection/check";
+            let seconds = options.seconds.unwrap_or(8);
+            let cfg = load_config(targets, path, rate, seconds, format!("policy-{percent}"));
+            let report = load::run(&cfg).await;
+            let goodput = report.count(Seen::Whole) as f64 / seconds as f64 / capacity;
+            println!(
+                "{percent}% {name}: goodput {goodput:.3} of capacity, {}",
+                report.line()
+            );
+        }
+    }
+    Ok(())
+}
+
 /// Measures what control costs while no request arrives.
 async fn control(options: &Options) -> Result<()> {
     let seconds = options.seconds.unwrap_or(10);
--- a/stand-ins/src/load.rs
+++ b/stand-ins/src/load.rs
@@ -120,6 +120,12 @@
     Late,
 }
 
+/// Waits for a moment of a schedule, in milliseconds since its start; faults are injected at
+/// such moments.
+pub async fn at(start: Instant, ms: u64) {
+    sleep_until((start + Duration::from_millis(ms)).into()).await;
+}
+
 /// The requests by what their callers saw.
 #[derive(Clone, Debug, Default)]
 pub struct Report {
--- a/stand-ins/src/platform.rs
+++ b/stand-ins/src/platform.rs
@@ -1,10 +1,14 @@
 //! The platform: a transactional table, objects and the instance list, with faults.
 
 use {
-    hyper::{Method, Request, StatusCode, body::Incoming},
+    hyper::{
+        Method, Request, StatusCode,
+        body::Incoming,
+        header::{ETAG, HeaderValue, IF_NONE_MATCH},
+    },
     marigoldbend_core::{hash::HashMap, ids::Version},
     marigoldbend_http::{
-        body::{Answer, json, problem, read_whole},
+        body::{Answer, json, problem, read_whole, text},
         server::{Limits, serve},
     },
     marigoldbend_platform::wire::{Commit, Conflicts, EntryInstance, InstanceList, Liveness, Row},
@@ -15,6 +19,7 @@
     std::{
         collections::{BTreeMap, HashSet},
         future::pending,
+        hash::{DefaultHasher, Hash, Hasher},
         io,
         net::{IpAddr, SocketAddr},
         sync::Arc,
@@ -183,10 +188,16 @@
         }
         sleep(Duration::from_millis(faults.delay_ms)).await;
         let method = req.method().clone();
+        let tag = req.headers().get(IF_NONE_MATCH).cloned();
         let Ok(body) = read_whole(req.into_body(), BODY_LIMIT).await else {
             return problem(StatusCode::BAD_REQUEST, "the body was cut");
         };
         let answer = self.serve(&method, &path, &body);
+        if tag.is_some() && answer.headers().get(ETAG) == tag.as_ref() {
+            let mut unchanged = text(StatusCode::NOT_MODIFIED, "");
+            unchanged.headers_mut().extend(tag.map(|tag| (ETAG, tag)));
+            return unchanged;
+        }
         let lost = path == "/table/commit" && answer.status() == StatusCode::OK;
         if lost && rand::rng().random_range(0..100) < faults.lose_replies_percent {
             pending::<()>().await;
@@ -222,7 +233,12 @@
         }
         if path == "/instances" {
             return match (method, serde_json::from_slice(body)) {
-                (&Method::GET, _) => json(StatusCode::OK, &state.lagging_list()),
+                (&Method::GET, _) => {
+                    let list = state.lagging_list();
+                    let answer = json(StatusCode::OK, &list);
+                    let tag = json!(list).to_string();
+                    tagged(answer, hash(&tag))
+                }
                 (_, Ok(list)) => {
                     let old = std::mem::replace(&mut state.list, list);
                     state.older_lists.push((Instant::now(), old));
@@ -233,7 +249,8 @@
         }
         if let Some(key) = path.strip_prefix("/table/row/") {
             state.stats.reads += 1;
-            return json(StatusCode::OK, &state.read(key));
+            let row = state.read(key);
+            return tagged(json(StatusCode::OK, &row), row.version.0);
         }
         if let Some(prefix) = path.strip_prefix("/table/rows/") {
             state.stats.reads += 1;
@@ -246,6 +263,19 @@
     }
 }
 
+fn tagged(mut answer: Answer, tag: u64) -> Answer {
+    if let Ok(tag) = HeaderValue::from_str(&format!("\"{tag}\"")) {
+        answer.headers_mut().insert(ETAG, tag);
+    }
+    answer
+}
+
+fn hash(text: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    text.hash(&mut hasher);
+    hasher.finish()
+}
+
 impl State {
     fn read(&self, key: &str) -> Row {
         let absent = || Row {
