Ask a mute task agent for a sign of life instead of probing it with a task

Change: mute agents have an ejector of their own, which is probed by reading their usage; failed tasks keep the other one, since only a task can tell whether tasks fail. Ruled out: a shorter wait before a lease counts as lapsed, which fencing needs.

--- a/crates/entry/src/jobs/actor.rs
+++ b/crates/entry/src/jobs/actor.rs
@@ -7,7 +7,7 @@
         running::{Place, Running, StopReason},
         store::{Flight, Store},
     },
-    crate::{directory::Directory, metrics::Metrics},
+    crate::{directory::Directory, metrics::Metrics, worker::Worker},
     arc_swap::ArcSwap,
     marigoldbend::{
         core::{
@@ -106,6 +106,12 @@
     pub(super) statuses: Option<Vec<AttemptStatus>>,
 }
 
+/// An agent that was mute has been asked for a sign of life.
+pub(super) struct AgentProbed {
+    pub(super) worker: Arc<Worker>,
+    pub(super) answers: bool,
+}
+
 /// Index rows of the domain have been read, and the jobs of one that can be adopted.
 pub(super) struct Adoptable(pub(super) Option<(Version, Index, Vec<Row>)>);
 
@@ -189,6 +195,7 @@
             self.renew(address, now);
         }
         self.stop_tasks(address);
+        self.probe_agents(address, &directory, now);
         self.drop_lapsed(now);
         if now >= self.next_adopt && !self.stopping {
             self.next_adopt = now + ADOPT_INTERVAL;
@@ -368,6 +375,14 @@
     }
 }
 
+impl Handler<AgentProbed> for Jobs {
+    type Return = ();
+
+    async fn handle(&mut self, probed: AgentProbed, _: &mut Context<Self>) {
+        self.record_agent(&probed.worker, probed.answers);
+    }
+}
+
 impl Handler<Adoptable> for Jobs {
     type Return = ();
 
--- a/crates/entry/src/jobs/attempts.rs
+++ b/crates/entry/src/jobs/attempts.rs
@@ -2,9 +2,10 @@
 
 use {
     super::{
-        actor::{Heard, Jobs},
+        actor::{AgentProbed, Heard, Jobs},
         running::{Place, Running, StopReason},
     },
+    crate::{directory::Directory, worker::Worker},
     marigoldbend::{
         core::hash::HashMap,
         platform::wire::{AttemptState, RenewTasks, StartTask, StopTask, TaskRef},
@@ -185,10 +186,12 @@
                 }
             }
         }
+        let slot = heard.places.first().and_then(|p| self.running.get(p));
+        let worker = slot.and_then(|r| r.slot.as_ref()).map(|s| s.worker.clone());
+        if let Some(worker) = worker {
+            self.record_agent(&worker, heard.statuses.is_some());
+        }
         let Some(statuses) = heard.statuses else {
-            if let Some(running) = heard.places.first().and_then(|p| self.running.get(p)) {
-                self.record_task_failure(running, "its agent did not answer");
-            }
             return;
         };
         for (place, status) in heard.places.iter().zip(statuses) {
@@ -247,6 +250,41 @@
         self.count(event);
     }
 
+    /// Asks the agents that were mute for a sign of life, when it is time to.
+    pub(super) fn probe_agents(
+        &self,
+        address: &Address<Jobs>,
+        directory: &Directory,
+        now: Instant,
+    ) {
+        for worker in directory.workers.values() {
+            if !worker.agent_probe_due(now) {
+                continue;
+            }
+            let agents = self.agents.clone();
+            let address = address.clone();
+            let worker = worker.clone();
+            tokio::spawn(async move {
+                let answers = agents.usage(worker.agent).await.is_ok();
+                // The actor ends only with the process.
+                let _ = address.send(AgentProbed { worker, answers }).detach().await;
+            });
+        }
+    }
+
+    /// Records whether a worker's agent answered a call.
+    pub(super) fn record_agent(&self, worker: &Worker, answers: bool) {
+        if answers {
+            worker.record_agent_heard();
+        } else if worker.record_agent_mute(self.clock.now()) {
+            self.metrics.ejections.inc();
+            log::warn!(
+                "place: worker={} ejected from batch work: its agent is mute.",
+                worker.id
+            );
+        }
+    }
+
     fn record_task_failure(&self, running: &Running, why: &str) {
         let Some(slot) = &running.slot else {
             return;
--- a/crates/entry/src/worker.rs
+++ b/crates/entry/src/worker.rs
@@ -46,8 +46,10 @@
     leaving: AtomicBool,
     tasks: AtomicU32,
     record: Mutex<Record>,
-    /// Follows the task agent, which can fail while the upstream serves, and the other way.
+    /// Follows the outcomes of tasks, which can fail while the upstream serves.
     task_ejector: Mutex<Ejector>,
+    /// Follows whether the task agent answers at all.
+    agent_ejector: Mutex<Ejector>,
 }
 
 impl Worker {
@@ -69,6 +71,7 @@
             tasks: AtomicU32::new(0),
             record: Mutex::default(),
             task_ejector: Mutex::default(),
+            agent_ejector: Mutex::default(),
         })
     }
 
@@ -108,6 +111,10 @@
         if self.is_leaving() || !healthy || self.tasks() >= most || self.gate.free(now) <= spare {
             return None;
         }
+        // A task is too dear to find out whether an agent is back.
+        if self.agent_ejector.lock().health(now) != Health::Healthy {
+            return None;
+        }
         let mut ejector = self.task_ejector.lock();
         if ejector.health(now) == Health::Ejected {
             return None;
@@ -128,8 +135,28 @@
         self.task_ejector.lock().success();
     }
 
-    /// Records that a task failed on it or that its agent did not answer; returns whether it is
-    /// ejected from batch work now.
+    /// Returns whether its mute agent should be asked for a sign of life now; it is asked by
+    /// whoever calls this.
+    pub fn agent_probe_due(&self, now: Instant) -> bool {
+        let mut ejector = self.agent_ejector.lock();
+        let due = ejector.health(now) == Health::Probe;
+        if due {
+            ejector.probe_sent(now);
+        }
+        due
+    }
+
+    /// Records that its agent answered.
+    pub fn record_agent_heard(&self) {
+        self.agent_ejector.lock().success();
+    }
+
+    /// Records that its agent did not answer; returns whether it is ejected from batch work now.
+    pub fn record_agent_mute(&self, now: Instant) -> bool {
+        self.agent_ejector.lock().failure(now)
+    }
+
+    /// Records that a task failed on it; returns whether it is ejected from batch work now.
     pub fn record_task_failure(&self, now: Instant) -> bool {
         self.task_ejector.lock().failure(now)
     }
