Ask the worker before a long unheard attempt counts as lapsed

Cause: a home that was frozen for 12 s took its attempts for lapsed when it went on, although all of them had finished on their worker meanwhile, and ran them again: work done twice. Ruled out: a shorter freeze limit, which only narrows the window. Figures: a_home_that_was_frozen_does_not_repeat_what_has_finished: before, 6 of 6 tasks finished twice; after, none.

--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -9,6 +9,8 @@
 mod platform;
 mod workers;
 
+pub use platform::CONFIG_KEY;
+
 pub use actor::{
     Announce, Control, ControlConfig, Incoming, Leave, ObserveConfig, Status, TICK, Tick,
 };
--- a/crates/entry/src/control/platform.rs
+++ b/crates/entry/src/control/platform.rs
@@ -178,7 +178,7 @@
 }
 
 /// Reads the configuration from its row; `None` if it is absent or damaged.
-pub fn parse_config(row: &Row) -> Option<Versioned> {
+fn parse_config(row: &Row) -> Option<Versioned> {
     if row.version == Version(0) {
         return None;
     }
--- a/crates/entry/src/jobs/attempts.rs
+++ b/crates/entry/src/jobs/attempts.rs
@@ -70,9 +70,15 @@
     pub(super) fn renew(&mut self, address: &Address<Self>, now: Instant) {
         let mut by_agent: HashMap<SocketAddr, Vec<Place>> = HashMap::default();
         for (place, running) in &mut self.running {
-            let given_up = now.saturating_duration_since(running.heard) > GIVE_UP_RENEWING;
             let held = running.started && running.stopping.is_none();
-            if held && !running.calling && !given_up {
+            if !held || running.calling {
+                continue;
+            }
+            let mute = now.saturating_duration_since(running.heard) > GIVE_UP_RENEWING;
+            if mute {
+                // The attempt may have finished meanwhile: its worker is asked before it lapses.
+                running.stopping = Some(StopReason::Unknown);
+            } else {
                 running.calling = true;
                 running.sent = now;
                 by_agent
@@ -102,6 +108,7 @@
         running.map(|r| r.task.clone()).collect()
     }
 
+    /// Stops the attempts that are to be stopped, until their workers confirm it.
     pub(super) fn stop_tasks(&mut self, address: &Address<Self>) {
         for (place, running) in &mut self.running {
             let Some(reason) = running.stopping else {
@@ -160,8 +167,12 @@
         }
     }
 
+    /// Gives up attempts whose stop got no answer, once their leases have surely lapsed.
     pub(super) fn drop_lapsed(&mut self, now: Instant) {
         let lapsed = |r: &Running| {
+            if r.stopping.is_none() {
+                return false;
+            }
             let unheard = now.saturating_duration_since(r.heard) > GIVE_UP_RENEWING;
             unheard && now.saturating_duration_since(r.sent) > SURELY_LAPSED && !r.calling
         };
@@ -176,6 +187,7 @@
         }
     }
 
+    /// Takes in what an agent said of some attempts, or that it said nothing.
     pub(super) fn on_heard(&mut self, heard: Heard) {
         let now = self.clock.now();
         for place in &heard.places {
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         callers::describe,
-        control::{Control, ObserveConfig, Status},
+        control::{CONFIG_KEY, Control, ObserveConfig, Status},
         jobs::job_key,
         metrics::Metrics,
         router::Router,
@@ -34,9 +34,6 @@
     xtra::prelude::*,
 };
 
-/// The key of the configuration row.
-const CONFIG_KEY: &str = "config";
-
 /// How long a write of the configuration is tried.
 const PUT_PATIENCE: Duration = Duration::from_secs(5);
 
--- a/crates/entry/tests/processes/tasks.rs
+++ b/crates/entry/tests/processes/tasks.rs
@@ -4,7 +4,7 @@
     crate::common::config,
     marigoldbend::platform::wire::Liveness,
     serde_json::{Value, json},
-    stand_ins::{cluster::Cluster, platform::Faults, workers::WorkerFaults},
+    stand_ins::{cluster::Cluster, load, platform::Faults, workers::WorkerFaults},
     std::time::{Duration, Instant},
     test_case::test_case,
 };
@@ -81,6 +81,25 @@
     check_tasks(&cluster, 6);
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_home_that_was_frozen_does_not_repeat_what_has_finished() {
+    let cluster = Cluster::start(config(1)).await.expect("the cluster starts");
+    let id = cluster.submit(0, &job(6, 2_000)).await;
+    let id = id.expect("it is accepted");
+    assert!(running(&cluster, 6).await);
+    let frozen = Instant::now();
+    cluster.entries[0].freeze();
+    // Longer than the home would wait for a mute worker.
+    load::at(frozen, 12_000).await;
+    cluster.entries[0].resume();
+    assert!(
+        cluster.wait_job(1, &id, "done", LIMIT).await,
+        "{}",
+        cluster.job(1, &id).await
+    );
+    check_tasks(&cluster, 6);
+}
+
 #[test_case(30, 0; "lost replies")]
 #[test_case(0, 200; "slow")]
 #[test_case(30, 100; "lost replies and slow")]
