--- a/crates/entry/src/jobs/attempts.rs
+++ b/crates/entry/src/jobs/attempts.rs
@@ -8,7 +8,7 @@
     crate::{directory::Directory, worker::Worker},
     marigoldbend::{
         core::hash::HashMap,
-        platform::wire::{AttemptState, RenewTasks, StartTask, StopTask, TaskRef},
+        platform::wire::{AttemptState, AttemptStatus, RenewTasks, StartTask, StopTask, TaskRef},
     },
     std::{
         net::SocketAddr,
@@ -53,17 +53,9 @@
         };
         let agent = running.agent;
         let agents = self.agents.clone();
-        let address = address.clone();
         self.count("started");
-        tokio::spawn(async move {
-            let status = agents.start(agent, &start).await.ok();
-            let heard = Heard {
-                places: vec![place],
-                statuses: status.map(|s| vec![s]),
-            };
-            // The actor ends only with the process.
-            let _ = address.send(heard).detach().await;
-        });
+        let call = async move { agents.start(agent, &start).await.ok() };
+        report(address, place, call);
     }
 
     /// Renews the leases of all running attempts, one call a worker.
@@ -129,18 +121,9 @@
                 running.worker,
             );
             let agent = running.agent;
-            let place = place.clone();
             let agents = self.agents.clone();
-            let address = address.clone();
-            tokio::spawn(async move {
-                let status = agents.stop(agent, &stop).await.ok();
-                let heard = Heard {
-                    places: vec![place],
-                    statuses: status.map(|s| vec![s]),
-                };
-                // The actor ends only with the process.
-                let _ = address.send(heard).detach().await;
-            });
+            let call = async move { agents.stop(agent, &stop).await.ok() };
+            report(address, place.clone(), call);
         }
         self.return_unstarted();
     }
@@ -311,6 +294,22 @@
     }
 }
 
+/// Makes a call that concerns one attempt, and reports what came of it to the actor.
+fn report<F>(address: &Address<Jobs>, place: Place, call: F)
+where
+    F: Future<Output = Option<AttemptStatus>> + Send + 'static,
+{
+    let address = address.clone();
+    tokio::spawn(async move {
+        let heard = Heard {
+            places: vec![place],
+            statuses: call.await.map(|status| vec![status]),
+        };
+        // The actor ends only with the process.
+        let _ = address.send(heard).detach().await;
+    });
+}
+
 /// Returns a wall-clock time in milliseconds since the Unix epoch.
 pub(super) fn unix_millis(time: SystemTime) -> u64 {
     millis(time.duration_since(UNIX_EPOCH).unwrap_or_default())
--- a/crates/entry/tests/processes/main.rs
+++ b/crates/entry/tests/processes/main.rs
@@ -4,6 +4,7 @@
 
 mod capacity;
 mod common;
+mod interfaces;
 mod operations;
 mod path;
 mod requests;
--- a/stand-ins/src/platform.rs
+++ b/stand-ins/src/platform.rs
@@ -150,6 +150,16 @@
         });
     }
 
+    /// Lists a worker in a state; one that is not listed stays so.
+    pub fn set_worker(&self, id: u32, liveness: Liveness) {
+        self.update_list(|list| {
+            let listed = list.workers.iter_mut().find(|w| w.id.0 == id);
+            if let Some(worker) = listed {
+                worker.state = liveness;
+            }
+        });
+    }
+
     /// Reads a row, past any fault.
     pub fn row(&self, key: &str) -> Row {
         self.state.lock().read(key)
