Start the example's load once every instance owns workers

Cause: main_job refused 155 of 4,982 requests, since its load began while some instances had just joined and owned nothing yet. Ruled out: a fault of routing; the process tests, which wait for that, refuse none.

--- a/crates/entry/examples/main_job.rs
+++ b/crates/entry/examples/main_job.rs
@@ -124,20 +124,22 @@
     Ok(entries)
 }
 
-/// Waits until every worker is owned and every instance confirmed.
+/// Waits until every worker is owned and every instance owns some.
 async fn wait_until_owned(operators: &[SocketAddr]) -> Result<()> {
     let end = Instant::now() + Duration::from_secs(12);
     while Instant::now() < end {
-        let mut slots = 0;
+        let mut shares = Vec::new();
         for &address in operators {
             let status = Operator::new(address).status().await?;
             let workers = status["workers"].as_array().cloned().unwrap_or_default();
-            slots += workers
-                .iter()
-                .filter_map(|w| w["limit"].as_u64())
-                .sum::<u64>();
+            shares.push(
+                workers
+                    .iter()
+                    .filter_map(|w| w["limit"].as_u64())
+                    .sum::<u64>(),
+            );
         }
-        if slots == 48 * 8 {
+        if shares.iter().sum::<u64>() == 48 * 8 && !shares.contains(&0) {
             return Ok(());
         }
         sleep(Duration::from_millis(100)).await;
