--- a/crates/entry/tests/processes/requests.rs
+++ b/crates/entry/tests/processes/requests.rs
@@ -11,6 +11,7 @@
         workers::{WorkerFaults, expected_body},
     },
     std::time::{Duration, Instant},
+    test_case::test_case,
     tokio::{join, task::JoinSet},
 };
 
@@ -79,12 +80,18 @@
     check_record(&cluster, &report);
 }
 
+#[test_case(400.0, 1_500; "light_with_a_short_deadline")]
+#[test_case(600.0, 4_000; "heavier_with_a_long_deadline")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn silent_connections_are_noticed_and_nothing_idempotent_is_lost() {
+async fn silent_connections_are_noticed_and_nothing_idempotent_is_lost(
+    rate: f64,
+    deadline_ms: u64,
+) {
     let cluster = Cluster::start(config(1)).await.expect("the cluster starts");
     let start = Instant::now();
-    let mut cfg = load(&cluster, "silent", 400.0, 6);
+    let mut cfg = load(&cluster, "silent", rate, 6);
     cfg.post_percent = 0;
+    cfg.deadline = Duration::from_millis(deadline_ms);
     let silence = Duration::from_millis(3_000);
     let (report, ()) = join!(load::run(&cfg), async {
         at(start, 3_000).await;
