--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -45,4 +45,5 @@
 pub mod ownership;
 pub mod retry;
 pub mod routing;
+pub mod sched;
 pub mod task;
--- /dev/null
+++ b/crates/core/src/sched/job.rs
@@ -0,0 +1,232 @@
+//! Jobs, their steps and the names of their tasks.
+
+use {
+    serde::{Deserialize, Serialize},
+    snafu::Snafu,
+    std::{fmt, str::FromStr},
+};
+
+/// The most steps of a job.
+pub const MOST_STEPS: usize = 64;
+
+/// The most tasks of a step.
+pub const MOST_TASKS: u32 = 4_096;
+
+/// A result of reading a job or a name.
+pub type Result<T, E = JobError> = std::result::Result<T, E>;
+
+/// A job or name that is not valid.
+#[derive(Clone, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("{field}: {problem}"))]
+pub struct JobError {
+    /// The field that is wrong.
+    pub field: String,
+    /// What is wrong with it.
+    pub problem: &'static str,
+}
+
+fn wrong(field: impl Into<String>, problem: &'static str) -> JobError {
+    JobError {
+        field: field.into(),
+        problem,
+    }
+}
+
+/// A job's identifier, chosen by its caller.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct JobId(pub u64);
+
+impl fmt::Display for JobId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for JobId {
+    type Err = JobError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let digit = |b: u8| b.is_ascii_digit() || (b'a'..=b'f').contains(&b);
+        if text.len() != 16 || !text.bytes().all(digit) {
+            return Err(wrong("id", "it is not 16 lower-case hexadecimal digits"));
+        }
+        let value = u64::from_str_radix(text, 16);
+        value
+            .map(Self)
+            .map_err(|_| wrong("id", "it is not a number"))
+    }
+}
+
+/// The name of one task of one occurrence of a job.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct TaskName {
+    /// The job.
+    pub job: JobId,
+    /// The occurrence, from zero.
+    pub round: u32,
+    /// The step, from zero.
+    pub step: u16,
+    /// The task within the step, from zero.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            job,
+            round,
+            step,
+            index,
+        } = self;
+        write!(f, "{job}.{round}.{step}.{index}")
+    }
+}
+
+impl FromStr for TaskName {
+    type Err = JobError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let bad = || wrong("task", "it is not ID.ROUND.STEP.INDEX");
+        let mut parts = text.split('.');
+        let mut next = || parts.next().ok_or_else(bad);
+        let job = next()?.parse()?;
+        let round = next()?.parse().map_err(|_| bad())?;
+        let step = next()?.parse().map_err(|_| bad())?;
+        let index = next()?.parse().map_err(|_| bad())?;
+        match parts.next() {
+            Some(_) => Err(bad()),
+            None => Ok(Self {
+                job,
+                round,
+                step,
+                index,
+            }),
+        }
+    }
+}
+
+/// An amount of a worker's resources.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Room {
+    /// Processor, in thousandths of a core.
+    pub cpu: i64,
+    /// Memory, in megabytes.
+    pub mem_mb: i64,
+    /// Accelerators.
+    pub gpu: i64,
+}
+
+impl Room {
+    /// Returns whether `other` fits into this.
+    pub fn holds(&self, other: &Self) -> bool {
+        self.cpu >= other.cpu && self.mem_mb >= other.mem_mb && self.gpu >= other.gpu
+    }
+
+    /// Takes `other` away.
+    pub fn take(&mut self, other: &Self) {
+        self.cpu -= other.cpu;
+        self.mem_mb -= other.mem_mb;
+        self.gpu -= other.gpu;
+    }
+}
+
+/// A step of a job: tasks that are alike.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Step {
+    /// The number of tasks.
+    pub count: u32,
+    /// What each task takes.
+    pub room: Room,
+    /// The caller's estimate of a task's duration, in milliseconds.
+    pub estimate_ms: u32,
+    /// Earlier steps that must be done first.
+    pub after: Vec<u16>,
+    /// Whether tasks save their progress and can be resumed.
+    pub checkpoints: bool,
+    /// Whether the tasks work only together.
+    pub gang: bool,
+    /// Whether the tasks are slower on more than one rack.
+    pub same_rack: bool,
+    /// The label that a worker must have.
+    pub needs: Option<String>,
+    /// The rack where the data is.
+    pub near: Option<String>,
+    /// The most tasks on one worker; zero for no limit.
+    pub per_worker: u32,
+    /// Whether two copies of a task may run.
+    pub copies: bool,
+    /// Whether the tasks run until the job is cancelled.
+    pub lasting: bool,
+    /// What the tasks run.
+    pub image: String,
+    /// The limit of the tail latency of tasks that serve, in milliseconds; zero if they don't.
+    pub target_ms: f64,
+    /// Whether the tasks get the processor time that others leave unused.
+    pub fills: bool,
+    /// How many tasks may be away at once by our doing; `None` if that does not matter.
+    pub may_miss: Option<u32>,
+}
+
+/// A job as it was accepted, with what the configuration said of its queue then.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct JobSpec {
+    /// The queue.
+    pub queue: String,
+    /// The service whose workers run it.
+    pub service: String,
+    /// The queue's priority; zero is the most urgent.
+    pub priority: u8,
+    /// How many failed runs of a task make the job fail.
+    pub max_attempts: u32,
+    /// The text that each task is started with.
+    pub spec: String,
+    /// The steps.
+    pub steps: Vec<Step>,
+    /// How often the steps run; zero if just once and now.
+    pub rounds: u32,
+    /// When the first round is due, in milliseconds of Unix time.
+    pub first_ms: u64,
+    /// The time between rounds, in milliseconds.
+    pub every_ms: u64,
+    /// Whether starts need an approval of the queue's policy.
+    pub advised: bool,
+    /// When it was accepted, in milliseconds of Unix time.
+    pub accepted_ms: u64,
+}
+
+impl JobSpec {
+    /// Returns how many rounds the job has.
+    pub fn round_count(&self) -> u32 {
+        self.rounds.max(1)
+    }
+
+    /// Checks the steps.
+    ///
+    /// # Errors
+    ///
+    /// Returns the field that is wrong.
+    pub fn check(&self) -> Result<()> {
+        if self.steps.is_empty() {
+            return Err(wrong("phases", "there is no step"));
+        }
+        if self.steps.len() > MOST_STEPS {
+            return Err(wrong("phases", "there are more than 64 steps"));
+        }
+        if self.spec.len() > 4_000 {
+            return Err(wrong("spec", "it is longer than 4000 bytes"));
+        }
+        for (i, step) in self.steps.iter().enumerate() {
+            let field = |name: &str| format!("phases[{i}].{name}");
+            if step.count == 0 {
+                return Err(wrong(field("count"), "it is zero"));
+            }
+            if step.count > MOST_TASKS {
+                return Err(wrong(field("count"), "it is over 4096"));
+            }
+            if step.after.iter().any(|&a| usize::from(a) >= i) {
+                return Err(wrong(field("after"), "it names no earlier step"));
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/core/src/sched/progress.rs
@@ -0,0 +1,103 @@
+//! What is stored of a job besides its specification.
+//!
+//! The row is small and written whole at each change; what runs where is not in it, since the
+//! workers tell.
+
+use {
+    crate::sched::job::TaskName,
+    serde::{Deserialize, Serialize},
+    snafu::Snafu,
+};
+
+/// A result of reading a row.
+pub type Result<T, E = ProgressError> = std::result::Result<T, E>;
+
+/// A row that can't be decoded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+#[snafu(display("damaged progress row"))]
+pub struct ProgressError;
+
+/// What became of a job.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Outcome {
+    /// It is not over.
+    #[default]
+    Open,
+    /// All tasks are done.
+    Completed,
+    /// A task failed too often.
+    Failed,
+    /// A caller cancelled it.
+    Cancelled,
+}
+
+/// A job's state as callers see it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum JobState {
+    /// No task has started.
+    Queued,
+    /// A task has started.
+    Running,
+    /// All tasks are done.
+    Completed,
+    /// A task failed too often.
+    Failed,
+    /// A caller cancelled it.
+    Cancelled,
+}
+
+/// What is stored of one task.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TaskRecord {
+    /// The round.
+    pub round: u32,
+    /// The step.
+    pub step: u16,
+    /// The task within the step.
+    pub index: u32,
+    /// Whether a run ended well.
+    pub done: bool,
+    /// How many runs failed.
+    pub failures: u32,
+    /// The checkpoint to resume from, if any.
+    pub saved: String,
+}
+
+impl TaskRecord {
+    /// Returns whether this is the record of `task`.
+    pub fn is_of(&self, task: &TaskName) -> bool {
+        self.round == task.round && self.step == task.step && self.index == task.index
+    }
+}
+
+/// What is stored of a job.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Progress {
+    /// What became of it.
+    pub outcome: Outcome,
+    /// When it was over, in milliseconds of Unix time.
+    pub over_ms: u64,
+    /// Whether a task has ever started.
+    pub begun: bool,
+    /// Rounds whose tasks are all done; they have no records.
+    pub rounds_done: Vec<u32>,
+    /// Tasks with anything to tell.
+    pub tasks: Vec<TaskRecord>,
+}
+
+impl Progress {
+    /// Encodes the row.
+    pub fn encode(&self) -> Vec<u8> {
+        // Plain data of known types always encodes.
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// Decodes a row.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is damaged.
+    pub fn decode(buf: &[u8]) -> Result<Self> {
+        postcard::from_bytes(buf).map_err(|_| ProgressError)
+    }
+}
--- /dev/null
+++ b/crates/core/src/sched/shard.rs
@@ -0,0 +1,8 @@
+//! The leader's state of one shard.
+
+mod dispatch;
+mod ends;
+mod state;
+mod workers;
+
+pub use state::{Batch, Found, Order, Params, Shard};
--- /dev/null
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -0,0 +1,491 @@
+//! Which task starts where, and what is done about tasks that don't get on.
+
+use {
+    super::state::{Approvals, Job, Order, Phase, Round, Shard, Task, Worker},
+    crate::sched::{
+        job::{JobId, Step, TaskName},
+        place::{Candidate, choose},
+        progress::Outcome,
+        worker::Report,
+    },
+    std::time::{Duration, Instant},
+};
+
+/// How long a task that is at work may show no progress.
+const STUCK: Duration = Duration::from_millis(2_500);
+
+/// The pace below which no progress is expected, in percent.
+const STUCK_PACE: u8 = 30;
+
+/// How long a worker with a task that stood still gets no further work.
+const STUCK_PAUSE: Duration = Duration::from_secs(6);
+
+/// What is left of the drain time when everything still there is stopped.
+const DRAIN_RESERVE: Duration = Duration::from_millis(500);
+
+/// How long an unanswered question for approvals blocks the next.
+const ADVICE_PATIENCE: Duration = Duration::from_millis(1_500);
+
+/// The most workers in one question for approvals.
+const ADVICE_WORKERS: usize = 30;
+
+/// What an approval must still be valid for when it is used.
+const ADVICE_RESERVE: Duration = Duration::from_millis(150);
+
+impl Shard {
+    /// Returns the orders that follow from all that was taken in.
+    pub fn poll(&mut self, now: Instant, unix_ms: u64) -> Vec<Order> {
+        self.lapse(now);
+        self.resend(now);
+        self.make_due_rounds(unix_ms);
+        self.free_draining(now);
+        self.stop_stuck(now);
+        if !self.stopping {
+            self.dispatch(now);
+        }
+        self.changed = false;
+        std::mem::take(&mut self.orders)
+    }
+
+    /// Returns whether anything happened since the last poll that may allow a start.
+    pub fn has_changed(&self) -> bool {
+        self.changed
+    }
+
+    /// Takes in the workers that may run a step, with their tickets.
+    pub fn advised(&mut self, task: TaskName, rows: &[(String, String)], valid: Duration, now: Instant) {
+        let born = |id: &str| self.workers.get(id).map_or(0, |w| w.info.born);
+        let tickets = rows.iter().map(|(id, ticket)| (id.clone(), (ticket.clone(), born(id))));
+        let approvals = Approvals {
+            tickets: tickets.collect(),
+            until: Some(now + valid),
+            asked: None,
+        };
+        let key = (task.job, task.round, task.step);
+        if self.is_job(task.job) {
+            self.approvals.insert(key, approvals);
+            self.changed = true;
+        }
+    }
+
+    fn make_due_rounds(&mut self, unix_ms: u64) {
+        for job in self.jobs.values_mut().filter(|j| j.outcome == Outcome::Open) {
+            while job.next_round < job.spec.round_count() {
+                let due = job.spec.first_ms + u64::from(job.next_round) * job.spec.every_ms;
+                if job.spec.rounds > 0 && due > unix_ms {
+                    break;
+                }
+                job.make_round();
+                self.changed = true;
+            }
+        }
+    }
+
+    fn dispatch(&mut self, now: Instant) {
+        let unsure = self.is_unsure(now);
+        let open = |job: &Job| job.outcome == Outcome::Open && !(job.inherited && unsure);
+        let jobs = self.jobs.iter().filter(|(_, job)| open(job));
+        let mut order: Vec<_> = jobs
+            .map(|(id, job)| (job.spec.priority, job.accepted, *id))
+            .collect();
+        order.sort();
+        for (_, _, id) in order {
+            self.dispatch_job(id, now);
+        }
+    }
+
+    fn dispatch_job(&mut self, id: JobId, now: Instant) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        let ready = job.rounds.iter().flat_map(|round| {
+            let steps = spec.steps.iter().enumerate();
+            let ready = steps.filter(|(i, step)| {
+                let met = |a: &u16| round.left[usize::from(*a)] == 0;
+                round.left[*i] > 0 && step.after.iter().all(met)
+            });
+            ready.map(|(i, _)| (round.number, i as u16))
+        });
+        let ready: Vec<_> = ready.collect();
+        for (round, step) in ready {
+            let name = TaskName {
+                job: id,
+                round,
+                step,
+                index: 0,
+            };
+            let step = &spec.steps[usize::from(step)];
+            if spec.advised && !self.is_approved(name, &spec.service, now) {
+                continue;
+            }
+            if step.gang {
+                self.dispatch_gang(name, &spec.service, step, now);
+            } else {
+                self.dispatch_step(name, &spec.service, step, now);
+            }
+        }
+    }
+
+    fn dispatch_step(&mut self, name: TaskName, service: &str, step: &Step, now: Instant) {
+        for index in 0..step.count {
+            let name = TaskName { index, ..name };
+            let job = self.jobs.get_mut(&name.job);
+            let Some(task) = job.and_then(|j| j.task(&name)) else {
+                return;
+            };
+            if !task.is_startable(now) {
+                continue;
+            }
+            let avoid = task.avoid.clone();
+            let found = self.find(name, service, step, avoid.as_deref(), now);
+            let found = found.or_else(|| avoid.and_then(|_| self.find(name, service, step, None, now)));
+            let Some(worker) = found else {
+                return;
+            };
+            self.start(&worker, name, now);
+        }
+    }
+
+    /// Starts all members of a gang, or none.
+    fn dispatch_gang(&mut self, name: TaskName, service: &str, step: &Step, now: Instant) {
+        let members = (0..step.count).map(|index| TaskName { index, ..name });
+        let members: Vec<_> = members.collect();
+        let Some(job) = self.jobs.get_mut(&name.job) else {
+            return;
+        };
+        let mut attempt = 0;
+        let mut saved = String::new();
+        for member in &members {
+            let Some(task) = job.task(member) else {
+                return;
+            };
+            if !task.is_startable(now) {
+                return;
+            }
+            attempt = attempt.max(task.attempt);
+            if task.saved > saved {
+                saved.clone_from(&task.saved);
+            }
+        }
+        attempt = (attempt + 1).max(self.attempt_floor(name.job));
+        let racks = if step.same_rack {
+            self.racks()
+        } else {
+            Vec::new()
+        };
+        let limits = racks.into_iter().map(Some).chain([None]);
+        for rack in limits {
+            let mut limited = step.clone();
+            if rack.is_some() {
+                limited.needs.clone_from(&rack);
+            }
+            // A label that the step needs can't be replaced by the rack.
+            if rack.is_some() && step.needs.is_some() {
+                continue;
+            }
+            let mut placed = Vec::new();
+            for member in &members {
+                let Some(worker) = self.find(*member, service, &limited, None, now) else {
+                    break;
+                };
+                if let Some(task) = self.jobs.get_mut(&name.job).and_then(|j| j.task(member)) {
+                    task.attempt = attempt - 1;
+                    task.saved.clone_from(&saved);
+                }
+                self.add_run(&worker, *member, attempt, Phase::Sent, now);
+                placed.push((worker, *member));
+            }
+            if placed.len() == members.len() {
+                for (worker, member) in placed {
+                    self.order_start(&worker, member, now);
+                }
+                return;
+            }
+            for (worker, member) in placed {
+                self.remove_run(&worker, member);
+                if let Some(task) = self.jobs.get_mut(&name.job).and_then(|j| j.task(&member)) {
+                    task.attempt = attempt - 1;
+                }
+            }
+        }
+    }
+
+    fn racks(&self) -> Vec<String> {
+        let labels = self.workers.values().flat_map(|w| w.info.labels.iter());
+        let mut labels: Vec<_> = labels.cloned().collect();
+        labels.sort();
+        labels.dedup();
+        labels
+    }
+
+    fn find(
+        &self,
+        name: TaskName,
+        service: &str,
+        step: &Step,
+        avoid: Option<&str>,
+        now: Instant,
+    ) -> Option<String> {
+        let approvals = self.approvals.get(&(name.job, name.round, name.step));
+        let approved = |w: &Worker| {
+            approvals.is_none_or(|a| {
+                let ticket = a.tickets.get(&w.info.id);
+                ticket.is_some_and(|(_, born)| *born == w.info.born)
+            })
+        };
+        let open = self.workers.values().filter(|w| {
+            w.info.service == service
+                && w.is_open(now)
+                && Some(w.info.id.as_str()) != avoid
+                && !w.runs.contains_key(&name)
+                && approved(w)
+        });
+        let candidates = open.map(|w| {
+            let same = |t: &&TaskName| (t.job, t.round, t.step) == (name.job, name.round, name.step);
+            let siblings = if step.per_worker > 0 {
+                w.runs.keys().filter(same).count() as u32
+            } else {
+                0
+            };
+            let candidate = Candidate {
+                info: &w.info,
+                free: w.free,
+                fill_cpu: w.fill_cpu,
+                serving: w.serving,
+                siblings,
+                pace: w.pace.percent(),
+            };
+            (w.info.id.as_str(), candidate)
+        });
+        choose(candidates, step).map(str::to_owned)
+    }
+
+    fn start(&mut self, worker: &str, name: TaskName, now: Instant) {
+        let floor = self.attempt_floor(name.job);
+        let job = self.jobs.get_mut(&name.job);
+        let Some(task) = job.and_then(|j| j.task(&name)) else {
+            return;
+        };
+        let attempt = (task.attempt + 1).max(floor);
+        self.add_run(worker, name, attempt, Phase::Sent, now);
+        self.order_start(worker, name, now);
+    }
+
+    fn attempt_floor(&self, id: JobId) -> u32 {
+        let inherited = self.jobs.get(&id).is_some_and(|job| job.inherited);
+        if inherited { self.first_attempt() } else { 1 }
+    }
+
+    /// Sends the start of a run that is on the books.
+    pub(super) fn order_start(&mut self, id: &str, name: TaskName, now: Instant) {
+        let token = self.worker_token(id);
+        let lease = self.params.lease;
+        let Some(job) = self.jobs.get_mut(&name.job) else {
+            return;
+        };
+        let text = job.text.clone();
+        let Some(saved) = job.task(&name).map(|t| t.saved.clone()) else {
+            return;
+        };
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let Some(until_ms) = worker.clock.grant(lease, now) else {
+            return;
+        };
+        let Some(run) = worker.runs.get(&name) else {
+            return;
+        };
+        let key = (name.job, name.round, name.step);
+        let ticket = self.approvals.get(&key).and_then(|a| a.tickets.get(id));
+        let ticket = ticket.map(|(ticket, _)| ticket.clone());
+        log::info!(
+            "jobs: task={name} attempt={} worker={id} start free_cpu={} fill_cpu={} serving={} token={token}.",
+            run.attempt,
+            worker.free.cpu,
+            worker.fill_cpu,
+            worker.serving,
+        );
+        self.orders.push(Order::Start {
+            worker: id.to_owned(),
+            task: name,
+            attempt: run.attempt,
+            text,
+            until_ms,
+            token,
+            saved,
+            ticket,
+        });
+    }
+
+    /// Returns whether a step has valid approvals, and asks for them if not.
+    fn is_approved(&mut self, name: TaskName, service: &str, now: Instant) -> bool {
+        let key = (name.job, name.round, name.step);
+        let approvals = self.approvals.entry(key).or_default();
+        if approvals.until.is_some_and(|until| until > now + ADVICE_RESERVE) {
+            return true;
+        }
+        let waits = |at: Instant| now.duration_since(at) < ADVICE_PATIENCE;
+        if approvals.asked.is_some_and(waits) {
+            return false;
+        }
+        approvals.asked = Some(now);
+        approvals.tickets.clear();
+        let open = self.workers.values().filter(|w| w.info.service == service && w.is_open(now));
+        let mut workers: Vec<_> = open.map(|w| (-w.free.cpu, w.info.id.clone())).collect();
+        workers.sort();
+        workers.truncate(ADVICE_WORKERS);
+        let workers = workers.into_iter().map(|(_, id)| id).collect();
+        self.orders.push(Order::Advise {
+            task: name,
+            workers,
+        });
+        false
+    }
+
+    /// Stops what is still on a worker that is about to leave, so that it resumes elsewhere.
+    fn free_draining(&mut self, now: Instant) {
+        let limit = self.params.drain.saturating_sub(DRAIN_RESERVE);
+        let mut stop = Vec::new();
+        for (id, worker) in &self.workers {
+            let Some(since) = worker.draining_since.filter(|_| worker.listed) else {
+                continue;
+            };
+            let late = now.duration_since(since) >= limit;
+            for (task, run) in &worker.runs {
+                let lasting = run.target_ms > 0.0 || self.is_lasting(*task);
+                if (late || lasting) && !matches!(run.phase, Phase::Stopping(_)) {
+                    stop.push((id.clone(), *task));
+                }
+            }
+        }
+        for (id, task) in stop {
+            self.stop_run(&id, task);
+        }
+    }
+
+    fn is_lasting(&self, name: TaskName) -> bool {
+        let job = self.jobs.get(&name.job);
+        let step = job.and_then(|j| j.spec.steps.get(usize::from(name.step)));
+        step.is_some_and(|step| step.lasting)
+    }
+
+    /// Stops tasks that stand still; they resume on another worker.
+    fn stop_stuck(&mut self, now: Instant) {
+        let mut stuck = Vec::new();
+        for (id, worker) in &self.workers {
+            if !worker.is_in_contact(now) {
+                continue;
+            }
+            for (task, run) in &worker.runs {
+                let running = matches!(run.phase, Phase::Running(_));
+                let still = now.duration_since(run.moved) > STUCK;
+                if running && still && run.pace >= STUCK_PACE && !self.may_stand(*task) {
+                    stuck.push((id.clone(), *task));
+                }
+            }
+        }
+        for (id, task) in stuck {
+            log::warn!("jobs: task={task} worker={id} stands still, stopping it.");
+            self.stop_run(&id, task);
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.ejected_until = Some(now + STUCK_PAUSE);
+            }
+            if let Some(of_job) = self.jobs.get_mut(&task.job).and_then(|j| j.task(&task)) {
+                of_job.avoid = Some(id);
+            }
+        }
+    }
+
+    /// Returns whether a task may show no progress although it is sound.
+    fn may_stand(&self, name: TaskName) -> bool {
+        let job = self.jobs.get(&name.job);
+        let step = job.and_then(|j| j.spec.steps.get(usize::from(name.step)));
+        step.is_none_or(|step| step.lasting || step.gang)
+    }
+
+    /// Paces the filling tasks of a worker by the tails of its serving ones.
+    pub(super) fn watch_tails(&mut self, id: &str, report: &Report, now: Instant) {
+        let token = self.worker_token(id);
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if worker.serving > 0 && worker.fill_cpu > 0 {
+            let tails = report.running.iter().filter_map(|row| {
+                let run = worker.runs.get(&row.task)?;
+                let tail = row.usage.filter(|_| run.target_ms > 0.0)?;
+                Some(tail / run.target_ms)
+            });
+            let worst = tails.fold(0.0, f64::max);
+            worker.pace.observe(worst, now);
+        } else if worker.serving == 0 {
+            worker.pace.reset();
+        }
+        let pace = worker.pace.percent();
+        let failing = worker.pace.is_failing(now);
+        let mut stop = Vec::new();
+        for (task, run) in &mut worker.runs {
+            let running = matches!(run.phase, Phase::Running(_));
+            if run.fill_cpu == 0 || !running {
+                continue;
+            }
+            if failing {
+                stop.push(*task);
+            } else if run.pace.abs_diff(pace) >= 3 {
+                run.pace = pace;
+                run.moved = now;
+                self.orders.push(Order::Pace {
+                    worker: id.to_owned(),
+                    task: *task,
+                    attempt: run.attempt,
+                    percent: pace,
+                    token,
+                });
+            }
+        }
+        for task in stop {
+            log::warn!("jobs: task={task} worker={id} disturbs serving tasks, stopping it.");
+            self.stop_run(id, task);
+        }
+    }
+}
+
+impl Task {
+    fn is_startable(&self, now: Instant) -> bool {
+        !self.done && self.at.is_empty() && self.not_before.is_none_or(|at| at <= now)
+    }
+}
+
+impl Job {
+    /// Makes the next round, with what is stored of it.
+    pub(super) fn make_round(&mut self) {
+        let number = self.next_round;
+        self.next_round += 1;
+        if self.rounds_done.contains(&number) {
+            return;
+        }
+        let steps = self.spec.steps.iter();
+        let mut round = Round {
+            number,
+            left: steps.clone().map(|step| step.count).collect(),
+            tasks: steps
+                .map(|step| vec![Task::default(); step.count as usize])
+                .collect(),
+        };
+        for record in self.records.iter().filter(|r| r.round == number) {
+            let of_step = round.tasks.get_mut(usize::from(record.step));
+            let Some(task) = of_step.and_then(|s| s.get_mut(record.index as usize)) else {
+                continue;
+            };
+            task.failures = record.failures;
+            task.saved.clone_from(&record.saved);
+            if record.done {
+                task.done = true;
+                round.left[usize::from(record.step)] -= 1;
+            }
+        }
+        self.records.retain(|r| r.round != number);
+        self.rounds.push(round);
+    }
+}
--- /dev/null
+++ b/crates/core/src/sched/shard/state.rs
@@ -0,0 +1,565 @@
+//! Jobs, workers and what is to be stored.
+
+use {
+    crate::{
+        hash::{HashMap, HashSet},
+        sched::{
+            job::{JobId, JobSpec, Room, TaskName},
+            pace::Pace,
+            progress::{JobState, Outcome, Progress, TaskRecord},
+            worker::{LeaseClock, WorkerInfo},
+        },
+    },
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Attempts that one leader may use before the numbers of the next begin.
+const ATTEMPTS_PER_TOKEN: u32 = 100;
+
+/// Tokens of one leader for one worker; each life of the worker gets another.
+const TOKENS_PER_LEADER: u64 = 64;
+
+/// Figures that a deployment sets.
+#[derive(Clone, Copy, Debug)]
+pub struct Params {
+    /// How long a worker may run work without hearing from the leader.
+    pub lease: Duration,
+    /// How long after a takeover work may run on a worker that does not answer.
+    pub unsure: Duration,
+    /// How long a draining worker surely stays.
+    pub drain: Duration,
+    /// How long an end may wait to be stored.
+    pub commit_delay: Duration,
+}
+
+impl Default for Params {
+    fn default() -> Self {
+        Self {
+            lease: Duration::from_secs(4),
+            unsure: Duration::from_millis(6_200),
+            drain: Duration::from_secs(2),
+            commit_delay: Duration::from_millis(150),
+        }
+    }
+}
+
+/// Something that a worker is to be told.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Order {
+    /// Start a task.
+    Start {
+        /// The worker.
+        worker: String,
+        /// The task.
+        task: TaskName,
+        /// The attempt.
+        attempt: u32,
+        /// The job's text.
+        text: Arc<str>,
+        /// The end of the lease, on the worker's clock.
+        until_ms: u64,
+        /// The fencing token.
+        token: u64,
+        /// The checkpoint to resume from, empty if none.
+        saved: String,
+        /// The approval, where the queue needs one.
+        ticket: Option<String>,
+    },
+    /// Stop a task.
+    Stop {
+        /// The worker.
+        worker: String,
+        /// The task.
+        task: TaskName,
+        /// The attempt.
+        attempt: u32,
+        /// The fencing token.
+        token: u64,
+    },
+    /// Let a task work at a share of its speed.
+    Pace {
+        /// The worker.
+        worker: String,
+        /// The task.
+        task: TaskName,
+        /// The attempt.
+        attempt: u32,
+        /// The share.
+        percent: u8,
+        /// The fencing token.
+        token: u64,
+    },
+    /// Ask which workers may run a step.
+    Advise {
+        /// Any task of the step.
+        task: TaskName,
+        /// The workers to ask about.
+        workers: Vec<String>,
+    },
+}
+
+/// How a leader comes to know a job.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Found {
+    /// It was accepted under this leader.
+    New,
+    /// It was there before this leader, with this progress.
+    Stored(Progress),
+}
+
+/// Rows to be stored in one transaction.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Batch {
+    /// Progress of jobs.
+    pub rows: Vec<(JobId, Vec<u8>)>,
+    /// The names and addresses of the workers that may run work, if they have changed.
+    pub roster: Option<Vec<(String, String)>>,
+    acks: Vec<(String, u64, u64)>,
+    outcomes: Vec<(JobId, Outcome)>,
+}
+
+/// What a run is doing, as far as is known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Phase {
+    /// The start was sent and not answered.
+    Sent,
+    /// It was there at this time, by the answer to the start or by a report.
+    Running(Instant),
+    /// It is to be stopped; answered at this time.
+    Stopping(Option<Instant>),
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Run {
+    pub attempt: u32,
+    pub phase: Phase,
+    pub room: Room,
+    pub fill_cpu: i64,
+    pub target_ms: f64,
+    pub since: Instant,
+    pub sent: Instant,
+    /// Whether an order of it got no answer, so that it may be carried out later.
+    pub unclear: bool,
+    pub percent: f64,
+    pub moved: Instant,
+    pub pace: u8,
+    pub saved: String,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Worker {
+    pub info: WorkerInfo,
+    /// Whether the platform lists it.
+    pub listed: bool,
+    /// When the platform ceased to list it.
+    pub unlisted: Option<Instant>,
+    pub draining_since: Option<Instant>,
+    pub lives: u64,
+    pub clock: LeaseClock,
+    pub answered: Option<Instant>,
+    pub runs: HashMap<TaskName, Run>,
+    pub free: Room,
+    pub fill_cpu: i64,
+    pub serving: u32,
+    pub seen: u64,
+    pub acked: u64,
+    pub pace: Pace,
+    pub failures: u32,
+    pub ejected_until: Option<Instant>,
+    pub full_until: Option<Instant>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(super) struct Task {
+    pub done: bool,
+    pub failures: u32,
+    pub attempt: u32,
+    pub saved: String,
+    /// The workers that have a run of it.
+    pub at: Vec<String>,
+    pub avoid: Option<String>,
+    pub not_before: Option<Instant>,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Round {
+    pub number: u32,
+    /// Tasks that are not done, by step.
+    pub left: Vec<u32>,
+    pub tasks: Vec<Vec<Task>>,
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Job {
+    pub spec: Arc<JobSpec>,
+    pub text: Arc<str>,
+    pub begun: bool,
+    /// Whether an earlier leader may have started its tasks.
+    pub inherited: bool,
+    pub outcome: Outcome,
+    pub over_ms: u64,
+    pub durable: Outcome,
+    pub rounds: Vec<Round>,
+    pub rounds_done: Vec<u32>,
+    /// The first round that has not been made yet.
+    pub next_round: u32,
+    pub records: Vec<TaskRecord>,
+    pub accepted: Instant,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(super) struct Approvals {
+    pub tickets: HashMap<String, (String, u64)>,
+    pub until: Option<Instant>,
+    pub asked: Option<Instant>,
+}
+
+/// The state of a shard at its leader.
+#[derive(Debug)]
+pub struct Shard {
+    pub(super) params: Params,
+    pub(super) token: u64,
+    pub(super) since: Instant,
+    pub(super) jobs: HashMap<JobId, Job>,
+    pub(super) over: HashMap<JobId, (Outcome, u64)>,
+    pub(super) workers: HashMap<String, Worker>,
+    pub(super) approvals: HashMap<(JobId, u32, u16), Approvals>,
+    pub(super) early_cancels: HashSet<JobId>,
+    pub(super) dirty: HashSet<JobId>,
+    pub(super) dirty_since: Option<Instant>,
+    pub(super) urgent: bool,
+    pub(super) roster_dirty: bool,
+    pub(super) orders: Vec<Order>,
+    pub(super) changed: bool,
+    pub(super) stopping: bool,
+    pub(super) fenced: bool,
+}
+
+impl Shard {
+    /// Creates the state of a leader that holds `token` since `now`.
+    pub fn new(params: Params, token: u64, now: Instant) -> Self {
+        Self {
+            params,
+            token,
+            since: now,
+            jobs: HashMap::default(),
+            over: HashMap::default(),
+            workers: HashMap::default(),
+            approvals: HashMap::default(),
+            early_cancels: HashSet::default(),
+            dirty: HashSet::default(),
+            dirty_since: None,
+            urgent: false,
+            roster_dirty: true,
+            orders: Vec::new(),
+            changed: true,
+            stopping: false,
+            fenced: false,
+        }
+    }
+
+    /// Takes in a job: a new one, or one that an earlier leader may have begun.
+    pub fn add_job(&mut self, id: JobId, spec: JobSpec, found: Found, now: Instant) {
+        if self.jobs.contains_key(&id) || self.over.contains_key(&id) {
+            return;
+        }
+        let (inherited, progress) = match found {
+            Found::New => (false, Progress::default()),
+            Found::Stored(progress) => (true, progress),
+        };
+        if progress.outcome != Outcome::Open {
+            self.over.insert(id, (progress.outcome, progress.over_ms));
+            return;
+        }
+        let text = Arc::from(spec.spec.as_str());
+        let job = Job {
+            spec: Arc::new(spec),
+            text,
+            begun: progress.begun,
+            inherited,
+            outcome: Outcome::Open,
+            over_ms: 0,
+            durable: Outcome::Open,
+            rounds: Vec::new(),
+            rounds_done: progress.rounds_done,
+            next_round: 0,
+            records: progress.tasks,
+            accepted: now,
+        };
+        self.jobs.insert(id, job);
+        self.changed = true;
+        if self.early_cancels.remove(&id) {
+            self.cancel(id, 0);
+        }
+    }
+
+    /// Cancels a job; one that is not known yet is cancelled when it comes.
+    pub fn cancel(&mut self, id: JobId, unix_ms: u64) {
+        if self.over.contains_key(&id) {
+            return;
+        }
+        match self.jobs.get(&id) {
+            Some(job) if job.outcome == Outcome::Open => self.end_job(id, Outcome::Cancelled, unix_ms),
+            Some(_) => {}
+            None => {
+                self.early_cancels.insert(id);
+            }
+        }
+    }
+
+    /// Stops starting work, before the lead is given up.
+    pub fn stop_starting(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Returns whether a worker has refused this leader's token.
+    pub fn is_fenced(&self) -> bool {
+        self.fenced
+    }
+
+    /// Returns a job's state; an end is told only once it is stored.
+    pub fn state(&self, id: JobId) -> Option<JobState> {
+        if let Some((outcome, _)) = self.over.get(&id) {
+            return Some(state_of(*outcome, true));
+        }
+        let job = self.jobs.get(&id)?;
+        Some(state_of(job.durable, job.begun))
+    }
+
+    /// Returns how many jobs of each queue have not begun, timed ones left out.
+    pub fn pending(&self) -> HashMap<String, u32> {
+        let mut pending = HashMap::default();
+        for job in self.jobs.values() {
+            if !job.begun && job.outcome == Outcome::Open && job.spec.rounds == 0 {
+                *pending.entry(job.spec.queue.clone()).or_default() += 1;
+            }
+        }
+        pending
+    }
+
+    /// Returns for each service the processor that is asked for, in thousandths of what is there.
+    pub fn loads(&self) -> HashMap<String, u32> {
+        let mut sums: HashMap<&str, (i64, i64)> = HashMap::default();
+        for worker in self.workers.values().filter(|w| w.listed) {
+            let sum = sums.entry(&worker.info.service).or_default();
+            sum.1 += worker.info.room.cpu;
+        }
+        for job in self.jobs.values().filter(|j| j.outcome == Outcome::Open) {
+            let sum = sums.entry(&job.spec.service).or_default();
+            sum.0 += job.demand();
+        }
+        let share = |(asked, there): (i64, i64)| match there {
+            0 => u32::MAX,
+            _ => u32::try_from(asked * 1_000 / there).unwrap_or(u32::MAX),
+        };
+        let loads = sums.into_iter();
+        loads.map(|(s, sum)| (s.to_owned(), share(sum))).collect()
+    }
+
+    /// Returns the next rows to store, if it is time; `last` has ended by then.
+    pub fn take_batch(&mut self, most: usize, now: Instant) -> Option<Batch> {
+        let waited = self.dirty_since.map(|since| now.duration_since(since));
+        let due = waited.is_some_and(|waited| self.urgent || waited >= self.params.commit_delay);
+        if !due && !(self.roster_dirty && self.dirty.is_empty()) {
+            return None;
+        }
+        let mut ids: Vec<_> = self.dirty.iter().copied().collect();
+        ids.sort_by_key(|id| {
+            let over = self.jobs.get(id).is_some_and(|j| j.outcome != Outcome::Open);
+            (!over, *id)
+        });
+        ids.truncate(most);
+        let mut batch = Batch::default();
+        for id in ids {
+            self.dirty.remove(&id);
+            if let Some(job) = self.jobs.get(&id) {
+                batch.rows.push((id, job.progress().encode()));
+                batch.outcomes.push((id, job.outcome));
+            }
+        }
+        if std::mem::take(&mut self.roster_dirty) {
+            let entry = |w: &Worker| (w.info.id.clone(), w.info.address.clone());
+            batch.roster = Some(self.workers.values().map(entry).collect());
+        }
+        if self.dirty.is_empty() {
+            self.dirty_since = None;
+            self.urgent = false;
+            for worker in self.workers.values().filter(|w| w.seen > w.acked) {
+                let id = worker.info.id.clone();
+                batch.acks.push((id, worker.info.born, worker.seen));
+            }
+        }
+        Some(batch)
+    }
+
+    /// Takes in whether a batch was stored.
+    pub fn stored(&mut self, batch: &Batch, stored: bool, now: Instant) {
+        if !stored {
+            self.dirty.extend(batch.rows.iter().map(|(id, _)| *id));
+            self.roster_dirty |= batch.roster.is_some();
+            if !self.dirty.is_empty() {
+                self.dirty_since.get_or_insert(now);
+                self.urgent = true;
+            }
+            return;
+        }
+        for (id, outcome) in &batch.outcomes {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.durable = *outcome;
+            }
+        }
+        for (id, born, seen) in &batch.acks {
+            let worker = self.workers.get_mut(id);
+            if let Some(worker) = worker.filter(|w| w.info.born == *born) {
+                worker.acked = worker.acked.max(*seen);
+            }
+        }
+        let done = batch.outcomes.iter().filter(|(_, o)| *o != Outcome::Open);
+        for (id, _) in done {
+            self.retire(*id);
+        }
+    }
+
+    /// Drops jobs that were over before `unix_ms` and returns them; their rows can go.
+    pub fn expire(&mut self, unix_ms: u64, most: usize) -> Vec<JobId> {
+        let old = self.over.iter().filter(|(_, (_, over_ms))| *over_ms < unix_ms);
+        let old: Vec<_> = old.map(|(id, _)| *id).take(most).collect();
+        for id in &old {
+            self.over.remove(id);
+        }
+        old
+    }
+
+    /// Returns whether anything waits to be stored.
+    pub fn is_dirty(&self) -> bool {
+        !self.dirty.is_empty() || self.roster_dirty
+    }
+
+    /// Returns the token for orders to a worker.
+    pub fn worker_token(&self, id: &str) -> u64 {
+        let lives = self.workers.get(id).map_or(0, |w| w.lives);
+        self.token * TOKENS_PER_LEADER + lives.min(TOKENS_PER_LEADER - 1)
+    }
+
+    pub(super) fn first_attempt(&self) -> u32 {
+        u32::try_from(self.token).unwrap_or(u32::MAX / ATTEMPTS_PER_TOKEN) * ATTEMPTS_PER_TOKEN
+    }
+
+    pub(super) fn mark(&mut self, id: JobId, urgent: bool, now: Instant) {
+        self.dirty.insert(id);
+        self.dirty_since.get_or_insert(now);
+        self.urgent |= urgent;
+    }
+
+    /// Ends a job: nothing of it starts any more, what runs is stopped.
+    pub(super) fn end_job(&mut self, id: JobId, outcome: Outcome, unix_ms: u64) {
+        let Some(job) = self.jobs.get_mut(&id) else {
+            return;
+        };
+        job.outcome = outcome;
+        job.over_ms = unix_ms;
+        log::info!("jobs: job={id} over as {outcome:?} token={}.", self.token);
+        let runs: Vec<_> = job.runs(id).collect();
+        for (worker, task) in runs {
+            self.stop_run(&worker, task);
+        }
+        self.dirty.insert(id);
+        self.dirty_since.get_or_insert(self.since);
+        self.urgent = true;
+        self.changed = true;
+    }
+
+    /// Forgets a job whose end is stored, once nothing of it runs.
+    pub(super) fn retire(&mut self, id: JobId) {
+        let Some(job) = self.jobs.get(&id) else {
+            return;
+        };
+        if job.durable == Outcome::Open || job.runs(id).next().is_some() {
+            return;
+        }
+        self.over.insert(id, (job.durable, job.over_ms));
+        self.jobs.remove(&id);
+        self.approvals.retain(|(job, _, _), _| *job != id);
+    }
+}
+
+impl Job {
+    /// Returns where its tasks run.
+    pub(super) fn runs(&self, id: JobId) -> impl Iterator<Item = (String, TaskName)> + '_ {
+        self.rounds.iter().flat_map(move |round| {
+            round.tasks.iter().enumerate().flat_map(move |(step, tasks)| {
+                tasks.iter().enumerate().flat_map(move |(index, task)| {
+                    let name = TaskName {
+                        job: id,
+                        round: round.number,
+                        step: step as u16,
+                        index: index as u32,
+                    };
+                    task.at.iter().map(move |w| (w.clone(), name))
+                })
+            })
+        })
+    }
+
+    pub(super) fn task(&mut self, name: &TaskName) -> Option<&mut Task> {
+        let round = self.rounds.iter_mut().find(|r| r.number == name.round)?;
+        let tasks = round.tasks.get_mut(usize::from(name.step))?;
+        tasks.get_mut(name.index as usize)
+    }
+
+    fn demand(&self) -> i64 {
+        let steps = &self.spec.steps;
+        let of_round = |round: &Round| {
+            let left = round.left.iter().zip(steps);
+            left.map(|(left, step)| i64::from(*left) * step.room.cpu)
+                .sum::<i64>()
+        };
+        self.rounds.iter().map(of_round).sum()
+    }
+
+    fn progress(&self) -> Progress {
+        let mut tasks = Vec::new();
+        for round in &self.rounds {
+            for (step, of_step) in round.tasks.iter().enumerate() {
+                for (index, task) in of_step.iter().enumerate() {
+                    if task.done || task.failures > 0 || !task.saved.is_empty() {
+                        tasks.push(TaskRecord {
+                            round: round.number,
+                            step: step as u16,
+                            index: index as u32,
+                            done: task.done,
+                            failures: task.failures,
+                            saved: if task.done {
+                                String::new()
+                            } else {
+                                task.saved.clone()
+                            },
+                        });
+                    }
+                }
+            }
+        }
+        let made = |r: &TaskRecord| self.rounds.iter().any(|round| round.number == r.round);
+        tasks.extend(self.records.iter().filter(|r| !made(r)).cloned());
+        Progress {
+            outcome: self.outcome,
+            over_ms: self.over_ms,
+            begun: self.begun,
+            rounds_done: self.rounds_done.clone(),
+            tasks,
+        }
+    }
+}
+
+fn state_of(outcome: Outcome, begun: bool) -> JobState {
+    match outcome {
+        Outcome::Open if begun => JobState::Running,
+        Outcome::Open => JobState::Queued,
+        Outcome::Completed => JobState::Completed,
+        Outcome::Failed => JobState::Failed,
+        Outcome::Cancelled => JobState::Cancelled,
+    }
+}
--- /dev/null
+++ b/crates/core/src/sched/shard/workers.rs
@@ -0,0 +1,573 @@
+//! Reports of workers, answers to orders, and leases that run out.
+
+use {
+    super::state::{Order, Phase, Run, Shard, Worker},
+    crate::{
+        hash::HashSet,
+        sched::{
+            job::{Room, TaskName},
+            pace::Pace,
+            place::taken,
+            worker::{Answer, LeaseClock, Report, RunningRow, Standing, WorkerInfo},
+        },
+    },
+    std::time::{Duration, Instant},
+};
+
+/// Without an answer for this long a worker gets no further work.
+const DOUBTFUL: Duration = Duration::from_millis(1_700);
+
+/// How long a worker that failed runs in a row gets no further work.
+const EJECTION: Duration = Duration::from_secs(5);
+
+/// Runs that must fail in a row before a worker is ejected.
+const EJECTING_FAILURES: u32 = 3;
+
+/// How long a worker that refused for want of room gets no further work.
+const FULL_PAUSE: Duration = Duration::from_millis(150);
+
+/// How long a worker that said it did nothing gets no further work.
+const UNHEALTHY_PAUSE: Duration = Duration::from_millis(800);
+
+/// How long a worker that is not listed any more but answers gets work; its entry may come
+/// back two seconds after an outage of the platform.
+const UNLISTED_GRACE: Duration = Duration::from_millis(2_300);
+
+/// The wait before an order without an answer is sent again.
+const RESEND: Duration = Duration::from_millis(60);
+
+impl Shard {
+    /// Takes in the platform's entry of a worker.
+    pub fn worker_listed(&mut self, info: &WorkerInfo, now: Instant) {
+        self.changed = true;
+        let Some(worker) = self.workers.get_mut(&info.id) else {
+            let worker = Worker::new(info.clone(), now);
+            self.workers.insert(info.id.clone(), worker);
+            self.roster_dirty = true;
+            return;
+        };
+        worker.listed = true;
+        worker.unlisted = None;
+        if worker.info.address != info.address {
+            self.roster_dirty = true;
+        }
+        if worker.info.room != info.room {
+            worker.free.cpu += info.room.cpu - worker.info.room.cpu;
+            worker.free.mem_mb += info.room.mem_mb - worker.info.room.mem_mb;
+            worker.free.gpu += info.room.gpu - worker.info.room.gpu;
+        }
+        let born = worker.info.born;
+        worker.info = info.clone();
+        // Only its own answers tell when a life began for us.
+        worker.info.born = born;
+        match info.standing {
+            Standing::Ready => worker.draining_since = None,
+            Standing::Draining => {
+                worker.draining_since.get_or_insert(now);
+            }
+        }
+    }
+
+    /// Adds a worker that an earlier leader used, if it is not known otherwise.
+    pub fn worker_used(&mut self, id: &str, address: &str, now: Instant) {
+        if self.workers.contains_key(id) {
+            return;
+        }
+        let info = WorkerInfo {
+            id: id.to_owned(),
+            service: String::new(),
+            address: address.to_owned(),
+            zone: String::new(),
+            standing: Standing::Draining,
+            room: Room::default(),
+            labels: Vec::new(),
+            born: 0,
+            leaves_ms: None,
+        };
+        let mut worker = Worker::new(info, now);
+        worker.listed = false;
+        self.workers.insert(id.to_owned(), worker);
+    }
+
+    /// Takes in that the platform does not list a worker any more.
+    pub fn worker_unlisted(&mut self, id: &str, now: Instant) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.listed = false;
+            worker.unlisted.get_or_insert(now);
+        }
+    }
+
+    /// Returns the workers to keep in contact with, and their addresses.
+    pub fn contacts(&self) -> impl Iterator<Item = (&str, &str)> {
+        let workers = self.workers.values();
+        workers.map(|w| (w.info.id.as_str(), w.info.address.as_str()))
+    }
+
+    /// Returns what a report is asked with: the newest end that may be forgotten, and the end
+    /// of the lease on the worker's clock, if that is known.
+    pub fn contact(&mut self, id: &str, now: Instant) -> Option<(u64, Option<u64>)> {
+        let lease = self.params.lease;
+        let quiet = self.dirty_since.is_none();
+        let worker = self.workers.get_mut(id)?;
+        if quiet {
+            worker.acked = worker.seen;
+        }
+        Some((worker.acked, worker.clock.grant(lease, now)))
+    }
+
+    /// Returns whether a worker has ends that wait to be stored.
+    pub fn awaits_store(&self, id: &str) -> bool {
+        let worker = self.workers.get(id);
+        worker.is_some_and(|w| w.seen > w.acked) && self.dirty_since.is_some()
+    }
+
+    /// Returns whether a worker's serving tasks share it with filling ones.
+    pub fn is_shared(&self, id: &str) -> bool {
+        let worker = self.workers.get(id);
+        worker.is_some_and(|w| w.serving > 0 && w.fill_cpu > 0)
+    }
+
+    /// Takes in a report that was asked for at `sent`.
+    pub fn reported(
+        &mut self,
+        id: &str,
+        report: &Report,
+        sent: Instant,
+        now: Instant,
+        unix_ms: u64,
+    ) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let first = worker.answered.is_none();
+        if report.born != worker.info.born {
+            let before = std::mem::replace(&mut worker.info.born, report.born);
+            if !first && before != report.born {
+                self.reborn(id, now);
+            }
+        }
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.clock.sample(report.clock_ms, now);
+        worker.answered = Some(now);
+        self.changed |= first;
+        let seen = worker.seen;
+        let ends = report.finished.iter().filter(|row| row.number > seen);
+        for row in ends {
+            self.ended(id, row, now, unix_ms);
+        }
+        let newest = report.finished.iter().map(|row| row.number).max();
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.seen = worker.seen.max(newest.unwrap_or(0));
+        }
+        for row in &report.running {
+            self.runs_there(id, row, sent, now);
+        }
+        self.drop_vanished(id, report, sent, now);
+        self.watch_tails(id, report, now);
+    }
+
+    /// Takes in the answer to a start.
+    pub fn started(&mut self, id: &str, task: TaskName, attempt: u32, answer: Answer, now: Instant) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        let Some(run) = worker.runs.get_mut(&task) else {
+            return;
+        };
+        if run.attempt != attempt || run.phase != Phase::Sent {
+            return;
+        }
+        let unclear = run.unclear;
+        match answer {
+            Answer::Ok => {
+                run.phase = Phase::Running(now);
+                run.unclear = false;
+                if let Some(job) = self.jobs.get_mut(&task.job)
+                    && !job.begun
+                {
+                    job.begun = true;
+                }
+                return;
+            }
+            Answer::Silent => {
+                run.unclear = true;
+                run.sent = now + RESEND;
+                return;
+            }
+            // It may have run and ended there: the next report tells.
+            Answer::Old | Answer::Reborn => {
+                run.phase = Phase::Running(now);
+                return;
+            }
+            Answer::Fenced => self.fenced = true,
+            Answer::Full => {
+                worker.full_until = Some(now + FULL_PAUSE);
+                log::info!("jobs: worker={id} refused task={task} attempt={attempt}: no room.");
+            }
+            Answer::Unhealthy => {
+                let until = now + UNHEALTHY_PAUSE;
+                worker.ejected_until = worker.ejected_until.max(Some(until));
+            }
+            Answer::Unapproved => {
+                let key = (task.job, task.round, task.step);
+                self.approvals.remove(&key);
+            }
+            Answer::Late | Answer::Refused => {}
+        }
+        if unclear {
+            // The order that got no answer may still be carried out; a stop prevents it.
+            self.stop_run(id, task);
+            return;
+        }
+        self.remove_run(id, task);
+        let refused = answer == Answer::Refused;
+        if let Some(task) = self.jobs.get_mut(&task.job).and_then(|j| j.task(&task)) {
+            let wait = if refused { 1_000 } else { 20 };
+            task.not_before = Some(now + Duration::from_millis(wait));
+        }
+    }
+
+    /// Takes in the answer to a stop.
+    pub fn stopped(&mut self, id: &str, task: TaskName, attempt: u32, answer: Answer, now: Instant) {
+        let worker = self.workers.get_mut(id);
+        let Some(run) = worker.and_then(|w| w.runs.get_mut(&task)) else {
+            return;
+        };
+        if run.attempt != attempt {
+            return;
+        }
+        match answer {
+            Answer::Silent | Answer::Unhealthy => run.sent = now + RESEND,
+            Answer::Fenced => self.fenced = true,
+            _ => run.phase = Phase::Stopping(Some(now)),
+        }
+    }
+
+    /// Begins to stop a run.
+    pub(super) fn stop_run(&mut self, id: &str, task: TaskName) {
+        let token = self.worker_token(id);
+        let worker = self.workers.get_mut(id);
+        let Some(run) = worker.and_then(|w| w.runs.get_mut(&task)) else {
+            return;
+        };
+        if matches!(run.phase, Phase::Stopping(_)) {
+            return;
+        }
+        run.phase = Phase::Stopping(None);
+        let attempt = run.attempt;
+        self.orders.push(Order::Stop {
+            worker: id.to_owned(),
+            task,
+            attempt,
+            token,
+        });
+    }
+
+    /// Takes a run off a worker's books; returns it.
+    pub(super) fn remove_run(&mut self, id: &str, task: TaskName) -> Option<Run> {
+        self.changed = true;
+        if let Some(task) = self.jobs.get_mut(&task.job).and_then(|j| j.task(&task)) {
+            task.at.retain(|w| w != id);
+        }
+        let worker = self.workers.get_mut(id)?;
+        let run = worker.runs.remove(&task)?;
+        worker.free.cpu += run.room.cpu;
+        worker.free.mem_mb += run.room.mem_mb;
+        worker.free.gpu += run.room.gpu;
+        worker.fill_cpu -= run.fill_cpu;
+        worker.serving -= u32::from(run.target_ms > 0.0);
+        if worker.serving == 0 {
+            worker.pace.reset();
+        }
+        Some(run)
+    }
+
+    /// Books a run on a worker.
+    pub(super) fn add_run(&mut self, id: &str, task: TaskName, attempt: u32, phase: Phase, now: Instant) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let Some(step) = job.spec.steps.get(usize::from(task.step)).cloned() else {
+            return;
+        };
+        let Some(of_job) = job.task(&task) else {
+            return;
+        };
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        of_job.at.push(id.to_owned());
+        of_job.attempt = of_job.attempt.max(attempt);
+        let room = taken(&step);
+        let fill_cpu = if step.fills { step.room.cpu } else { 0 };
+        worker.free.take(&room);
+        worker.fill_cpu += fill_cpu;
+        worker.serving += u32::from(step.target_ms > 0.0);
+        let run = Run {
+            attempt,
+            phase,
+            room,
+            fill_cpu,
+            target_ms: step.target_ms,
+            since: now,
+            sent: now,
+            unclear: false,
+            percent: -1.0,
+            moved: now,
+            pace: 100,
+            saved: String::new(),
+        };
+        worker.runs.insert(task, run);
+    }
+
+    /// Gives the tasks of a lost run back.
+    pub(super) fn lose_run(&mut self, id: &str, task: TaskName, why: &str, now: Instant) {
+        let Some(run) = self.remove_run(id, task) else {
+            return;
+        };
+        log::info!(
+            "jobs: task={task} attempt={} worker={id} lost: {why} percent={}.",
+            run.attempt,
+            run.percent,
+        );
+        if let Some(of_job) = self.jobs.get_mut(&task.job).and_then(|j| j.task(&task)) {
+            if !run.saved.is_empty() {
+                of_job.saved = run.saved;
+            }
+            of_job.avoid = Some(id.to_owned());
+        }
+        let _ = now;
+        self.retire(task.job);
+    }
+
+    /// Counts a failed run against its worker.
+    pub(super) fn blame(&mut self, id: &str, now: Instant) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.failures += 1;
+            if worker.failures >= EJECTING_FAILURES {
+                worker.ejected_until = Some(now + EJECTION);
+                // One more failure ejects it again after that.
+                worker.failures = EJECTING_FAILURES - 1;
+                log::warn!("jobs: worker={id} ejected after failed runs.");
+            }
+        }
+    }
+
+    fn reborn(&mut self, id: &str, now: Instant) {
+        log::warn!("jobs: worker={id} began a new life, its runs are gone.");
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.lives += 1;
+        worker.clock = LeaseClock::default();
+        worker.seen = 0;
+        worker.acked = 0;
+        worker.failures = 0;
+        worker.ejected_until = None;
+        worker.pace = Pace::default();
+        let runs: Vec<_> = worker.runs.keys().copied().collect();
+        for task in runs {
+            self.lose_run(id, task, "the worker began anew", now);
+        }
+    }
+
+    /// Takes in one row of what runs on a worker.
+    fn runs_there(&mut self, id: &str, row: &RunningRow, sent: Instant, now: Instant) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if let Some(run) = worker.runs.get_mut(&row.task)
+            && run.attempt == row.attempt
+        {
+            if run.phase == Phase::Sent {
+                run.phase = Phase::Running(now);
+                run.unclear = false;
+                if let Some(job) = self.jobs.get_mut(&row.task.job) {
+                    job.begun = true;
+                }
+            }
+            if row.percent != run.percent {
+                run.percent = row.percent;
+                run.moved = now;
+            }
+            if !row.saved.is_empty() {
+                row.saved.clone_into(&mut run.saved);
+            }
+            return;
+        }
+        if worker.runs.contains_key(&row.task) {
+            // Another attempt is on the books here; the newer one tells.
+            return;
+        }
+        self.adopt(id, row, sent, now);
+    }
+
+    /// Books a run that an earlier leader started, or stops it if it is not wanted.
+    fn adopt(&mut self, id: &str, row: &RunningRow, sent: Instant, now: Instant) {
+        let wanted = self.wants(row.task);
+        self.make_rounds_upto(row.task);
+        let token = self.worker_token(id);
+        if wanted {
+            log::info!(
+                "jobs: task={} attempt={} worker={id} found running.",
+                row.task,
+                row.attempt,
+            );
+            self.add_run(id, row.task, row.attempt, Phase::Running(sent), now);
+            if let Some(job) = self.jobs.get_mut(&row.task.job) {
+                job.begun = true;
+            }
+            return;
+        }
+        // Stops are idempotent, and the next report shows whether it took effect.
+        self.orders.push(Order::Stop {
+            worker: id.to_owned(),
+            task: row.task,
+            attempt: row.attempt,
+            token,
+        });
+        log::info!(
+            "jobs: task={} attempt={} worker={id} is not wanted, stopping it.",
+            row.task,
+            row.attempt,
+        );
+    }
+
+    /// Gives back the runs that a worker should list and does not.
+    fn drop_vanished(&mut self, id: &str, report: &Report, sent: Instant, now: Instant) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        let listed: HashSet<_> = report.running.iter().map(|r| (r.task, r.attempt)).collect();
+        let gone = worker.runs.iter().filter(|(task, run)| {
+            let answered = match run.phase {
+                Phase::Sent | Phase::Stopping(None) => None,
+                Phase::Running(at) | Phase::Stopping(Some(at)) => Some(at),
+            };
+            answered.is_some_and(|at| at < sent) && !listed.contains(&(**task, run.attempt))
+        });
+        let gone: Vec<_> = gone.map(|(task, _)| *task).collect();
+        for task in gone {
+            self.lose_run(id, task, "the worker does not list it", now);
+        }
+    }
+
+    /// Gives back what ran on workers whose leases have surely ended; forgets gone workers.
+    pub(super) fn lapse(&mut self, now: Instant) {
+        let unsure = self.unsure_until();
+        let silent = |w: &Worker| w.answered.is_none_or(|at| now.duration_since(at) > DOUBTFUL);
+        let mut lost = Vec::new();
+        let mut gone = Vec::new();
+        for (id, worker) in &self.workers {
+            if !silent(worker) {
+                continue;
+            }
+            let lapsed = if worker.clock.is_known() {
+                worker.clock.has_lapsed(now)
+            } else {
+                now >= unsure
+            };
+            if lapsed {
+                lost.extend(worker.runs.keys().map(|task| (id.clone(), *task)));
+                if !worker.listed {
+                    gone.push(id.clone());
+                }
+            }
+        }
+        for (id, task) in lost {
+            self.lose_run(&id, task, "the worker is silent and its lease has ended", now);
+        }
+        for id in gone {
+            log::info!("jobs: worker={id} is gone.");
+            self.workers.remove(&id);
+            self.roster_dirty = true;
+        }
+    }
+
+    /// Returns whether work of an earlier leader may run on a worker that has not answered yet.
+    pub(super) fn is_unsure(&self, now: Instant) -> bool {
+        now < self.unsure_until() && self.workers.values().any(|w| w.answered.is_none())
+    }
+
+    fn unsure_until(&self) -> Instant {
+        self.since + self.params.unsure
+    }
+
+    /// Sends orders again that got no answer.
+    pub(super) fn resend(&mut self, now: Instant) {
+        let mut again = Vec::new();
+        for (id, worker) in &mut self.workers {
+            if !worker.is_in_contact(now) {
+                continue;
+            }
+            for (task, run) in &mut worker.runs {
+                let due = run.sent <= now && run.sent > run.since;
+                match run.phase {
+                    Phase::Sent if due && run.unclear => again.push((id.clone(), *task, true)),
+                    Phase::Stopping(None) if due => again.push((id.clone(), *task, false)),
+                    _ => continue,
+                }
+                // The answer sets the next time.
+                run.sent = run.since;
+            }
+        }
+        for (id, task, start) in again {
+            if start {
+                self.order_start(&id, task, now);
+            } else if let Some(run) = self.workers.get(&id).and_then(|w| w.runs.get(&task)) {
+                let attempt = run.attempt;
+                let token = self.worker_token(&id);
+                self.orders.push(Order::Stop {
+                    worker: id,
+                    task,
+                    attempt,
+                    token,
+                });
+            }
+        }
+    }
+}
+
+impl Worker {
+    fn new(info: WorkerInfo, now: Instant) -> Self {
+        let free = info.room;
+        let draining = info.standing == Standing::Draining;
+        Self {
+            info: WorkerInfo { born: 0, ..info },
+            listed: true,
+            unlisted: None,
+            draining_since: draining.then_some(now),
+            lives: 0,
+            clock: LeaseClock::default(),
+            answered: None,
+            runs: Default::default(),
+            free,
+            fill_cpu: 0,
+            serving: 0,
+            seen: 0,
+            acked: 0,
+            pace: Pace::default(),
+            failures: 0,
+            ejected_until: None,
+            full_until: None,
+        }
+    }
+
+    pub(super) fn is_in_contact(&self, now: Instant) -> bool {
+        let answered = self.answered;
+        answered.is_some_and(|at| now.duration_since(at) <= DOUBTFUL)
+    }
+
+    /// Returns whether new work may be placed here.
+    pub(super) fn is_open(&self, now: Instant) -> bool {
+        let past = |until: Option<Instant>| until.is_none_or(|until| until <= now);
+        let listed = |at| now.duration_since(at) < UNLISTED_GRACE;
+        (self.listed || self.unlisted.is_some_and(listed))
+            && self.draining_since.is_none()
+            && self.is_in_contact(now)
+            && past(self.ejected_until)
+            && past(self.full_until)
+    }
+}
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -425,6 +425,8 @@
 async fn answer_peer(router: Arc<Router>, call: Call) -> Reply {
     match call {
         Call::Offer(offer) => router.accept(offer).await,
+        // The shards of jobs belong to the scheduling part.
+        Call::JobState { .. } => Reply::JobState(None),
         Call::Snapshot(domain) => {
             let directory = router.directory();
             let (version, row) = &directory.row;
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,25 +1,41 @@
 //! `marigoldbend-entry SETTINGS.ini`: runs one entry instance until it is told to end.
 
 use {
-    marigoldbend_entry::{entry::Entry, settings::Settings},
+    marigoldbend_entry::{
+        entry::Entry,
+        logs::Output,
+        scheduling,
+        settings::{LogLevel, Settings, scheduling::Settings as Scheduling},
+    },
     pico_args::Arguments,
     simplelog::{ConfigBuilder, WriteLogger},
-    std::{io, path::PathBuf, process::ExitCode},
+    std::{
+        env, fs, io,
+        path::{Path, PathBuf},
+        process::ExitCode,
+    },
     tokio::signal::unix::{SignalKind, signal},
 };
 
 const HELP: &str = "\
 Runs one entry instance of marigoldbend.
 
-Usage: marigoldbend-entry [--check] SETTINGS.ini
+Usage: marigoldbend-entry [--check] [SETTINGS.ini]
 
   --check   check the settings and exit
+
+Without SETTINGS.ini, the variable MARIGOLDBEND_CONFIG names the file. A file with a section
+[scheduler] is for an instance that schedules jobs on a platform with a store.
+
   --help    print this text
 
 It ends gracefully on SIGTERM and SIGINT.
 Exit codes: 0 graceful end, 1 failure, 2 wrong arguments or settings.
 ";
 
+/// The variable that may name the settings file.
+const SETTINGS_VARIABLE: &str = "MARIGOLDBEND_CONFIG";
+
 fn main() -> ExitCode {
     match run() {
         Ok(true) => ExitCode::SUCCESS,
@@ -47,28 +63,49 @@
         return Ok(true);
     }
     let check = args.contains("--check");
-    let path: PathBuf = args
-        .free_from_str()
-        .map_err(|_| Failure::Usage("SETTINGS.ini is missing; see --help".to_owned()))?;
+    let path = args.opt_free_from_str::<PathBuf>();
+    let path = path.map_err(|e| Failure::Usage(e.to_string()))?;
+    let path = path.or_else(|| env::var_os(SETTINGS_VARIABLE).map(PathBuf::from));
+    let path = path.ok_or_else(|| {
+        Failure::Usage("SETTINGS.ini is missing; see --help".to_owned())
+    })?;
     let rest = args.finish();
     if !rest.is_empty() {
         return Err(Failure::Usage(format!("unexpected argument {:?}", rest[0])));
     }
+    let text = fs::read_to_string(&path).unwrap_or_default();
+    if Scheduling::is_meant(&text) {
+        return run_scheduling(&path, check);
+    }
     let settings = Settings::load(&path).map_err(|e| Failure::Usage(e.to_string()))?;
     if check {
         println!("{}: the settings are valid", path.display());
         return Ok(true);
     }
+    start_log(settings.log_level, io::stderr())?;
+    let entry = Entry::start(settings).map_err(|e| Failure::Run(e.to_string()))?;
+    wait_for_end(&entry).map_err(|e| Failure::Run(e.to_string()))?;
+    Ok(entry.join())
+}
+
+fn run_scheduling(path: &Path, check: bool) -> Result<bool, Failure> {
+    let settings = Scheduling::load(path).map_err(|e| Failure::Usage(e.to_string()))?;
+    if check {
+        println!("{}: the settings are valid", path.display());
+        return Ok(true);
+    }
+    let output = Output::start(io::stdout()).map_err(|e| Failure::Run(e.to_string()))?;
+    start_log(settings.log_level, output)?;
+    scheduling::run(&settings).map_err(|e| Failure::Run(e.to_string()))
+}
+
+fn start_log(level: LogLevel, to: impl io::Write + Send + 'static) -> Result<(), Failure> {
     let log = ConfigBuilder::new()
         .set_time_format_rfc3339()
         .set_target_level(log::LevelFilter::Off)
         .set_thread_level(log::LevelFilter::Off)
         .build();
-    WriteLogger::init(settings.log_level, log, io::stderr())
-        .map_err(|e| Failure::Run(e.to_string()))?;
-    let entry = Entry::start(settings).map_err(|e| Failure::Run(e.to_string()))?;
-    wait_for_end(&entry).map_err(|e| Failure::Run(e.to_string()))?;
-    Ok(entry.join())
+    WriteLogger::init(level, log, to).map_err(|e| Failure::Run(e.to_string()))
 }
 
 /// Waits for a signal, or for an operator who asks for the end.
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -2,6 +2,8 @@
 //!
 //! Every key is known and checked; an error names the file, the line, the section and the key.
 
+pub mod scheduling;
+
 use {
     ini::{Ini, Properties},
     marigoldbend::core::ids::Domain,
@@ -14,8 +16,11 @@
     },
 };
 
+/// Sections and their keys.
+type Keys = &'static [(&'static str, &'static [&'static str])];
+
 /// The sections and keys that a settings file may have.
-const KEYS: [(&str, &[&str]); 7] = [
+const KEYS: Keys = &[
     ("instance", &["name", "domain"]),
     (
         "listen",
@@ -104,7 +109,7 @@
     pub fn parse(text: &str) -> Result<Self, String> {
         let ini = Ini::load_from_str_noescape(text);
         let ini = ini.map_err(|e| format!("line {}: {}", e.line, e.msg))?;
-        check_keys(text, &ini)?;
+        check_keys(text, &ini, KEYS)?;
         let reader = Reader { text, ini: &ini };
         let threads = reader.number("traffic", "threads", Some(2), 1, 64)?;
         let timeout_ms = reader.number("platform", "timeout_ms", Some(500), 10, 10_000)?;
@@ -128,7 +133,7 @@
     }
 }
 
-fn check_keys(text: &str, ini: &Ini) -> Result<(), String> {
+fn check_keys(text: &str, ini: &Ini, keys: Keys) -> Result<(), String> {
     for (section, properties) in ini {
         let Some(section) = section else {
             if let Some((key, _)) = properties.iter().next() {
@@ -137,7 +142,7 @@
             }
             continue;
         };
-        let known = KEYS.iter().find(|(name, _)| *name == section);
+        let known = keys.iter().find(|(name, _)| *name == section);
         let Some((_, keys)) = known else {
             let line = line_of_section(text, section);
             return Err(format!("line {line}: section [{section}] is unknown"));
--- /dev/null
+++ b/crates/entry/src/settings/scheduling.rs
@@ -0,0 +1,119 @@
+//! The settings of an instance that schedules jobs on a platform with a store.
+
+use {
+    super::{Keys, LogLevel, Reader, SettingsError, check_keys},
+    ini::Ini,
+    marigoldbend_scheduler::settings::Settings as Scheduler,
+    std::{fs, net::SocketAddr, path::Path, time::Duration},
+};
+
+/// The section that tells such settings from those of other instances.
+const SECTION: &str = "scheduler";
+
+/// The sections and keys that a settings file may have.
+const KEYS: Keys = &[
+    ("instance", &["name", "failure_domain"]),
+    ("listen", &["callers", "readiness", "peers", "metrics"]),
+    (
+        SECTION,
+        &[
+            "store",
+            "advice",
+            "failure_domains",
+            "control_mode",
+            "max_lease_ms",
+            "drain_ms",
+            "grace_ms",
+            "keep_s",
+        ],
+    ),
+    ("log", &["level"]),
+];
+
+/// A result of reading settings.
+pub type Result<T, E = SettingsError> = std::result::Result<T, E>;
+
+/// The settings of an instance that schedules jobs.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// What the scheduling itself needs.
+    pub scheduler: Scheduler,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the platform asks whether the instance takes connections.
+    pub readiness: SocketAddr,
+    /// Where metrics are read, if anywhere.
+    pub metrics: Option<SocketAddr>,
+    /// How long the process may take to end.
+    pub grace: Duration,
+    /// How much is logged.
+    pub log_level: LogLevel,
+}
+
+impl Settings {
+    /// Returns whether a settings file is for an instance that schedules jobs.
+    pub fn is_meant(text: &str) -> bool {
+        let header = format!("[{SECTION}]");
+        text.lines().any(|line| line.trim() == header)
+    }
+
+    /// Reads a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the file, and the line, section and key that is wrong.
+    pub fn load(path: &Path) -> Result<Self> {
+        let fail = |problem| SettingsError {
+            file: path.display().to_string(),
+            problem,
+        };
+        let text = fs::read_to_string(path);
+        let text = text.map_err(|e| fail(format!("can't be read: {e}")))?;
+        Self::parse(&text).map_err(fail)
+    }
+
+    /// Parses the text of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong, and where.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let ini = Ini::load_from_str_noescape(text);
+        let ini = ini.map_err(|e| format!("line {}: {}", e.line, e.msg))?;
+        check_keys(text, &ini, KEYS)?;
+        let reader = Reader { text, ini: &ini };
+        let ms = |key, default, least, most| {
+            let number = reader.number(SECTION, key, Some(default), least, most);
+            number.map(Duration::from_millis)
+        };
+        let mode: Option<String> = reader.optional(SECTION, "control_mode")?;
+        if mode.as_deref().is_some_and(|mode| mode != "call") {
+            let problem = format!("{:?} is not supported; it is call", mode.unwrap_or_default());
+            return Err(reader.wrong(SECTION, "control_mode", &problem));
+        }
+        let zone = reader.name("instance", "failure_domain")?;
+        let mut zones: Vec<String> = reader.list(SECTION, "failure_domains")?;
+        if !zones.contains(&zone) {
+            zones.push(zone.clone());
+        }
+        let keep_s = reader.number(SECTION, "keep_s", Some(120), 1, 86_400)?;
+        Ok(Self {
+            scheduler: Scheduler {
+                name: reader.name("instance", "name")?,
+                zone,
+                zones,
+                peers: reader.required("listen", "peers")?,
+                store: reader.required(SECTION, "store")?,
+                advice: reader.optional(SECTION, "advice")?,
+                max_lease: ms("max_lease_ms", 6_000, 500, 60_000)?,
+                drain: ms("drain_ms", 2_000, 0, 60_000)?,
+                keep: Duration::from_secs(keep_s),
+            },
+            callers: reader.required("listen", "callers")?,
+            readiness: reader.required("listen", "readiness")?,
+            metrics: reader.optional("listen", "metrics")?,
+            grace: ms("grace_ms", 6_000, 500, 60_000)?,
+            log_level: reader.optional("log", "level")?.unwrap_or(LogLevel::Info),
+        })
+    }
+}
--- /dev/null
+++ b/crates/peer/src/beat.rs
@@ -0,0 +1,91 @@
+//! What instances that schedule jobs tell each other several times a second, over UDP.
+
+use {
+    serde::{Deserialize, Serialize},
+    snafu::Snafu,
+    std::net::SocketAddr,
+};
+
+/// The first bytes of a beat: the protocol and its version.
+const MAGIC: &[u8; 4] = b"mgh1";
+
+/// The longest beat that is sent, in bytes; it fits an unfragmented packet.
+pub const LONGEST: usize = 1_300;
+
+/// The most queues whose waiting jobs one beat tells of.
+pub const MOST_QUEUES: usize = 40;
+
+/// A result of coding a beat.
+pub type Result<T, E = BeatError> = std::result::Result<T, E>;
+
+/// A beat that can't be sent or was not understood.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Snafu)]
+pub enum BeatError {
+    /// It does not begin with the protocol's mark, or is damaged.
+    #[snafu(display("damaged beat"))]
+    Damaged,
+    /// It is longer than [`LONGEST`].
+    #[snafu(display("the beat is too long"))]
+    TooLong,
+}
+
+/// A shard that the sender leads.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Lead {
+    /// The shard.
+    pub shard: String,
+    /// The fencing token.
+    pub token: u64,
+    /// Services and how much of their processor is asked for, in thousandths.
+    pub loads: Vec<(String, u32)>,
+    /// Queues and how many of their jobs have not begun.
+    pub pending: Vec<(String, u32)>,
+}
+
+/// A beat.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Beat {
+    /// The sender's name.
+    pub name: String,
+    /// Its failure domain.
+    pub zone: String,
+    /// Its run.
+    pub incarnation: u64,
+    /// Where peers reach it, over UDP and TCP.
+    pub address: SocketAddr,
+    /// The version of the configuration that it has in force.
+    pub config: u64,
+    /// Whether it reaches the store.
+    pub store_ok: bool,
+    /// Whether it is ending.
+    pub ending: bool,
+    /// What it leads.
+    pub leads: Vec<Lead>,
+}
+
+impl Beat {
+    /// Encodes the beat.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is longer than [`LONGEST`].
+    pub fn encode(&self) -> Result<Vec<u8>> {
+        let mut buf = MAGIC.to_vec();
+        let body = postcard::to_stdvec(self).map_err(|_| BeatError::TooLong)?;
+        buf.extend_from_slice(&body);
+        if buf.len() > LONGEST {
+            return Err(BeatError::TooLong);
+        }
+        Ok(buf)
+    }
+
+    /// Decodes a beat.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if it is of another protocol or damaged.
+    pub fn decode(buf: &[u8]) -> Result<Self> {
+        let body = buf.strip_prefix(MAGIC).ok_or(BeatError::Damaged)?;
+        postcard::from_bytes(body).map_err(|_| BeatError::Damaged)
+    }
+}
--- a/crates/peer/src/call.rs
+++ b/crates/peer/src/call.rs
@@ -6,6 +6,7 @@
         config::Config,
         ids::{Domain, Version},
         ownership::DomainRow,
+        sched::{job::JobId, progress::JobState},
     },
     serde::{Deserialize, Serialize},
     snafu::Snafu,
@@ -80,6 +81,13 @@
     Offer(Offer),
     /// Tell what is known of this domain, and the configuration.
     Snapshot(Domain),
+    /// Tell the state of a job of this shard.
+    JobState {
+        /// The shard.
+        shard: String,
+        /// The job.
+        job: JobId,
+    },
 }
 
 /// The reply to a call.
@@ -99,6 +107,8 @@
     },
     /// What is known.
     Snapshot(Box<Snapshot>),
+    /// The job's state; `None` if the instance does not lead the shard or does not know the job.
+    JobState(Option<JobState>),
 }
 
 /// A call or a reply, with the number that pairs them on one connection.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -32,6 +32,7 @@
 //! assert!(Datagram::decode(&bytes[1..]).is_err());
 //! ```
 
+pub mod beat;
 pub mod call;
 pub mod datagram;
 pub mod link;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -25,6 +25,8 @@
 pub mod backoff;
 pub mod group;
 pub mod instances;
+pub mod rows;
+pub mod store;
 pub mod table;
 pub mod wire;
 pub mod workers;
--- /dev/null
+++ b/crates/scheduler/src/intake.rs
@@ -0,0 +1,472 @@
+//! What callers ask for: to accept a job, tell its state, cancel it, or count those that wait.
+
+use {
+    crate::{
+        control::{AskState, Control, unix_ms},
+        metrics::Metrics,
+        names,
+        settings::Settings,
+        takeover::read_lease,
+        view::View,
+    },
+    arc_swap::ArcSwap,
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{
+        HeaderMap, Method, Request, Response, StatusCode,
+        body::Incoming,
+        header::{CONTENT_TYPE, HOST, HeaderValue, RETRY_AFTER},
+    },
+    marigoldbend_core::{
+        hash::HashMap,
+        sched::{
+            job::{JobId, JobSpec},
+            progress::{JobState, Outcome as JobOutcome, Progress},
+            queues::Queue,
+        },
+    },
+    marigoldbend_http::body::{Answer, BodyError, read_whole},
+    marigoldbend_peer::{
+        call::{Call, Reply},
+        link::Link,
+    },
+    marigoldbend_platform::{
+        backoff::Backoff,
+        rows::{Outcome, Range, RowKey, Tx},
+        store::{Store, StoreError},
+    },
+    marigoldbend_wire::callers as wire,
+    parking_lot::Mutex,
+    std::{
+        collections::VecDeque,
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::time::sleep,
+    xtra::Address,
+};
+
+/// The longest time that a caller is taken to wait if it does not say.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(3);
+
+/// What must be left of a caller's time for the answer to reach it.
+const ANSWER_RESERVE: Duration = Duration::from_millis(150);
+
+/// How long a refused write is tried again before the caller is told to come back.
+const WRITE_PATIENCE: Duration = Duration::from_millis(900);
+
+/// How long a shard's leader may take to tell a job's state.
+const STATE_LIMIT: Duration = Duration::from_millis(400);
+
+/// When a refused caller may come back, in seconds.
+const RETRY_AFTER_S: u64 = 1;
+
+/// Jobs whose shard is remembered.
+const REMEMBERED: usize = 50_000;
+
+/// What serves callers.
+pub struct Intake {
+    settings: Settings,
+    store: Arc<Store>,
+    view: Arc<ArcSwap<View>>,
+    control: Address<Control>,
+    metrics: Arc<Metrics>,
+    links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
+    jobs: Mutex<Remembered>,
+}
+
+#[derive(Default)]
+struct Remembered {
+    shards: HashMap<JobId, (String, Option<JobState>)>,
+    order: VecDeque<JobId>,
+}
+
+/// Why a call could not be served.
+enum Failure {
+    /// Nothing was done.
+    Undone,
+    /// It may have been done.
+    Unclear,
+}
+
+impl From<StoreError> for Failure {
+    fn from(e: StoreError) -> Self {
+        match e {
+            StoreError::Undone => Self::Undone,
+            _ => Self::Unclear,
+        }
+    }
+}
+
+impl Intake {
+    /// Creates the part that serves callers.
+    pub fn new(
+        settings: Settings,
+        store: Arc<Store>,
+        view: Arc<ArcSwap<View>>,
+        control: Address<Control>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self {
+            settings,
+            store,
+            view,
+            control,
+            metrics,
+            links: Mutex::default(),
+            jobs: Mutex::default(),
+        }
+    }
+
+    /// Serves one request.
+    pub async fn serve(self: Arc<Self>, req: Request<Incoming>) -> Answer {
+        let begin = Instant::now();
+        let (parts, body) = req.into_parts();
+        let view = self.view.load_full();
+        let host = host_of(&parts.headers, parts.uri.authority().map(|a| a.as_str()));
+        let path = parts.uri.path();
+        let Some(queues) = &view.queues else {
+            return self.done("none", begin, refused("no configuration yet"));
+        };
+        let Some((queue, rest)) = queues.find(host, path) else {
+            log::info!("intake: host={host} path={path} has no queue, config={}.", queues.version);
+            let answer = answer(StatusCode::NOT_FOUND, wire::write_error("no such queue", None));
+            return self.done("none", begin, answer);
+        };
+        let deadline = wire::read_deadline(&parts.headers).map(Duration::from_millis);
+        let deadline = deadline.unwrap_or(DEFAULT_DEADLINE);
+        let end = begin + deadline.saturating_sub(ANSWER_RESERVE);
+        if parts.method == Method::GET && rest.is_empty() {
+            let pending = wire::write_pending(view.pending(&queue.name));
+            return self.done("pending", begin, answer(StatusCode::OK, pending));
+        }
+        let Ok(id) = rest.parse::<JobId>() else {
+            let problem = "the job's identifier is not 16 lower-case hexadecimal digits";
+            let answer = answer(StatusCode::BAD_REQUEST, wire::write_error(problem, None));
+            return self.done("none", begin, answer);
+        };
+        match parts.method {
+            Method::POST => {
+                let body = read_whole(body, queues.body_limit).await;
+                let answer = match body {
+                    Ok(body) => self.submit(&view, queue, id, &body, end).await,
+                    Err(BodyError::TooLong) => answer(
+                        StatusCode::PAYLOAD_TOO_LARGE,
+                        wire::write_error("the body is longer than the limit", None),
+                    ),
+                    Err(BodyError::Cut) => answer(
+                        StatusCode::BAD_REQUEST,
+                        wire::write_error("the body was cut short", None),
+                    ),
+                };
+                self.log("submit", queue, id, &answer, begin, queues.version);
+                self.done("submit", begin, answer)
+            }
+            Method::GET => {
+                let answer = self.state(id, end).await;
+                if answer.status() != StatusCode::OK {
+                    self.log("state", queue, id, &answer, begin, queues.version);
+                }
+                self.done("state", begin, answer)
+            }
+            Method::DELETE => {
+                let answer = self.cancel(id, end).await;
+                self.log("cancel", queue, id, &answer, begin, queues.version);
+                self.done("cancel", begin, answer)
+            }
+            _ => {
+                let body = wire::write_error("the method is not one of POST, GET, DELETE", None);
+                self.done("none", begin, answer(StatusCode::METHOD_NOT_ALLOWED, body))
+            }
+        }
+    }
+
+    /// Answers the platform's question whether this instance takes connections.
+    pub fn readiness(&self, path: &str) -> Answer {
+        let ready = self.view.load().ready;
+        if path != wire::READY_PATH {
+            return answer(StatusCode::NOT_FOUND, Bytes::new());
+        }
+        if ready {
+            answer(StatusCode::OK, Bytes::new())
+        } else {
+            answer(StatusCode::SERVICE_UNAVAILABLE, Bytes::new())
+        }
+    }
+
+    fn log(&self, call: &str, queue: &Queue, id: JobId, answer: &Answer, begin: Instant, ver: u64) {
+        log::info!(
+            "intake: call={call} job={id} queue={} status={} ms={} config={ver}.",
+            queue.name,
+            answer.status().as_u16(),
+            begin.elapsed().as_millis(),
+        );
+    }
+
+    fn done(&self, call: &str, begin: Instant, answer: Answer) -> Answer {
+        let status = answer.status();
+        let labels = [call, status.as_str()];
+        self.metrics.requests.with_label_values(&labels).inc();
+        let latency = self.metrics.latency.with_label_values(&[call]);
+        latency.observe(begin.elapsed().as_secs_f64());
+        answer
+    }
+
+    async fn submit(
+        &self,
+        view: &View,
+        queue: &Queue,
+        id: JobId,
+        body: &[u8],
+        end: Instant,
+    ) -> Answer {
+        if self.shard_of(id).is_some() {
+            return answer(StatusCode::OK, Bytes::new());
+        }
+        let job = match wire::read_job(body, queue, unix_ms()) {
+            Ok(job) => job,
+            Err(e) => {
+                log::info!("intake: job={id} queue={} is not valid: {e}.", queue.name);
+                let body = wire::write_error(&e.to_string(), None);
+                return answer(StatusCode::BAD_REQUEST, body);
+            }
+        };
+        let shard = view.choose_shard(&self.settings.zone, &job);
+        match self.store_job(&shard, id, &job, end).await {
+            Ok(shard) => {
+                log::info!("intake: job={id} stored shard={shard}.");
+                self.remember(id, &shard, None);
+                answer(StatusCode::OK, Bytes::new())
+            }
+            Err(Failure::Undone) => refused("the store does not take the job"),
+            Err(Failure::Unclear) => {
+                let body = wire::write_error("it is not known whether the job was stored", None);
+                answer(StatusCode::GATEWAY_TIMEOUT, body)
+            }
+        }
+    }
+
+    /// Stores a job under its identifier; returns the shard that it belongs to.
+    async fn store_job(
+        &self,
+        shard: &str,
+        id: JobId,
+        job: &JobSpec,
+        end: Instant,
+    ) -> Result<String, Failure> {
+        let tx = Tx {
+            expect: vec![(names::id(id), 0)],
+            puts: vec![
+                (names::id(id), shard.as_bytes().to_vec()),
+                // Plain data always encodes.
+                (names::job(shard, id), postcard::to_stdvec(job).unwrap_or_default()),
+            ],
+            drops: Vec::new(),
+        };
+        match self.write(&tx, end).await? {
+            Outcome::Applied(_) => Ok(shard.to_owned()),
+            Outcome::Conflict(rows) => {
+                let row = rows.into_iter().find(|row| !row.value.is_empty());
+                let row = row.ok_or(Failure::Unclear)?;
+                String::from_utf8(row.value).map_err(|_| Failure::Unclear)
+            }
+        }
+    }
+
+    /// Writes until the outcome is known.
+    async fn write(&self, tx: &Tx, end: Instant) -> Result<Outcome, Failure> {
+        let patience = Instant::now() + WRITE_PATIENCE;
+        let mut backoff = Backoff::new();
+        let mut unclear = false;
+        loop {
+            let e = match self.store.tx(tx).await {
+                Ok(outcome) => return Ok(outcome),
+                Err(e) => e,
+            };
+            unclear |= e != StoreError::Undone;
+            let wait = backoff.next(&mut rand::rng());
+            let limit = if unclear { end } else { end.min(patience) };
+            if Instant::now() + wait >= limit {
+                return Err(if unclear {
+                    Failure::Unclear
+                } else {
+                    Failure::Undone
+                });
+            }
+            sleep(wait).await;
+        }
+    }
+
+    async fn state(&self, id: JobId, end: Instant) -> Answer {
+        match self.find_state(id, end).await {
+            Ok(Some(state)) => answer(StatusCode::OK, wire::write_state(state)),
+            Ok(None) => answer(wire::NO_SUCH_JOB, Bytes::new()),
+            Err(_) => refused("the job's state is not known now"),
+        }
+    }
+
+    async fn find_state(&self, id: JobId, end: Instant) -> Result<Option<JobState>, Failure> {
+        let known = self.jobs.lock().shards.get(&id).cloned();
+        if let Some((_, Some(state))) = known {
+            return Ok(Some(state));
+        }
+        let shard = match known {
+            Some((shard, _)) => shard,
+            None => match self.read_shard(id, end).await? {
+                Some(shard) => shard,
+                None => return Ok(None),
+            },
+        };
+        let state = match self.ask_leader(&shard, id).await {
+            Some(state) => state,
+            None => self.read_state(&shard, id, end).await?,
+        };
+        let over = !matches!(state, JobState::Queued | JobState::Running);
+        self.remember(id, &shard, over.then_some(state));
+        Ok(Some(state))
+    }
+
+    async fn ask_leader(&self, shard: &str, id: JobId) -> Option<JobState> {
+        let view = self.view.load_full();
+        let leader = view.leaders.get(shard)?;
+        if leader.name == self.settings.name {
+            let ask = AskState(shard.to_owned(), id);
+            return self.control.send(ask).await.ok().flatten();
+        }
+        let link = {
+            let mut links = self.links.lock();
+            let address = leader.address;
+            let new = || Arc::new(Link::new(address, None));
+            links.entry(address).or_insert_with(new).clone()
+        };
+        let call = Call::JobState {
+            shard: shard.to_owned(),
+            job: id,
+        };
+        match link.call(&call, STATE_LIMIT).await {
+            Ok(Reply::JobState(state)) => state,
+            Ok(_) => None,
+            Err(e) => {
+                log::info!("intake: job={id} shard={shard} leader={}: {e}.", leader.name);
+                None
+            }
+        }
+    }
+
+    /// Reads the shard of a job; `None` if there is no such job.
+    async fn read_shard(&self, id: JobId, end: Instant) -> Result<Option<String>, Failure> {
+        let row = self.read_row(&names::id(id), end).await?;
+        let shard = row.map(|value| String::from_utf8(value).map_err(|_| Failure::Unclear));
+        shard.transpose()
+    }
+
+    /// Reads a job's state from the store.
+    async fn read_state(&self, shard: &str, id: JobId, end: Instant) -> Result<JobState, Failure> {
+        let row = self.read_row(&names::progress(shard, id), end).await?;
+        let progress = row.and_then(|value| Progress::decode(&value).ok());
+        let progress = progress.unwrap_or_default();
+        Ok(match progress.outcome {
+            JobOutcome::Open if progress.begun => JobState::Running,
+            JobOutcome::Open => JobState::Queued,
+            JobOutcome::Completed => JobState::Completed,
+            JobOutcome::Failed => JobState::Failed,
+            JobOutcome::Cancelled => JobState::Cancelled,
+        })
+    }
+
+    async fn read_row(&self, key: &RowKey, end: Instant) -> Result<Option<Vec<u8>>, Failure> {
+        let after = format!("{}\u{1}", key.key);
+        let range = Range {
+            table: &key.table,
+            part: &key.part,
+            from: &key.key,
+            to: &after,
+        };
+        let mut backoff = Backoff::new();
+        loop {
+            let e = match self.store.range(&range).await {
+                Ok(page) => return Ok(page.rows.into_iter().next().map(|row| row.value)),
+                Err(e) => e,
+            };
+            let wait = backoff.next(&mut rand::rng());
+            if Instant::now() + wait >= end {
+                return Err(e.into());
+            }
+            sleep(wait).await;
+        }
+    }
+
+    async fn cancel(&self, id: JobId, end: Instant) -> Answer {
+        let shard = match self.shard_of(id) {
+            Some(shard) => Ok(Some(shard)),
+            None => self.read_shard(id, end).await,
+        };
+        let shard = match shard {
+            Ok(Some(shard)) => shard,
+            Ok(None) => return answer(wire::NO_SUCH_JOB, Bytes::new()),
+            Err(_) => return refused("the job is not known now"),
+        };
+        let tx = Tx {
+            puts: vec![(names::cancel(&shard, id), Vec::new())],
+            ..Tx::default()
+        };
+        match self.write(&tx, end).await {
+            Ok(_) => answer(StatusCode::OK, Bytes::new()),
+            Err(Failure::Undone) => refused("the store does not take the cancellation"),
+            Err(Failure::Unclear) => {
+                let problem = "it is not known whether the cancellation was stored";
+                let body = wire::write_error(problem, None);
+                answer(StatusCode::GATEWAY_TIMEOUT, body)
+            }
+        }
+    }
+
+    fn shard_of(&self, id: JobId) -> Option<String> {
+        let jobs = self.jobs.lock();
+        jobs.shards.get(&id).map(|(shard, _)| shard.clone())
+    }
+
+    fn remember(&self, id: JobId, shard: &str, over: Option<JobState>) {
+        let mut jobs = self.jobs.lock();
+        if jobs.shards.insert(id, (shard.to_owned(), over)).is_some() {
+            return;
+        }
+        jobs.order.push_back(id);
+        if jobs.order.len() > REMEMBERED
+            && let Some(oldest) = jobs.order.pop_front()
+        {
+            jobs.shards.remove(&oldest);
+        }
+    }
+
+    /// Returns whether the store still answers; for operators.
+    ///
+    /// # Errors
+    ///
+    /// Returns the store's failure.
+    pub async fn check_store(&self) -> Result<(), StoreError> {
+        read_lease(&self.store, &self.settings.zone).await.map(drop)
+    }
+}
+
+fn host_of<'a>(headers: &'a HeaderMap, authority: Option<&'a str>) -> &'a str {
+    let host = headers.get(HOST).and_then(|h| h.to_str().ok());
+    host.or(authority).unwrap_or_default()
+}
+
+fn answer(status: StatusCode, body: Bytes) -> Answer {
+    let mut answer = Response::new(Full::new(body));
+    *answer.status_mut() = status;
+    let json = HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(CONTENT_TYPE, json);
+    answer
+}
+
+/// Says that nothing was done and when to come back.
+fn refused(problem: &str) -> Answer {
+    let body = wire::write_error(problem, Some(RETRY_AFTER_S * 1_000));
+    let mut answer = answer(StatusCode::SERVICE_UNAVAILABLE, body);
+    answer.headers_mut().insert(RETRY_AFTER, RETRY_AFTER_S.into());
+    answer
+}
--- /dev/null
+++ b/crates/scheduler/src/leading.rs
@@ -0,0 +1,283 @@
+//! A shard that this instance leads: the state machine, its rows and its workers.
+
+use {
+    crate::{
+        metrics::Metrics,
+        names,
+        orders::{Answered, Ask, Boxed, Way},
+        takeover::Taken,
+    },
+    marigoldbend_core::{
+        hash::HashMap,
+        sched::{
+            job::JobId,
+            shard::{Batch, Found, Order, Params, Shard},
+            worker::{Report, WorkerInfo},
+        },
+    },
+    marigoldbend_platform::rows::{Row, Tx},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::task::AbortHandle,
+};
+
+/// Rows in one transaction; the store takes a hundred entries, two of which are ours.
+const MOST_ROWS: usize = 90;
+
+/// How long a worker waits for an end before it reports.
+const REPORT_WAIT: Duration = Duration::from_millis(1_000);
+
+/// The same while its serving tasks share it with filling ones.
+const SHARED_WAIT: Duration = Duration::from_millis(500);
+
+/// How long a report waits for earlier ends to be stored, at a time.
+const STORE_DELAY: Duration = Duration::from_millis(30);
+
+/// How long reports may wait for the store altogether.
+const LONGEST_DELAY: Duration = Duration::from_millis(300);
+
+/// How long after a failed write the next one is tried.
+const WRITE_RETRY: Duration = Duration::from_millis(120);
+
+/// Where the events of a led shard go.
+pub struct Sinks {
+    /// Says how a worker's next report is asked for.
+    pub ask: Arc<dyn Fn(String) -> Boxed<Option<Ask>> + Send + Sync>,
+    /// Takes in a worker's report.
+    pub report: Arc<dyn Fn(String, Report, Instant) -> Boxed<()> + Send + Sync>,
+    /// Takes in the answer to an order.
+    pub answer: Arc<dyn Fn(Answered) -> Boxed<()> + Send + Sync>,
+}
+
+/// A shard that this instance leads.
+pub struct Leading {
+    /// The shard's name.
+    pub name: String,
+    /// The fencing token.
+    pub token: u64,
+    /// The version of the lease row, on which writes depend.
+    pub ver: u64,
+    /// The state machine.
+    pub shard: Shard,
+    /// The task that follows the shard's jobs.
+    pub feed: Option<AbortHandle>,
+    ways: HashMap<String, Way>,
+    asked: HashMap<String, Instant>,
+    writing: bool,
+    write_after: Option<Instant>,
+    sinks: Sinks,
+    metrics: Arc<Metrics>,
+}
+
+impl Drop for Leading {
+    fn drop(&mut self) {
+        if let Some(feed) = &self.feed {
+            feed.abort();
+        }
+    }
+}
+
+impl Leading {
+    /// Begins to lead with what the store holds.
+    pub fn new(
+        name: &str,
+        taken: Taken,
+        params: Params,
+        sinks: Sinks,
+        metrics: Arc<Metrics>,
+        now: Instant,
+    ) -> Self {
+        let mut shard = Shard::new(params, taken.token, now);
+        for (worker, address) in &taken.roster {
+            shard.worker_used(worker, address, now);
+        }
+        let first = taken.token == 1;
+        for (id, spec, progress) in taken.jobs {
+            let found = if first {
+                Found::New
+            } else {
+                Found::Stored(progress)
+            };
+            shard.add_job(id, spec, found, now);
+        }
+        for id in taken.cancelled {
+            shard.cancel(id, 0);
+        }
+        Self {
+            name: name.to_owned(),
+            token: taken.token,
+            ver: taken.ver,
+            shard,
+            feed: None,
+            ways: HashMap::default(),
+            asked: HashMap::default(),
+            writing: false,
+            write_after: None,
+            sinks,
+            metrics,
+        }
+    }
+
+    /// Takes in the platform's list of workers; `None` for those that it does not name any more.
+    pub fn list(&mut self, workers: &HashMap<String, WorkerInfo>, now: Instant) {
+        let of_shard = workers.values().filter(|w| w.zone == self.name);
+        for worker in of_shard {
+            self.shard.worker_listed(worker, now);
+        }
+        let known: Vec<_> = self.shard.contacts().map(|(id, _)| id.to_owned()).collect();
+        for id in known {
+            if !workers.contains_key(&id) {
+                self.shard.worker_unlisted(&id, now);
+            }
+        }
+        self.open_ways();
+    }
+
+    /// Takes in rows of the shard's table of jobs.
+    pub fn job_rows(&mut self, rows: &[Row], now: Instant, unix_ms: u64) {
+        for row in rows.iter().filter(|row| !row.dropped) {
+            match names::read_job_key(&row.name.key) {
+                Some(names::JobRow::Cancel(id)) => self.shard.cancel(id, unix_ms),
+                Some(names::JobRow::Job(id)) => match postcard::from_bytes(&row.value) {
+                    Ok(spec) => self.shard.add_job(id, spec, Found::New, now),
+                    Err(e) => log::error!("lead: shard={} row={}: {e}.", self.name, row.name),
+                },
+                None => log::error!("lead: shard={} row={}: unknown key.", self.name, row.name),
+            }
+        }
+    }
+
+    /// Says how a worker's next report is asked for.
+    pub fn ask(&mut self, worker: &str, now: Instant) -> Option<Ask> {
+        let way = self.ways.contains_key(worker);
+        if !way {
+            return None;
+        }
+        let waited = self.asked.get(worker).map(|at| now.duration_since(*at));
+        let delayed = self.shard.awaits_store(worker);
+        let delay = if delayed && waited.is_some_and(|w| w < LONGEST_DELAY) {
+            STORE_DELAY
+        } else {
+            self.asked.insert(worker.to_owned(), now);
+            Duration::ZERO
+        };
+        let wait = if delayed {
+            Duration::from_millis(50)
+        } else if self.shard.is_shared(worker) {
+            SHARED_WAIT
+        } else {
+            REPORT_WAIT
+        };
+        let (acked, until_ms) = self.shard.contact(worker, now)?;
+        // The first report only tells the worker's clock.
+        let wait = if until_ms.is_some() { wait } else { Duration::ZERO };
+        Some(Ask {
+            delay,
+            token: self.shard.worker_token(worker),
+            acked,
+            until_ms,
+            wait,
+        })
+    }
+
+    /// Carries out what the state machine asks for.
+    pub fn drive(&mut self, now: Instant, unix_ms: u64) -> Vec<Order> {
+        let mut rest = Vec::new();
+        for order in self.shard.poll(now, unix_ms) {
+            let (Order::Start { worker, .. }
+            | Order::Stop { worker, .. }
+            | Order::Pace { worker, .. }) = &order
+            else {
+                rest.push(order);
+                continue;
+            };
+            let Some(way) = self.ways.get(worker) else {
+                continue;
+            };
+            let sink = self.sinks.answer.clone();
+            way.send(order, self.metrics.clone(), move |answered| sink(answered));
+        }
+        self.open_ways();
+        rest
+    }
+
+    /// Returns the next transaction, if it is time for one; [`Leading::written`] must follow.
+    pub fn next_write(&mut self, now: Instant) -> Option<(Batch, Tx)> {
+        if self.writing || self.write_after.is_some_and(|at| now < at) {
+            return None;
+        }
+        let batch = self.shard.take_batch(MOST_ROWS, now)?;
+        let mut tx = Tx {
+            expect: vec![(names::lease(&self.name), self.ver)],
+            ..Tx::default()
+        };
+        for (id, row) in &batch.rows {
+            tx.puts.push((names::progress(&self.name, *id), row.clone()));
+        }
+        if let Some(roster) = &batch.roster {
+            // Plain data always encodes.
+            let value = postcard::to_stdvec(roster).unwrap_or_default();
+            tx.puts.push((names::roster(&self.name), value));
+        }
+        self.writing = true;
+        Some((batch, tx))
+    }
+
+    /// Takes in whether a transaction was stored.
+    pub fn written(&mut self, batch: &Batch, stored: bool, now: Instant) {
+        self.writing = false;
+        self.write_after = (!stored).then(|| now + WRITE_RETRY);
+        self.shard.stored(batch, stored, now);
+    }
+
+    /// Returns whether nothing waits to be stored.
+    pub fn is_stored(&self) -> bool {
+        !self.writing && !self.shard.is_dirty()
+    }
+
+    /// Returns a transaction that drops the rows of jobs that were over before `unix_ms`.
+    pub fn expired(&mut self, unix_ms: u64) -> Option<Tx> {
+        let ids: Vec<JobId> = self.shard.expire(unix_ms, MOST_ROWS / 4);
+        if ids.is_empty() {
+            return None;
+        }
+        let mut tx = Tx {
+            expect: vec![(names::lease(&self.name), self.ver)],
+            ..Tx::default()
+        };
+        for id in ids {
+            tx.drops.push(names::id(id));
+            tx.drops.push(names::job(&self.name, id));
+            tx.drops.push(names::cancel(&self.name, id));
+            tx.drops.push(names::progress(&self.name, id));
+        }
+        Some(tx)
+    }
+
+    /// Opens ways to new workers and closes those to workers that are gone or have moved.
+    fn open_ways(&mut self) {
+        let contacts: HashMap<_, _> = self.shard.contacts().collect();
+        self.ways
+            .retain(|id, way| contacts.get(id.as_str()) == Some(&way.address.as_str()));
+        for (id, address) in contacts {
+            if self.ways.contains_key(id) {
+                continue;
+            }
+            let (ask, of_ask) = (self.sinks.ask.clone(), id.to_owned());
+            let (report, of_report) = (self.sinks.report.clone(), id.to_owned());
+            let way = Way::open(
+                id,
+                address,
+                self.metrics.clone(),
+                move || ask(of_ask.clone()),
+                move |r, sent| report(of_report.clone(), r, sent),
+            );
+            match way {
+                Some(way) => drop(self.ways.insert(id.to_owned(), way)),
+                None => log::warn!("lead: worker={id} address={address:?} is not valid."),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/metrics.rs
@@ -0,0 +1,109 @@
+//! Counters and latencies for operators, in the Prometheus text format.
+
+use {
+    marigoldbend_platform::store::Store,
+    prometheus::{
+        Encoder, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec,
+        Opts, Registry, TextEncoder,
+    },
+    snafu::Snafu,
+    std::sync::atomic::Ordering,
+};
+
+/// A result of setting up or writing metrics.
+pub type Result<T, E = MetricsError> = std::result::Result<T, E>;
+
+/// A failure of the metrics library.
+#[derive(Debug, Snafu)]
+#[snafu(display("metrics: {source}"), context(false))]
+pub struct MetricsError {
+    source: prometheus::Error,
+}
+
+/// Latency buckets, in seconds.
+const BUCKETS: [f64; 10] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 3.0];
+
+/// The metrics of one instance.
+pub struct Metrics {
+    registry: Registry,
+    /// Callers' requests by call and status.
+    pub requests: IntCounterVec,
+    /// Time from a request to its answer, by call, in seconds.
+    pub latency: HistogramVec,
+    /// Orders to workers by kind and answer.
+    pub orders: IntCounterVec,
+    /// Time from an order to its answer, in seconds.
+    pub order_latency: Histogram,
+    /// Reports of workers by result.
+    pub reports: IntCounterVec,
+    /// Shards that this instance leads.
+    pub leads: IntGauge,
+    /// Calls to the store by kind.
+    pub store_calls: IntGaugeVec,
+    /// Log lines that were dropped because the output was too slow.
+    pub log_dropped: IntGauge,
+}
+
+impl Metrics {
+    /// Creates the metrics in a registry of their own.
+    ///
+    /// # Errors
+    ///
+    /// Returns the library's error.
+    pub fn new() -> Result<Self> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, labels: &[&str]| -> Result<IntCounterVec> {
+            let counters = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(counters.clone()))?;
+            Ok(counters)
+        };
+        let requests = counters("mgb_requests", "Callers' requests.", &["call", "status"])?;
+        let orders = counters("mgb_orders", "Orders to workers.", &["kind", "answer"])?;
+        let reports = counters("mgb_reports", "Reports of workers.", &["result"])?;
+        let buckets = BUCKETS.to_vec();
+        let opts = HistogramOpts::new("mgb_request_seconds", "Time to the answer.");
+        let latency = HistogramVec::new(opts.buckets(buckets.clone()), &["call"])?;
+        registry.register(Box::new(latency.clone()))?;
+        let opts = HistogramOpts::new("mgb_order_seconds", "Time to a worker's answer.");
+        let order_latency = Histogram::with_opts(opts.buckets(buckets))?;
+        registry.register(Box::new(order_latency.clone()))?;
+        let leads = IntGauge::new("mgb_leads", "Shards led by this instance.")?;
+        registry.register(Box::new(leads.clone()))?;
+        let store_calls = IntGaugeVec::new(Opts::new("mgb_store_calls", "Calls."), &["kind"])?;
+        registry.register(Box::new(store_calls.clone()))?;
+        let log_dropped = IntGauge::new("mgb_log_lines_dropped", "Dropped log lines.")?;
+        registry.register(Box::new(log_dropped.clone()))?;
+        Ok(Self {
+            registry,
+            requests,
+            latency,
+            orders,
+            order_latency,
+            reports,
+            leads,
+            store_calls,
+            log_dropped,
+        })
+    }
+
+    /// Writes the metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Returns the library's error.
+    pub fn text(&self, store: &Store) -> Result<String> {
+        let counters = store.counters();
+        let kinds = [
+            ("writes", &counters.writes),
+            ("reads", &counters.reads),
+            ("failures", &counters.failures),
+        ];
+        for (kind, counter) in kinds {
+            let value = i64::try_from(counter.load(Ordering::Relaxed)).unwrap_or(i64::MAX);
+            self.store_calls.with_label_values(&[kind]).set(value);
+        }
+        let mut buf = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut buf)?;
+        Ok(String::from_utf8_lossy(&buf).into_owned())
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/takeover.rs
@@ -0,0 +1,168 @@
+//! How an instance becomes the leader of a shard: the lease row first, then all that is stored.
+
+use {
+    crate::names,
+    marigoldbend_core::sched::{
+        job::{JobId, JobSpec},
+        lead::LeaseRow,
+        progress::Progress,
+    },
+    marigoldbend_platform::{
+        rows::{Outcome, Page, Range, RowKey, Tx},
+        store::{Store, StoreError},
+    },
+    snafu::Snafu,
+    std::collections::BTreeMap,
+};
+
+/// A result of a takeover.
+pub type Result<T, E = TakeoverError> = std::result::Result<T, E>;
+
+/// Why a takeover did not come about.
+#[derive(Debug, Snafu)]
+pub enum TakeoverError {
+    /// The store could not be used.
+    #[snafu(display("{source}"), context(false))]
+    Store {
+        /// Why.
+        source: StoreError,
+    },
+    /// Another instance was faster.
+    #[snafu(display("{holder} took it with token {token}"))]
+    Lost {
+        /// The other instance.
+        holder: String,
+        /// Its token.
+        token: u64,
+    },
+}
+
+/// A shard as a new leader finds it.
+#[derive(Debug)]
+pub struct Taken {
+    /// The fencing token.
+    pub token: u64,
+    /// The version of the lease row.
+    pub ver: u64,
+    /// The jobs with their progress.
+    pub jobs: Vec<(JobId, JobSpec, Progress)>,
+    /// Cancelled jobs.
+    pub cancelled: Vec<JobId>,
+    /// The workers that the leader before used, with their addresses.
+    pub roster: Vec<(String, String)>,
+    /// The version from which changes of the jobs are to be followed.
+    pub from: u64,
+}
+
+/// Reads who leads a shard, and the version of that row.
+///
+/// # Errors
+///
+/// Returns an error if the store could not be read.
+pub async fn read_lease(store: &Store, shard: &str) -> Result<(LeaseRow, u64), StoreError> {
+    let range = Range {
+        table: names::LEASES,
+        part: shard,
+        from: "",
+        to: "",
+    };
+    let page = store.range(&range).await?;
+    let row = page.rows.into_iter().find(|r| r.name.key == names::LEASE_KEY);
+    Ok(row.map_or_else(Default::default, |row| {
+        let lease = postcard::from_bytes(&row.value);
+        (lease.unwrap_or_default(), row.ver)
+    }))
+}
+
+/// Takes the lead of a shard if nobody else does in the meantime.
+///
+/// # Errors
+///
+/// Returns an error if the store could not be used or another instance was faster.
+pub async fn take(store: &Store, shard: &str, name: &str, incarnation: u64) -> Result<Taken> {
+    let (token, ver) = take_lease(store, shard, name, incarnation).await?;
+    let jobs_table = names::jobs_table(shard);
+    let jobs = read_part(store, &jobs_table, shard).await?;
+    let progress = read_part(store, &names::progress_table(shard), shard).await?;
+    let mut taken = Taken {
+        token,
+        ver,
+        jobs: Vec::new(),
+        cancelled: Vec::new(),
+        roster: Vec::new(),
+        from: jobs.ver,
+    };
+    let mut stored = BTreeMap::new();
+    for row in progress.rows {
+        if row.name.key == names::ROSTER_KEY {
+            taken.roster = postcard::from_bytes(&row.value).unwrap_or_default();
+        } else if let Ok(id) = row.name.key.parse::<JobId>() {
+            match Progress::decode(&row.value) {
+                Ok(progress) => drop(stored.insert(id, progress)),
+                Err(e) => log::error!("lead: shard={shard} row={}: {e}.", row.name),
+            }
+        }
+    }
+    for row in jobs.rows {
+        match names::read_job_key(&row.name.key) {
+            Some(names::JobRow::Cancel(id)) => taken.cancelled.push(id),
+            Some(names::JobRow::Job(id)) => match postcard::from_bytes(&row.value) {
+                Ok(spec) => {
+                    let progress = stored.remove(&id).unwrap_or_default();
+                    taken.jobs.push((id, spec, progress));
+                }
+                Err(e) => log::error!("lead: shard={shard} row={}: {e}.", row.name),
+            },
+            None => log::error!("lead: shard={shard} row={}: unknown key.", row.name),
+        }
+    }
+    Ok(taken)
+}
+
+async fn read_part(store: &Store, table: &str, part: &str) -> Result<Page, StoreError> {
+    let range = Range {
+        table,
+        part,
+        from: "",
+        to: "",
+    };
+    store.range(&range).await
+}
+
+async fn take_lease(
+    store: &Store,
+    shard: &str,
+    name: &str,
+    incarnation: u64,
+) -> Result<(u64, u64)> {
+    let (row, ver) = read_lease(store, shard).await?;
+    let mine = |row: &LeaseRow| row.holder == name && row.incarnation == incarnation;
+    if mine(&row) {
+        // An earlier write of ours, whose reply was lost, took effect.
+        return Ok((row.token, ver));
+    }
+    let new = LeaseRow {
+        holder: name.to_owned(),
+        incarnation,
+        token: row.token + 1,
+    };
+    let key: RowKey = names::lease(shard);
+    let tx = Tx {
+        expect: vec![(key.clone(), ver)],
+        // Plain data always encodes.
+        puts: vec![(key, postcard::to_stdvec(&new).unwrap_or_default())],
+        drops: Vec::new(),
+    };
+    match store.tx(&tx).await {
+        Ok(Outcome::Applied(ver)) => Ok((new.token, ver)),
+        Ok(Outcome::Conflict(_)) | Err(StoreError::Unclear) => {
+            let (row, ver) = read_lease(store, shard).await?;
+            if mine(&row) {
+                return Ok((row.token, ver));
+            }
+            let LeaseRow { holder, token, .. } = row;
+            Err(TakeoverError::Lost { holder, token })
+        }
+        Err(e) => Err(e.into()),
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/view.rs
@@ -0,0 +1,85 @@
+//! What traffic threads know of the rest: an immutable snapshot, published by the control thread.
+
+use {
+    marigoldbend_core::{
+        hash::HashMap,
+        sched::{job::JobSpec, queues::Queues},
+    },
+    std::{net::SocketAddr, sync::Arc, time::Instant},
+};
+
+/// How much more of its processor, in thousandths, may be asked for in the own domain than in
+/// the least loaded one before a job goes there.
+const SPILL_MARGIN: u32 = 250;
+
+/// The load, in thousandths, up to which jobs stay in the own domain in any case.
+const SPILL_FLOOR: u32 = 850;
+
+/// A shard's leader, as it was last heard.
+#[derive(Clone, Debug)]
+pub struct LeaderView {
+    /// Its name.
+    pub name: String,
+    /// Where peers reach it.
+    pub address: SocketAddr,
+    /// When it last said that it leads.
+    pub heard: Instant,
+    /// Services and how much of their processor is asked for, in thousandths.
+    pub loads: HashMap<String, u32>,
+    /// Queues and how many of their jobs have not begun.
+    pub pending: HashMap<String, u32>,
+}
+
+/// What is known.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// The configuration in force.
+    pub queues: Option<Arc<Queues>>,
+    /// The leaders, by shard.
+    pub leaders: HashMap<String, LeaderView>,
+    /// The labels of the workers, by service and shard.
+    pub labels: Arc<HashMap<String, HashMap<String, Vec<String>>>>,
+    /// Whether this instance takes connections.
+    pub ready: bool,
+    /// Whether it is ending.
+    pub ending: bool,
+}
+
+impl View {
+    /// Returns how many jobs of a queue have not begun.
+    pub fn pending(&self, queue: &str) -> u32 {
+        let leaders = self.leaders.values();
+        leaders.filter_map(|l| l.pending.get(queue)).sum()
+    }
+
+    /// Returns the shard for a new job; the own one unless it can't run it or is much busier.
+    pub fn choose_shard(&self, own: &str, job: &JobSpec) -> String {
+        let Some(shards) = self.labels.get(&job.service) else {
+            return own.to_owned();
+        };
+        let needs = job.steps.iter().filter_map(|s| s.needs.as_ref());
+        let needs: Vec<_> = needs.collect();
+        let near = job.steps.iter().filter_map(|s| s.near.as_ref());
+        let near: Vec<_> = near.collect();
+        let able = shards.iter().filter(|(shard, labels)| {
+            self.leaders.contains_key(*shard) && needs.iter().all(|n| labels.contains(n))
+        });
+        let candidates = able.map(|(shard, labels)| {
+            let close = near.iter().filter(|n| labels.contains(n)).count();
+            let leader = self.leaders.get(shard);
+            let load = leader.and_then(|l| l.loads.get(&job.service));
+            (close, load.copied().unwrap_or(0), shard)
+        });
+        let candidates: Vec<_> = candidates.collect();
+        let closest = candidates.iter().map(|c| c.0).max().unwrap_or(0);
+        let close = candidates.iter().filter(|c| c.0 == closest);
+        let least = close.clone().map(|c| c.1).min().unwrap_or(0);
+        let limit = SPILL_FLOOR.max(least.saturating_add(SPILL_MARGIN));
+        let stays = |c: &&(usize, u32, &String)| c.2 == own && c.1 <= limit;
+        if close.clone().any(|c| stays(&c)) {
+            return own.to_owned();
+        }
+        let best = close.min_by_key(|c| (c.1, c.2));
+        best.map_or_else(|| own.to_owned(), |c| c.2.clone())
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/watch.rs
@@ -0,0 +1,77 @@
+//! Long polls of the store: the configuration, the workers, and the jobs of a led shard.
+
+use {
+    crate::orders::Boxed,
+    marigoldbend_platform::{
+        rows::{Page, Range, Row},
+        store::{Store, StoreError},
+    },
+    std::{sync::Arc, time::Duration},
+    tokio::time::sleep,
+};
+
+/// The wait after a failure.
+const RETRY: Duration = Duration::from_millis(250);
+
+/// What is watched.
+#[derive(Clone, Debug)]
+pub struct Watched {
+    /// The table.
+    pub table: String,
+    /// The part that is read at the beginning and when changes were missed.
+    pub part: String,
+    /// How long one call waits for changes; a silent connection hides them for that long.
+    pub wait: Duration,
+}
+
+/// Rows that were read.
+#[derive(Debug)]
+pub enum Seen {
+    /// All rows of the part.
+    All(Vec<Row>),
+    /// Rows that have changed.
+    Changed(Vec<Row>),
+}
+
+/// Follows a table for good; `from` is the version that is known already, if any.
+pub async fn follow<F>(store: Arc<Store>, watched: Watched, from: Option<u64>, mut sink: F)
+where
+    F: FnMut(Seen) -> Boxed<()>,
+{
+    let mut from = from;
+    loop {
+        let step = match from {
+            None => read_all(&store, &watched).await.map(|p| (p.ver, Seen::All(p.rows))),
+            Some(after) => {
+                let page = store.feed(&watched.table, after, watched.wait).await;
+                page.map(|p| (p.ver.max(after), Seen::Changed(p.rows)))
+            }
+        };
+        match step {
+            Ok((ver, seen)) => {
+                from = Some(ver);
+                if !matches!(&seen, Seen::Changed(rows) if rows.is_empty()) {
+                    sink(seen).await;
+                }
+            }
+            Err(StoreError::HistoryGone) => {
+                log::info!("platform: changes of {} were missed, reading it whole.", watched.table);
+                from = None;
+            }
+            Err(e) => {
+                log::debug!("platform: table {}: {e}.", watched.table);
+                sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+async fn read_all(store: &Store, watched: &Watched) -> Result<Page, StoreError> {
+    let range = Range {
+        table: &watched.table,
+        part: &watched.part,
+        from: "",
+        to: "",
+    };
+    store.range(&range).await
+}
