Learn disturbance per pair of images, and place and pace filling tasks by it

Cause: serving tasks ask for four fifths of the processor but use half of it, and filling tasks were held off every worker with one. Most pairs of images are harmless. Change: a Kalman filter learns what a core of each filling image adds to the tail of each serving image; placement and pacing use it. The list of workers is read every 0.8 s, since it changes with every heartbeat.

--- a/crates/core/src/sched/lead.rs
+++ b/crates/core/src/sched/lead.rs
@@ -107,7 +107,7 @@
     } else {
         Duration::ZERO
     };
-    quiet >= silence + delay.max(start)
+    quiet >= silence + delay + start
 }
 
 /// Orders the candidates of a shard.
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -6,6 +6,7 @@
 //! machine: events go in (a job, a worker's report, the outcome of an order), orders and rows
 //! to store come out.
 
+pub mod disturb;
 pub mod job;
 pub mod lead;
 pub mod pace;
--- a/crates/core/src/sched/pace.rs
+++ b/crates/core/src/sched/pace.rs
@@ -75,11 +75,6 @@
         }
     }
 
-    /// Forgets the past, when nothing serves beside the filling tasks any more.
-    pub fn reset(&mut self) {
-        *self = Self::default();
-    }
-
     fn set(&mut self, percent: f64, now: Instant) {
         self.percent = percent;
         self.changed = Some(now);
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -17,22 +17,35 @@
     pub free: Room,
     /// The processor that its filling tasks ask for, in thousandths of a core.
     pub fill_cpu: i64,
+    /// The processor that its serving tasks ask for, in thousandths of a core.
+    pub serving_cpu: i64,
     /// How many serving tasks run there.
     pub serving: u32,
+    /// How many of them run the same image as the step.
+    pub same_image: u32,
+    /// The highest tail to expect of them with a task of the step, as a share of the target.
+    pub tail: f64,
     /// Tasks of the same step and round that run there.
     pub siblings: u32,
-    /// The pace of its filling tasks, in percent.
-    pub pace: u8,
 }
 
 /// The share of a filling task's processor that must be unused where it starts, in percent.
-const LEAST_UNUSED: i64 = 60;
+const LEAST_UNUSED: i64 = 80;
 
-/// How much unused processor a serving neighbour is worth to a filling task, in thousandths.
-const SERVING_COST: i64 = 3_000;
+/// The share of their processor that serving tasks use, in percent; the rest is for others.
+const SERVING_USE: i64 = 55;
 
-/// The least pace at which a worker gets further filling tasks, in percent.
-const LEAST_PACE: u8 = 70;
+/// The tail, as a share of the target, up to which filling tasks are added.
+const HIGHEST_TAIL: f64 = 0.75;
+
+/// What a tail at its target is worth in unused processor, in thousandths of a core.
+const TAIL_WORTH: f64 = 20_000.0;
+
+/// What a serving neighbour of the same image is worth to a serving task, in the same unit.
+const IMAGE_WORTH: i64 = 20_000;
+
+/// What it is worth to be on the rack of the data, above all else.
+const NEAR_WORTH: i64 = 10_000_000;
 
 impl Candidate<'_> {
     /// Returns whether a task of the step may and can start here.
@@ -47,23 +60,28 @@
         if !self.free.holds(&taken(step)) {
             return false;
         }
-        let unused = self.free.cpu - self.fill_cpu;
         !step.fills
-            || (unused * 100 >= step.room.cpu * LEAST_UNUSED && self.pace >= LEAST_PACE)
+            || (self.unused() * 100 >= step.room.cpu * LEAST_UNUSED && self.tail <= HIGHEST_TAIL)
+    }
+
+    /// Returns the processor that nobody uses, as far as can be told.
+    fn unused(&self) -> i64 {
+        self.free.cpu + self.serving_cpu * (100 - SERVING_USE) / 100 - self.fill_cpu
     }
 
     fn score(&self, step: &Step) -> i64 {
-        let unused = self.free.cpu - self.fill_cpu;
-        let serving = i64::from(self.serving) * SERVING_COST;
         let near = step.near.as_ref();
         let near = near.is_some_and(|rack| self.info.labels.contains(rack));
-        let near = if near { 1_000_000 } else { 0 };
+        let near = if near { NEAR_WORTH } else { 0 };
         let own = if step.fills {
-            unused - serving
+            self.unused() - (self.tail * TAIL_WORTH) as i64
         } else if step.target_ms > 0.0 {
-            unused + serving / 2 - self.fill_cpu
+            // Fewer images on a worker leave more filling images that don't disturb it.
+            let same = i64::from(self.same_image);
+            let others = i64::from(self.serving) - same;
+            (same - others) * IMAGE_WORTH - self.fill_cpu
         } else {
-            unused
+            self.unused()
         };
         near + own
     }
--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -2,11 +2,15 @@
 
 use {
     super::state::{Approvals, Job, Order, Phase, Round, Shard, Task, Worker},
-    crate::sched::{
-        job::{JobId, Step, TaskName},
-        place::{Candidate, choose},
-        progress::Outcome,
-        worker::Report,
+    crate::{
+        hash::HashMap,
+        sched::{
+            disturb::{Disturbance, Image},
+            job::{JobId, Step, TaskName},
+            place::{Candidate, choose},
+            progress::Outcome,
+            worker::Report,
+        },
     },
     std::time::{Duration, Instant},
 };
@@ -29,6 +33,15 @@
 /// The most workers in one question for approvals.
 const ADVICE_WORKERS: usize = 30;
 
+/// The share of its startup, in percent, from which a serving task's tail counts.
+const AT_WORK: f64 = 100.0;
+
+/// The part of the greatest disturbance from which an image is paced for it.
+const LEAST_BLAME: f64 = 0.4;
+
+/// What a tail counts for an image that has little part in it: it is not paced, nor sped up.
+const BLAMELESS: f64 = 0.7;
+
 /// What an approval must still be valid for when it is used.
 const ADVICE_RESERVE: Duration = Duration::from_millis(150);
 
@@ -241,6 +254,8 @@
                 && !w.runs.contains_key(&name)
                 && approved(w)
         });
+        let image: Image = step.image.as_str().into();
+        let serves = step.target_ms > 0.0;
         let candidates = open.map(|w| {
             let same = |t: &&TaskName| (t.job, t.round, t.step) == (name.job, name.round, name.step);
             let siblings = if step.per_worker > 0 {
@@ -252,9 +267,15 @@
                 info: &w.info,
                 free: w.free,
                 fill_cpu: w.fill_cpu,
+                serving_cpu: w.serving_cpu,
                 serving: w.serving,
+                same_image: if serves { w.same_image(&image) } else { 0 },
+                tail: if step.fills {
+                    self.expected_tail(w, &image, step.room.cpu)
+                } else {
+                    0.0
+                },
                 siblings,
-                pace: w.pace.percent(),
             };
             (w.info.id.as_str(), candidate)
         });
@@ -405,41 +426,82 @@
         step.is_none_or(|step| step.lasting || step.gang)
     }
 
-    /// Paces the filling tasks of a worker by the tails of its serving ones.
+    /// Returns the highest tail to expect on a worker with another filling task on it.
+    fn expected_tail(&self, worker: &Worker, image: &Image, cpu: i64) -> f64 {
+        if worker.serving == 0 {
+            return 0.0;
+        }
+        let mut cores: HashMap<&Image, f64> = HashMap::default();
+        for run in worker.runs.values().filter(|run| run.fill_cpu > 0) {
+            *cores.entry(&run.image).or_default() += cores_of(run.fill_cpu);
+        }
+        *cores.entry(image).or_default() += cores_of(cpu);
+        let serving = worker.runs.values().filter(|run| run.target_ms > 0.0);
+        let tails = serving.map(|run| {
+            let cores = cores.iter().map(|(f, c)| (*f, *c));
+            self.disturbance.expect(&run.image, cores)
+        });
+        tails.fold(0.0, f64::max)
+    }
+
+    /// Learns from the tails of a worker's serving tasks, and paces its filling tasks by them.
     pub(super) fn watch_tails(&mut self, id: &str, report: &Report, now: Instant) {
         let token = self.worker_token(id);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if worker.serving > 0 && worker.fill_cpu > 0 {
-            let tails = report.running.iter().filter_map(|row| {
-                let run = worker.runs.get(&row.task)?;
-                let tail = row.usage.filter(|_| run.target_ms > 0.0)?;
-                Some(tail / run.target_ms)
-            });
-            let worst = tails.fold(0.0, f64::max);
-            worker.pace.observe(worst, now);
-        } else if worker.serving == 0 {
-            worker.pace.reset();
+        let mut cores: HashMap<Image, f64> = HashMap::default();
+        let mut tails: Vec<(Image, f64)> = Vec::new();
+        for row in &report.running {
+            let (Some(run), Some(usage)) = (worker.runs.get(&row.task), row.usage) else {
+                continue;
+            };
+            if run.fill_cpu > 0 {
+                *cores.entry(run.image.clone()).or_default() += usage / 1_000.0;
+            } else if run.target_ms > 0.0 && row.percent >= AT_WORK {
+                tails.push((run.image.clone(), usage / run.target_ms));
+            }
+        }
+        worker.pressure.observe(&cores, now);
+        for (image, tail) in &tails {
+            self.disturbance.observe(image, *tail, &worker.pressure);
+        }
+        if worker.serving == 0 {
+            worker.paces.clear();
+        }
+        let shares = blame(&self.disturbance, &tails, worker.pressure.cores());
+        for image in cores.keys() {
+            let tail = shares.get(image).copied().unwrap_or(0.0);
+            let pace = worker.paces.entry(image.clone()).or_default();
+            let before = pace.percent();
+            pace.observe(tail, now);
+            if pace.percent() != before {
+                log::info!(
+                    "jobs: worker={id} image={image} pace={} before={before} tail={tail:.2} cores={:.1} serving={}.",
+                    pace.percent(),
+                    cores[image],
+                    worker.serving,
+                );
+            }
         }
-        let pace = worker.pace.percent();
-        let failing = worker.pace.is_failing(now);
         let mut stop = Vec::new();
         for (task, run) in &mut worker.runs {
             let running = matches!(run.phase, Phase::Running(_));
             if run.fill_cpu == 0 || !running {
                 continue;
             }
-            if failing {
+            let pace = worker.paces.get(&run.image).copied().unwrap_or_default();
+            let percent = pace.percent();
+            if pace.is_failing(now) {
                 stop.push(*task);
-            } else if run.pace.abs_diff(pace) >= 3 {
-                run.pace = pace;
+            } else if run.pace.abs_diff(percent) >= 3 {
+                run.pace = percent;
                 run.moved = now;
                 self.orders.push(Order::Pace {
                     worker: id.to_owned(),
                     task: *task,
                     attempt: run.attempt,
-                    percent: pace,
+                    percent,
                     token,
                 });
             }
@@ -451,6 +513,39 @@
     }
 }
 
+/// Returns for each filling image the worst tail that it has a part in.
+fn blame(
+    disturbance: &Disturbance,
+    tails: &[(Image, f64)],
+    cores: &HashMap<Image, f64>,
+) -> HashMap<Image, f64> {
+    let mut worst: HashMap<Image, f64> = HashMap::default();
+    for (serving, tail) in tails {
+        let part = |f: &Image, c: f64| c * disturbance.per_core(serving, f);
+        let parts = cores.iter().map(|(f, c)| (f, part(f, *c)));
+        let parts: Vec<_> = parts.collect();
+        let most = parts.iter().map(|(_, p)| *p).fold(0.0, f64::max);
+        for (filling, part) in parts {
+            let blamed = part >= most * LEAST_BLAME;
+            let tail = if blamed { *tail } else { tail.min(BLAMELESS) };
+            let entry = worst.entry(filling.clone()).or_default();
+            *entry = entry.max(tail);
+        }
+    }
+    worst
+}
+
+fn cores_of(cpu: i64) -> f64 {
+    cpu as f64 / 1_000.0
+}
+
+impl Worker {
+    fn same_image(&self, image: &Image) -> u32 {
+        let same = self.runs.values().filter(|run| run.target_ms > 0.0 && run.image == *image);
+        same.count() as u32
+    }
+}
+
 impl Task {
     fn is_startable(&self, now: Instant) -> bool {
         !self.done && self.at.is_empty() && self.not_before.is_none_or(|at| at <= now)
--- a/crates/core/src/sched/shard/ends.rs
+++ b/crates/core/src/sched/shard/ends.rs
@@ -19,16 +19,23 @@
         self.make_rounds_upto(row.task);
         let worker = self.workers.get(id);
         let run = worker.and_then(|w| w.runs.get(&row.task));
+        let ran = run.map(|run| {
+            let ms = now.duration_since(run.since).as_millis();
+            (ms, run.fill_cpu > 0, run.pace)
+        });
         let stale = run.is_some_and(|run| run.attempt > row.attempt);
         if run.is_some_and(|run| run.attempt <= row.attempt) {
             self.remove_run(id, row.task);
         }
         log::info!(
-            "jobs: task={} attempt={} worker={id} ended {:?} n={}.",
+            "jobs: task={} attempt={} worker={id} ended {:?} n={} ms={} fills={} pace={}.",
             row.task,
             row.attempt,
             row.how,
             row.number,
+            ran.map_or(0, |(ms, _, _)| ms),
+            ran.is_some_and(|(_, fills, _)| fills),
+            ran.map_or(0, |(_, _, pace)| pace),
         );
         self.changed = true;
         if row.how == How::Done
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -4,6 +4,7 @@
     crate::{
         hash::{HashMap, HashSet},
         sched::{
+            disturb::{Disturbance, Image, Pressure},
             job::{JobId, JobSpec, Room, TaskName},
             pace::Pace,
             progress::{JobState, Outcome, Progress, TaskRecord},
@@ -139,6 +140,7 @@
     pub room: Room,
     pub fill_cpu: i64,
     pub target_ms: f64,
+    pub image: Image,
     pub since: Instant,
     pub sent: Instant,
     /// Whether an order of it got no answer, so that it may be carried out later.
@@ -163,10 +165,13 @@
     pub runs: HashMap<TaskName, Run>,
     pub free: Room,
     pub fill_cpu: i64,
+    pub serving_cpu: i64,
     pub serving: u32,
     pub seen: u64,
     pub acked: u64,
-    pub pace: Pace,
+    /// The pace of its filling tasks, by image.
+    pub paces: HashMap<Image, Pace>,
+    pub pressure: Pressure,
     pub failures: u32,
     pub ejected_until: Option<Instant>,
     pub full_until: Option<Instant>,
@@ -226,6 +231,7 @@
     pub(super) jobs: HashMap<JobId, Job>,
     pub(super) over: HashMap<JobId, (Outcome, u64)>,
     pub(super) workers: HashMap<String, Worker>,
+    pub(super) disturbance: Disturbance,
     pub(super) approvals: HashMap<(JobId, u32, u16), Approvals>,
     pub(super) early_cancels: HashSet<JobId>,
     pub(super) dirty: HashSet<JobId>,
@@ -248,6 +254,7 @@
             jobs: HashMap::default(),
             over: HashMap::default(),
             workers: HashMap::default(),
+            disturbance: Disturbance::default(),
             approvals: HashMap::default(),
             early_cancels: HashSet::default(),
             dirty: HashSet::default(),
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -6,7 +6,6 @@
         hash::HashSet,
         sched::{
             job::{Room, TaskName},
-            pace::Pace,
             place::taken,
             worker::{Answer, LeaseClock, Report, RunningRow, Standing, WorkerInfo},
         },
@@ -277,9 +276,12 @@
         worker.free.mem_mb += run.room.mem_mb;
         worker.free.gpu += run.room.gpu;
         worker.fill_cpu -= run.fill_cpu;
-        worker.serving -= u32::from(run.target_ms > 0.0);
+        if run.target_ms > 0.0 {
+            worker.serving -= 1;
+            worker.serving_cpu -= run.room.cpu;
+        }
         if worker.serving == 0 {
-            worker.pace.reset();
+            worker.paces.clear();
         }
         Some(run)
     }
@@ -304,13 +306,17 @@
         let fill_cpu = if step.fills { step.room.cpu } else { 0 };
         worker.free.take(&room);
         worker.fill_cpu += fill_cpu;
-        worker.serving += u32::from(step.target_ms > 0.0);
+        if step.target_ms > 0.0 {
+            worker.serving += 1;
+            worker.serving_cpu += room.cpu;
+        }
         let run = Run {
             attempt,
             phase,
             room,
             fill_cpu,
             target_ms: step.target_ms,
+            image: step.image.as_str().into(),
             since: now,
             sent: now,
             unclear: false,
@@ -366,7 +372,7 @@
         worker.acked = 0;
         worker.failures = 0;
         worker.ejected_until = None;
-        worker.pace = Pace::default();
+        worker.paces.clear();
         let runs: Vec<_> = worker.runs.keys().copied().collect();
         for task in runs {
             self.lose_run(id, task, "the worker began anew", now);
@@ -545,10 +551,12 @@
             runs: Default::default(),
             free,
             fill_cpu: 0,
+            serving_cpu: 0,
             serving: 0,
             seen: 0,
             acked: 0,
-            pace: Pace::default(),
+            paces: Default::default(),
+            pressure: Default::default(),
             failures: 0,
             ejected_until: None,
             full_until: None,
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -62,6 +62,9 @@
 const LIST_WAIT: Duration = Duration::from_millis(1_500);
 
 
+/// The time between two looks at the list of workers, whose entries change with every heartbeat.
+const LIST_GAP: Duration = Duration::from_millis(800);
+
 /// The time between two removals of jobs that are over.
 const EXPIRY: Duration = Duration::from_secs(5);
 
@@ -237,6 +240,7 @@
             table: wire::OPERATOR_TABLE.to_owned(),
             part: String::new(),
             wait: CONFIG_WAIT,
+            gap: Duration::ZERO,
         };
         let to = address.clone();
         tokio::spawn(watch::follow(self.store.clone(), op, None, move |seen| {
@@ -252,6 +256,7 @@
             table: wire::WORKERS_TABLE.to_owned(),
             part: String::new(),
             wait: LIST_WAIT,
+            gap: LIST_GAP,
         };
         let to = address.clone();
         tokio::spawn(watch::follow(self.store.clone(), list, None, move |seen| {
@@ -401,6 +406,7 @@
             table: names::jobs_table(shard),
             part: shard.to_owned(),
             wait: LIST_WAIT,
+            gap: Duration::ZERO,
         };
         let shard = shard.to_owned();
         let sink = move |seen| -> crate::orders::Boxed<()> {
@@ -695,6 +701,7 @@
     }
 
     fn list(&mut self, whole: bool, entries: Vec<(String, Option<WorkerInfo>)>, now: Instant) {
+        let before = self.workers.clone();
         if whole {
             self.workers.clear();
         }
@@ -704,6 +711,9 @@
                 None => drop(self.workers.remove(&id)),
             }
         }
+        if self.workers == before {
+            return;
+        }
         let mut labels: HashMap<String, HashMap<String, Vec<String>>> = HashMap::default();
         for worker in self.workers.values() {
             let of_service = labels.entry(worker.service.clone()).or_default();
--- a/crates/scheduler/src/watch.rs
+++ b/crates/scheduler/src/watch.rs
@@ -22,6 +22,8 @@
     pub part: String,
     /// How long one call waits for changes; a silent connection hides them for that long.
     pub wait: Duration,
+    /// How long to leave the store alone after each answer, where every change is not urgent.
+    pub gap: Duration,
 }
 
 /// Rows that were read.
@@ -53,6 +55,9 @@
                 if !matches!(&seen, Seen::Changed(rows) if rows.is_empty()) {
                     sink(seen).await;
                 }
+                if !watched.gap.is_zero() {
+                    sleep(watched.gap).await;
+                }
             }
             Err(StoreError::HistoryGone) => {
                 log::info!("platform: changes of {} were missed, reading it whole.", watched.table);
