Estimate occupancy: own load of each serving task plus a coefficient for each pair

Cause: the tail of a serving task moves by itself from 0.2 to 0.95 of its target with its load; a linear model of the tail took that for disturbance. Change: tails are turned into occupancy, where load and disturbance add up; a line every two seconds sums a led shard up.

--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -3,7 +3,6 @@
 use {
     super::state::{Approvals, Job, Order, Phase, Round, Shard, Task, Worker},
     crate::{
-        hash::HashMap,
         sched::{
             disturb::{Disturbance, Image},
             job::{JobId, Step, TaskName},
@@ -60,6 +59,48 @@
         std::mem::take(&mut self.orders)
     }
 
+    /// Describes what runs and what waits, for the log.
+    pub fn summary(&self, now: Instant) -> String {
+        let mut room = 0;
+        let mut free = 0;
+        let mut serving = 0;
+        let mut filling = 0;
+        let mut used = 0.0;
+        for worker in self.workers.values().filter(|w| w.is_open(now)) {
+            room += worker.info.room.cpu;
+            free += worker.free.cpu;
+            serving += worker.serving_cpu;
+            filling += worker.fill_cpu;
+            used += worker.pressure.cores().iter().map(|(_, c)| c).sum::<f64>();
+        }
+        let mut waiting = 0;
+        let mut waiting_fill = 0;
+        for job in self.jobs.values().filter(|j| j.outcome == Outcome::Open) {
+            for round in &job.rounds {
+                for (i, step) in job.spec.steps.iter().enumerate() {
+                    if step.after.iter().any(|a| round.left[usize::from(*a)] > 0) {
+                        continue;
+                    }
+                    let tasks = round.tasks[i].iter();
+                    let idle = tasks.filter(|t| !t.done && t.at.is_empty()).count() as i64;
+                    if step.fills {
+                        waiting_fill += idle * step.room.cpu;
+                    } else {
+                        waiting += idle * step.room.cpu;
+                    }
+                }
+            }
+        }
+        format!(
+            "workers={} open={} jobs={} cpu={room} free={free} serving={serving} filling={filling} fill_used={:.0} waiting={waiting} waiting_fill={waiting_fill} unsure={}",
+            self.workers.len(),
+            self.workers.values().filter(|w| w.is_open(now)).count(),
+            self.jobs.len(),
+            used * 1_000.0,
+            self.is_unsure(now),
+        )
+    }
+
     /// Returns whether anything happened since the last poll that may allow a start.
     pub fn has_changed(&self) -> bool {
         self.changed
@@ -254,7 +295,7 @@
                 && !w.runs.contains_key(&name)
                 && approved(w)
         });
-        let image: Image = step.image.as_str().into();
+        let image = self.disturbance.known_image(&step.image);
         let serves = step.target_ms > 0.0;
         let candidates = open.map(|w| {
             let same = |t: &&TaskName| (t.job, t.round, t.step) == (name.job, name.round, name.step);
@@ -269,9 +310,9 @@
                 fill_cpu: w.fill_cpu,
                 serving_cpu: w.serving_cpu,
                 serving: w.serving,
-                same_image: if serves { w.same_image(&image) } else { 0 },
+                same_image: if serves { w.same_image(image) } else { 0 },
                 tail: if step.fills {
-                    self.expected_tail(w, &image, step.room.cpu)
+                    self.expected_tail(w, image, step.room.cpu)
                 } else {
                     0.0
                 },
@@ -427,20 +468,17 @@
     }
 
     /// Returns the highest tail to expect on a worker with another filling task on it.
-    fn expected_tail(&self, worker: &Worker, image: &Image, cpu: i64) -> f64 {
+    fn expected_tail(&self, worker: &Worker, image: Image, cpu: i64) -> f64 {
         if worker.serving == 0 {
             return 0.0;
         }
-        let mut cores: HashMap<&Image, f64> = HashMap::default();
+        let mut cores = Vec::new();
         for run in worker.runs.values().filter(|run| run.fill_cpu > 0) {
-            *cores.entry(&run.image).or_default() += cores_of(run.fill_cpu);
+            add_cores(&mut cores, run.image, cores_of(run.fill_cpu));
         }
-        *cores.entry(image).or_default() += cores_of(cpu);
+        add_cores(&mut cores, image, cores_of(cpu));
         let serving = worker.runs.values().filter(|run| run.target_ms > 0.0);
-        let tails = serving.map(|run| {
-            let cores = cores.iter().map(|(f, c)| (*f, *c));
-            self.disturbance.expect(&run.image, cores)
-        });
+        let tails = serving.map(|run| self.disturbance.expect(run.image, &run.load, &cores));
         tails.fold(0.0, f64::max)
     }
 
@@ -450,36 +488,39 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        let mut cores: HashMap<Image, f64> = HashMap::default();
-        let mut tails: Vec<(Image, f64)> = Vec::new();
+        let mut cores: Vec<(Image, f64)> = Vec::new();
         for row in &report.running {
-            let (Some(run), Some(usage)) = (worker.runs.get(&row.task), row.usage) else {
-                continue;
-            };
-            if run.fill_cpu > 0 {
-                *cores.entry(run.image.clone()).or_default() += usage / 1_000.0;
-            } else if run.target_ms > 0.0 && row.percent >= AT_WORK {
-                tails.push((run.image.clone(), usage / run.target_ms));
+            if let (Some(run), Some(usage)) = (worker.runs.get(&row.task), row.usage)
+                && run.fill_cpu > 0
+            {
+                add_cores(&mut cores, run.image, usage / 1_000.0);
             }
         }
         worker.pressure.observe(&cores, now);
-        for (image, tail) in &tails {
-            self.disturbance.observe(image, *tail, &worker.pressure);
+        let mut tails: Vec<(Image, f64)> = Vec::new();
+        for row in report.running.iter().filter(|row| row.percent >= AT_WORK) {
+            if let (Some(run), Some(usage)) = (worker.runs.get_mut(&row.task), row.usage)
+                && run.target_ms > 0.0
+            {
+                let tail = usage / run.target_ms;
+                tails.push((run.image, tail));
+                let load = &mut run.load;
+                let pressure = &worker.pressure;
+                self.disturbance.observe(run.image, load, tail, pressure, now);
+            }
         }
         if worker.serving == 0 {
             worker.paces.clear();
         }
-        let shares = blame(&self.disturbance, &tails, worker.pressure.cores());
-        for image in cores.keys() {
-            let tail = shares.get(image).copied().unwrap_or(0.0);
-            let pace = worker.paces.entry(image.clone()).or_default();
+        for (image, tail) in blame(&self.disturbance, &tails, worker.pressure.cores()) {
+            let pace = worker.paces.entry(image).or_default();
             let before = pace.percent();
             pace.observe(tail, now);
             if pace.percent() != before {
                 log::info!(
-                    "jobs: worker={id} image={image} pace={} before={before} tail={tail:.2} cores={:.1} serving={}.",
+                    "jobs: worker={id} image={} pace={} before={before} tail={tail:.2} serving={}.",
+                    self.disturbance.name(image),
                     pace.percent(),
-                    cores[image],
                     worker.serving,
                 );
             }
@@ -517,19 +558,16 @@
 fn blame(
     disturbance: &Disturbance,
     tails: &[(Image, f64)],
-    cores: &HashMap<Image, f64>,
-) -> HashMap<Image, f64> {
-    let mut worst: HashMap<Image, f64> = HashMap::default();
+    cores: &[(Image, f64)],
+) -> Vec<(Image, f64)> {
+    let mut worst: Vec<_> = cores.iter().map(|(image, _)| (*image, 0.0)).collect();
     for (serving, tail) in tails {
-        let part = |f: &Image, c: f64| c * disturbance.per_core(serving, f);
-        let parts = cores.iter().map(|(f, c)| (f, part(f, *c)));
-        let parts: Vec<_> = parts.collect();
-        let most = parts.iter().map(|(_, p)| *p).fold(0.0, f64::max);
-        for (filling, part) in parts {
-            let blamed = part >= most * LEAST_BLAME;
+        let part = |(f, c): &(Image, f64)| c * disturbance.per_core(*serving, *f);
+        let most = cores.iter().map(part).fold(0.0, f64::max);
+        for (entry, in_use) in worst.iter_mut().zip(cores) {
+            let blamed = part(in_use) >= most * LEAST_BLAME;
             let tail = if blamed { *tail } else { tail.min(BLAMELESS) };
-            let entry = worst.entry(filling.clone()).or_default();
-            *entry = entry.max(tail);
+            entry.1 = tail.max(entry.1);
         }
     }
     worst
@@ -539,10 +577,17 @@
     cpu as f64 / 1_000.0
 }
 
+fn add_cores(cores: &mut Vec<(Image, f64)>, image: Image, more: f64) {
+    match cores.iter_mut().find(|(i, _)| *i == image) {
+        Some((_, known)) => *known += more,
+        None => cores.push((image, more)),
+    }
+}
+
 impl Worker {
-    fn same_image(&self, image: &Image) -> u32 {
-        let same = self.runs.values().filter(|run| run.target_ms > 0.0 && run.image == *image);
-        same.count() as u32
+    fn same_image(&self, image: Image) -> u32 {
+        let serving = self.runs.values().filter(|run| run.target_ms > 0.0);
+        serving.filter(|run| run.image == image).count() as u32
     }
 }
 
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -4,7 +4,7 @@
     crate::{
         hash::{HashMap, HashSet},
         sched::{
-            disturb::{Disturbance, Image, Pressure},
+            disturb::{Disturbance, Image, Load, Pressure},
             job::{JobId, JobSpec, Room, TaskName},
             pace::Pace,
             progress::{JobState, Outcome, Progress, TaskRecord},
@@ -141,6 +141,7 @@
     pub fill_cpu: i64,
     pub target_ms: f64,
     pub image: Image,
+    pub load: Load,
     pub since: Instant,
     pub sent: Instant,
     /// Whether an order of it got no answer, so that it may be carried out later.
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -65,6 +65,9 @@
 /// The time between two looks at the list of workers, whose entries change with every heartbeat.
 const LIST_GAP: Duration = Duration::from_millis(800);
 
+/// The time between two lines that sum a led shard up.
+const SUMMARY: Duration = Duration::from_secs(2);
+
 /// The time between two removals of jobs that are over.
 const EXPIRY: Duration = Duration::from_secs(5);
 
@@ -179,7 +182,7 @@
     advice: Option<Arc<Pool>>,
     ending: bool,
     expired: Instant,
-    published: Option<Instant>,
+    summed: Instant,
 }
 
 impl Actor for Control {
@@ -230,7 +233,7 @@
             labels: Arc::default(),
             ending: false,
             expired: now,
-            published: None,
+            summed: now,
         }
     }
 
@@ -281,6 +284,12 @@
         for shard in shards {
             self.drive(&shard, now);
         }
+        if now.duration_since(self.summed) >= SUMMARY {
+            self.summed = now;
+            for leading in self.leading.values() {
+                log::info!("lead: shard={} {}.", leading.name, leading.shard.summary(now));
+            }
+        }
         if now.duration_since(self.expired) >= EXPIRY {
             self.expired = now;
             self.expire();
@@ -797,7 +806,6 @@
             ready,
             ending: self.ending,
         }));
-        self.published = Some(now);
     }
 
     fn led(&mut self, shard: &str, token: u64) -> Option<&mut Leading> {
