Set the pace of filling tasks by the model; leave harmless images alone

Cause: a pace was raised only when the tail was under 0.65 of its target, which the own load of serving tasks keeps it above for most of the time; the most disturbing image of a worker was paced even if it added nothing. Change: the occupancy left to each serving task is shared by the images that add at least 0.02; tasks that crawl for a second go back to the queue.

--- a/crates/core/src/sched/disturb.rs
+++ b/crates/core/src/sched/disturb.rs
@@ -62,6 +62,13 @@
     at: Option<Instant>,
 }
 
+impl Load {
+    /// Returns the occupancy by the task's own load.
+    pub fn mean(&self) -> f64 {
+        self.estimate.mean
+    }
+}
+
 impl Default for Load {
     fn default() -> Self {
         Self {
@@ -140,6 +147,11 @@
         self.floor(serving) / (1.0 - occupancy.clamp(0.0, FULL))
     }
 
+    /// Returns the occupancy at which a serving task's tail is this share of its target.
+    pub fn occupancy(&self, serving: Image, tail: f64) -> f64 {
+        (1.0 - self.floor(serving) / tail).clamp(0.0, FULL)
+    }
+
     /// Returns the occupancy that a core in use by the filling image adds to the serving one.
     pub fn per_core(&self, serving: Image, filling: Image) -> f64 {
         let known = self.pairs.get(&(serving, filling));
--- a/crates/core/src/sched/pace.rs
+++ b/crates/core/src/sched/pace.rs
@@ -1,82 +1,105 @@
-//! Pacing of tasks that fill beside tasks that serve.
+//! The pace of tasks that fill beside tasks that serve.
 //!
-//! The figures lag by half a second, so the pace is cut fast and raised slowly, and nothing is
-//! raised while the tail is near its target.
+//! The pace follows from what has been learnt of the pairs: the occupancy that is left to each
+//! serving task is shared by the images that disturb it. An image that adds next to nothing
+//! keeps its pace, since slowing it down would not help.
 
-use std::time::{Duration, Instant};
+use {
+    crate::sched::disturb::{Disturbance, Image, Load},
+    std::time::{Duration, Instant},
+};
 
-/// The tail, as a share of the target, above which the pace is cut in half.
-const OVER: f64 = 0.95;
+/// The tail, as a share of the target, that paces aim at.
+const AIM: f64 = 0.85;
 
-/// The share above which the pace is lowered a little.
-const NEAR: f64 = 0.8;
+/// The occupancy that an image must add to a serving task to be paced for it.
+const LEAST_PART: f64 = 0.02;
 
-/// The share below which the pace is raised.
-const CALM: f64 = 0.65;
+/// The change, in percent, from which a worker is told of another pace.
+const LEAST_CHANGE: f64 = 8.0;
 
-/// How long the tail may be over before the pace goes to zero.
-const PATIENCE: Duration = Duration::from_millis(1_200);
+/// The time between two raises of one pace; the figures lag by half a second.
+const RAISE_GAP: Duration = Duration::from_millis(450);
 
-/// The time between two cuts: the lag of the figures.
-const CUT_GAP: Duration = Duration::from_millis(400);
+/// The pace below which a task had better go elsewhere, in percent.
+const CRAWL: f64 = 15.0;
 
-/// The time between two raises.
-const RAISE_GAP: Duration = Duration::from_millis(500);
+/// How long a task may crawl.
+const CRAWL_LIMIT: Duration = Duration::from_millis(1_000);
 
-/// The pace of the filling tasks of one worker.
+/// The pace of one image's filling tasks on one worker.
 #[derive(Clone, Copy, Debug)]
 pub struct Pace {
     percent: f64,
-    over_since: Option<Instant>,
     changed: Option<Instant>,
+    crawls: Option<Instant>,
 }
 
 impl Default for Pace {
     fn default() -> Self {
         Self {
             percent: 100.0,
-            over_since: None,
             changed: None,
+            crawls: None,
         }
     }
 }
 
 impl Pace {
-    /// Returns the share of their speed at which filling tasks may work, in percent.
+    /// Returns the share of their speed at which the tasks may work, in percent.
     pub fn percent(&self) -> u8 {
         self.percent.round() as u8
     }
 
-    /// Returns whether the tail has been over its target for longer than pacing takes.
-    pub fn is_failing(&self, now: Instant) -> bool {
-        let over = self.over_since.map(|since| now.duration_since(since));
-        over.is_some_and(|over| over > PATIENCE * 2)
+    /// Returns whether the tasks have been next to standing for too long.
+    pub fn is_crawling(&self, now: Instant) -> bool {
+        let since = self.crawls.map(|at| now.duration_since(at));
+        since.is_some_and(|since| since > CRAWL_LIMIT)
     }
 
-    /// Takes in the worst tail of the worker's serving tasks, as a share of their targets.
-    pub fn observe(&mut self, worst: f64, now: Instant) {
-        let since = |at: Option<Instant>| at.map_or(Duration::MAX, |at| now.duration_since(at));
-        if worst <= OVER {
-            self.over_since = None;
+    /// Sets the pace that is best now; returns whether it has changed.
+    pub fn set(&mut self, percent: f64, now: Instant) -> bool {
+        if percent >= CRAWL {
+            self.crawls = None;
+        } else {
+            self.crawls.get_or_insert(now);
         }
-        if worst > OVER {
-            let over = *self.over_since.get_or_insert(now);
-            if now.duration_since(over) >= PATIENCE {
-                self.set(0.0, now);
-            } else if since(self.changed) >= CUT_GAP {
-                self.set(self.percent * 0.4, now);
-            }
-        } else if worst > NEAR {
-            if since(self.changed) >= CUT_GAP {
-                self.set(self.percent * 0.85, now);
-            }
-        } else if worst < CALM && self.percent < 100.0 && since(self.changed) >= RAISE_GAP {
-            self.set((self.percent + 12.0).min(100.0), now);
+        let raises = percent > self.percent;
+        let early = self.changed.is_some_and(|at| now.duration_since(at) < RAISE_GAP);
+        let small = (percent - self.percent).abs() < LEAST_CHANGE;
+        let last = percent == 0.0 || percent == 100.0;
+        if percent == self.percent || (small && !last) || (raises && early) {
+            return false;
         }
-    }
-
-    fn set(&mut self, percent: f64, now: Instant) {
         self.percent = percent;
         self.changed = Some(now);
+        true
+    }
+}
+
+/// Returns the best paces, in percent, for filling images that would use `cores` at full speed.
+pub fn best(
+    disturbance: &Disturbance,
+    serving: &[(Image, Load)],
+    cores: &[(Image, f64)],
+) -> Vec<(Image, f64)> {
+    let mut paces: Vec<_> = cores.iter().map(|(image, _)| (*image, 100.0)).collect();
+    for (image, load) in serving {
+        let part = |(f, c): &(Image, f64)| c * disturbance.per_core(*image, *f);
+        let heavy = cores.iter().map(part).filter(|p| *p >= LEAST_PART);
+        let heavy: f64 = heavy.sum();
+        if heavy == 0.0 {
+            continue;
+        }
+        let light = cores.iter().map(part).filter(|p| *p < LEAST_PART);
+        let light: f64 = light.sum();
+        let left = disturbance.occupancy(*image, AIM) - load.mean() - light;
+        let percent = (left / heavy * 100.0).clamp(0.0, 100.0);
+        for (pace, in_use) in paces.iter_mut().zip(cores) {
+            if part(in_use) >= LEAST_PART {
+                pace.1 = percent.min(pace.1);
+            }
+        }
     }
+    paces
 }
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -25,6 +25,8 @@
     pub same_image: u32,
     /// The highest tail to expect of them with a task of the step, as a share of the target.
     pub tail: f64,
+    /// The occupancy that a task of the step adds to the serving task that it disturbs most.
+    pub added: f64,
     /// Tasks of the same step and round that run there.
     pub siblings: u32,
 }
@@ -38,8 +40,8 @@
 /// The tail, as a share of the target, up to which filling tasks are added.
 const HIGHEST_TAIL: f64 = 0.75;
 
-/// What a tail at its target is worth in unused processor, in thousandths of a core.
-const TAIL_WORTH: f64 = 20_000.0;
+/// What a whole occupancy that is added is worth in unused processor, in thousandths of a core.
+const ADDED_WORTH: f64 = 60_000.0;
 
 /// What a serving neighbour of the same image is worth to a serving task, in the same unit.
 const IMAGE_WORTH: i64 = 20_000;
@@ -74,7 +76,7 @@
         let near = near.is_some_and(|rack| self.info.labels.contains(rack));
         let near = if near { NEAR_WORTH } else { 0 };
         let own = if step.fills {
-            self.unused() - (self.tail * TAIL_WORTH) as i64
+            self.unused() - (self.added * ADDED_WORTH) as i64
         } else if step.target_ms > 0.0 {
             // Fewer images on a worker leave more filling images that don't disturb it.
             let same = i64::from(self.same_image);
--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -4,8 +4,9 @@
     super::state::{Approvals, Job, Order, Phase, Round, Shard, Task, Worker},
     crate::{
         sched::{
-            disturb::{Disturbance, Image},
+            disturb::{Image, Load},
             job::{JobId, Step, TaskName},
+            pace,
             place::{Candidate, choose},
             progress::Outcome,
             worker::Report,
@@ -35,12 +36,6 @@
 /// The share of its startup, in percent, from which a serving task's tail counts.
 const AT_WORK: f64 = 100.0;
 
-/// The part of the greatest disturbance from which an image is paced for it.
-const LEAST_BLAME: f64 = 0.4;
-
-/// What a tail counts for an image that has little part in it: it is not paced, nor sped up.
-const BLAMELESS: f64 = 0.7;
-
 /// What an approval must still be valid for when it is used.
 const ADVICE_RESERVE: Duration = Duration::from_millis(150);
 
@@ -316,6 +311,11 @@
                 } else {
                     0.0
                 },
+                added: if step.fills {
+                    self.added(w, image) * cores_of(step.room.cpu)
+                } else {
+                    0.0
+                },
                 siblings,
             };
             (w.info.id.as_str(), candidate)
@@ -482,6 +482,13 @@
         tails.fold(0.0, f64::max)
     }
 
+    /// Returns the most occupancy that a core of the filling image adds to a serving task.
+    fn added(&self, worker: &Worker, image: Image) -> f64 {
+        let serving = worker.runs.values().filter(|run| run.target_ms > 0.0);
+        let added = serving.map(|run| self.disturbance.per_core(run.image, image));
+        added.fold(0.0, f64::max)
+    }
+
     /// Learns from the tails of a worker's serving tasks, and paces its filling tasks by them.
     pub(super) fn watch_tails(&mut self, id: &str, report: &Report, now: Instant) {
         let token = self.worker_token(id);
@@ -497,28 +504,31 @@
             }
         }
         worker.pressure.observe(&cores, now);
-        let mut tails: Vec<(Image, f64)> = Vec::new();
+        let mut serving: Vec<(Image, Load)> = Vec::new();
         for row in report.running.iter().filter(|row| row.percent >= AT_WORK) {
             if let (Some(run), Some(usage)) = (worker.runs.get_mut(&row.task), row.usage)
                 && run.target_ms > 0.0
             {
                 let tail = usage / run.target_ms;
-                tails.push((run.image, tail));
                 let load = &mut run.load;
                 let pressure = &worker.pressure;
                 self.disturbance.observe(run.image, load, tail, pressure, now);
+                serving.push((run.image, *load));
             }
         }
         if worker.serving == 0 {
             worker.paces.clear();
         }
-        for (image, tail) in blame(&self.disturbance, &tails, worker.pressure.cores()) {
+        let mut full: Vec<(Image, f64)> = Vec::new();
+        for run in worker.runs.values().filter(|run| run.fill_cpu > 0) {
+            add_cores(&mut full, run.image, cores_of(run.fill_cpu));
+        }
+        for (image, percent) in pace::best(&self.disturbance, &serving, &full) {
             let pace = worker.paces.entry(image).or_default();
             let before = pace.percent();
-            pace.observe(tail, now);
-            if pace.percent() != before {
+            if pace.set(percent, now) {
                 log::info!(
-                    "jobs: worker={id} image={} pace={} before={before} tail={tail:.2} serving={}.",
+                    "jobs: worker={id} image={} pace={} before={before} serving={}.",
                     self.disturbance.name(image),
                     pace.percent(),
                     worker.serving,
@@ -533,9 +543,9 @@
             }
             let pace = worker.paces.get(&run.image).copied().unwrap_or_default();
             let percent = pace.percent();
-            if pace.is_failing(now) {
+            if pace.is_crawling(now) {
                 stop.push(*task);
-            } else if run.pace.abs_diff(percent) >= 3 {
+            } else if run.pace != percent {
                 run.pace = percent;
                 run.moved = now;
                 self.orders.push(Order::Pace {
@@ -548,31 +558,12 @@
             }
         }
         for task in stop {
-            log::warn!("jobs: task={task} worker={id} disturbs serving tasks, stopping it.");
+            log::info!("jobs: task={task} worker={id} disturbs serving tasks, stopping it.");
             self.stop_run(id, task);
         }
     }
 }
 
-/// Returns for each filling image the worst tail that it has a part in.
-fn blame(
-    disturbance: &Disturbance,
-    tails: &[(Image, f64)],
-    cores: &[(Image, f64)],
-) -> Vec<(Image, f64)> {
-    let mut worst: Vec<_> = cores.iter().map(|(image, _)| (*image, 0.0)).collect();
-    for (serving, tail) in tails {
-        let part = |(f, c): &(Image, f64)| c * disturbance.per_core(*serving, *f);
-        let most = cores.iter().map(part).fold(0.0, f64::max);
-        for (entry, in_use) in worst.iter_mut().zip(cores) {
-            let blamed = part(in_use) >= most * LEAST_BLAME;
-            let tail = if blamed { *tail } else { tail.min(BLAMELESS) };
-            entry.1 = tail.max(entry.1);
-        }
-    }
-    worst
-}
-
 fn cores_of(cpu: i64) -> f64 {
     cpu as f64 / 1_000.0
 }
