Keep workers for lasting tasks; spill by kept and by filling load

Cause: short tasks took the room that lasting ones waited for, and jobs went to domains whose kept room was full while another had a third of it free. Change: a worker whose short tasks would leave enough room is kept for a lasting task that found none; the domain of a job is chosen by what its kind of step asks for there.

--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -122,6 +122,13 @@
         self.cpu >= other.cpu && self.mem_mb >= other.mem_mb && self.gpu >= other.gpu
     }
 
+    /// Adds `other`.
+    pub fn give(&mut self, other: &Self) {
+        self.cpu += other.cpu;
+        self.mem_mb += other.mem_mb;
+        self.gpu += other.gpu;
+    }
+
     /// Takes `other` away.
     pub fn take(&mut self, other: &Self) {
         self.cpu -= other.cpu;
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -38,7 +38,7 @@
 const SERVING_USE: i64 = 55;
 
 /// The tail, as a share of the target, up to which filling tasks are added.
-const HIGHEST_TAIL: f64 = 0.75;
+const HIGHEST_TAIL: f64 = 0.8;
 
 /// What a whole occupancy that is added is worth in unused processor, in thousandths of a core.
 const ADDED_WORTH: f64 = 60_000.0;
--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -5,4 +5,4 @@
 mod state;
 mod workers;
 
-pub use state::{Batch, Found, Order, Params, Shard};
+pub use state::{Batch, Found, Order, Params, ServiceLoad, Shard};
--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -7,7 +7,7 @@
             disturb::{Image, Load},
             job::{JobId, Step, TaskName},
             pace,
-            place::{Candidate, choose},
+            place::{Candidate, choose, taken},
             progress::Outcome,
             worker::Report,
         },
@@ -135,10 +135,14 @@
         let open = |job: &Job| job.outcome == Outcome::Open && !(job.inherited && unsure);
         let jobs = self.jobs.iter().filter(|(_, job)| open(job));
         let mut order: Vec<_> = jobs
-            .map(|(id, job)| (job.spec.priority, job.accepted, *id))
+            .map(|(id, job)| {
+                let lasting = job.spec.steps.iter().any(|step| step.lasting);
+                (job.spec.priority, !lasting, job.accepted, *id)
+            })
             .collect();
         order.sort();
-        for (_, _, id) in order {
+        self.reserved.clear();
+        for (_, _, _, id) in order {
             self.dispatch_job(id, now);
         }
     }
@@ -190,6 +194,9 @@
             let found = self.find(name, service, step, avoid.as_deref(), now);
             let found = found.or_else(|| avoid.and_then(|_| self.find(name, service, step, None, now)));
             let Some(worker) = found else {
+                if step.lasting {
+                    self.reserve(name, service, step, now);
+                }
                 return;
             };
             self.start(&worker, name, now);
@@ -260,6 +267,38 @@
         }
     }
 
+    /// Keeps shorter tasks off a worker that has room for a lasting one once they have ended.
+    fn reserve(&mut self, name: TaskName, service: &str, step: &Step, now: Instant) {
+        let need = taken(step);
+        let able = self.workers.values().filter_map(|w| {
+            if w.info.service != service || !w.is_open(now) || w.runs.contains_key(&name) {
+                return None;
+            }
+            if self.reserved.contains(&w.info.id) {
+                return None;
+            }
+            let mut free = w.free;
+            for (task, run) in &w.runs {
+                if !self.is_lasting(*task) {
+                    free.give(&run.room);
+                }
+            }
+            let fits = free.holds(&need) && self.may_run(w, name, step);
+            fits.then_some((w.free.cpu, &w.info.id))
+        });
+        if let Some((_, id)) = able.max() {
+            let id = id.clone();
+            self.reserved.insert(id);
+        }
+    }
+
+    /// Returns whether labels and limits let a task run on a worker, whatever its room.
+    fn may_run(&self, worker: &Worker, name: TaskName, step: &Step) -> bool {
+        let labels = &worker.info.labels;
+        let labelled = step.needs.as_ref().is_none_or(|needs| labels.contains(needs));
+        labelled && (step.per_worker == 0 || worker.siblings(name) < step.per_worker)
+    }
+
     fn racks(&self) -> Vec<String> {
         let labels = self.workers.values().flat_map(|w| w.info.labels.iter());
         let mut labels: Vec<_> = labels.cloned().collect();
@@ -287,15 +326,15 @@
             w.info.service == service
                 && w.is_open(now)
                 && Some(w.info.id.as_str()) != avoid
+                && (step.fills || !self.reserved.contains(&w.info.id))
                 && !w.runs.contains_key(&name)
                 && approved(w)
         });
         let image = self.disturbance.known_image(&step.image);
         let serves = step.target_ms > 0.0;
         let candidates = open.map(|w| {
-            let same = |t: &&TaskName| (t.job, t.round, t.step) == (name.job, name.round, name.step);
             let siblings = if step.per_worker > 0 {
-                w.runs.keys().filter(same).count() as u32
+                w.siblings(name)
             } else {
                 0
             };
@@ -576,6 +615,12 @@
 }
 
 impl Worker {
+    /// Returns how many tasks of the same step and round run here.
+    fn siblings(&self, name: TaskName) -> u32 {
+        let of = |t: &TaskName| (t.job, t.round, t.step);
+        self.runs.keys().filter(|t| of(t) == of(&name)).count() as u32
+    }
+
     fn same_image(&self, image: Image) -> u32 {
         let serving = self.runs.values().filter(|run| run.target_ms > 0.0);
         serving.filter(|run| run.image == image).count() as u32
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -122,6 +122,15 @@
     outcomes: Vec<(JobId, Outcome)>,
 }
 
+/// How much of a service's processor is asked for, in thousandths.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct ServiceLoad {
+    /// By tasks that keep what they ask for.
+    pub kept: u32,
+    /// By tasks that get what others leave unused.
+    pub filling: u32,
+}
+
 /// What a run is doing, as far as is known.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Phase {
@@ -234,6 +243,8 @@
     pub(super) workers: HashMap<String, Worker>,
     pub(super) disturbance: Disturbance,
     pub(super) approvals: HashMap<(JobId, u32, u16), Approvals>,
+    /// Workers that are kept for lasting tasks in this pass.
+    pub(super) reserved: HashSet<String>,
     pub(super) early_cancels: HashSet<JobId>,
     pub(super) dirty: HashSet<JobId>,
     pub(super) dirty_since: Option<Instant>,
@@ -257,6 +268,7 @@
             workers: HashMap::default(),
             disturbance: Disturbance::default(),
             approvals: HashMap::default(),
+            reserved: HashSet::default(),
             early_cancels: HashSet::default(),
             dirty: HashSet::default(),
             dirty_since: None,
@@ -348,23 +360,31 @@
         pending
     }
 
-    /// Returns for each service the processor that is asked for, in thousandths of what is there.
-    pub fn loads(&self) -> HashMap<String, u32> {
-        let mut sums: HashMap<&str, (i64, i64)> = HashMap::default();
+    /// Returns for each service the processor that is asked for.
+    pub fn loads(&self) -> HashMap<String, ServiceLoad> {
+        let mut sums: HashMap<&str, (i64, i64, i64)> = HashMap::default();
         for worker in self.workers.values().filter(|w| w.listed) {
             let sum = sums.entry(&worker.info.service).or_default();
-            sum.1 += worker.info.room.cpu;
+            sum.0 += worker.info.room.cpu;
         }
         for job in self.jobs.values().filter(|j| j.outcome == Outcome::Open) {
             let sum = sums.entry(&job.spec.service).or_default();
-            sum.0 += job.demand();
+            let (kept, filling) = job.demand();
+            sum.1 += kept;
+            sum.2 += filling;
         }
-        let share = |(asked, there): (i64, i64)| match there {
-            0 => u32::MAX,
-            _ => u32::try_from(asked * 1_000 / there).unwrap_or(u32::MAX),
+        let load = |(there, kept, filling): (i64, i64, i64)| {
+            let share = |asked: i64| match there {
+                0 => u32::MAX,
+                _ => u32::try_from(asked * 1_000 / there).unwrap_or(u32::MAX),
+            };
+            ServiceLoad {
+                kept: share(kept),
+                filling: share(filling),
+            }
         };
         let loads = sums.into_iter();
-        loads.map(|(s, sum)| (s.to_owned(), share(sum))).collect()
+        loads.map(|(s, sum)| (s.to_owned(), load(sum))).collect()
     }
 
     /// Returns the next rows to store, if it is time; `last` has ended by then.
@@ -518,14 +538,21 @@
         tasks.get_mut(name.index as usize)
     }
 
-    fn demand(&self) -> i64 {
-        let steps = &self.spec.steps;
-        let of_round = |round: &Round| {
-            let left = round.left.iter().zip(steps);
-            left.map(|(left, step)| i64::from(*left) * step.room.cpu)
-                .sum::<i64>()
-        };
-        self.rounds.iter().map(of_round).sum()
+    /// Returns the processor that its open steps ask for: what is kept free, and what fills.
+    fn demand(&self) -> (i64, i64) {
+        let mut kept = 0;
+        let mut filling = 0;
+        for round in &self.rounds {
+            for (left, step) in round.left.iter().zip(&self.spec.steps) {
+                let asked = i64::from(*left) * step.room.cpu;
+                if step.fills {
+                    filling += asked;
+                } else {
+                    kept += asked;
+                }
+            }
+        }
+        (kept, filling)
     }
 
     fn progress(&self) -> Progress {
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -272,9 +272,7 @@
         }
         let worker = self.workers.get_mut(id)?;
         let run = worker.runs.remove(&task)?;
-        worker.free.cpu += run.room.cpu;
-        worker.free.mem_mb += run.room.mem_mb;
-        worker.free.gpu += run.room.gpu;
+        worker.free.give(&run.room);
         worker.fill_cpu -= run.fill_cpu;
         if run.target_ms > 0.0 {
             worker.serving -= 1;
--- a/crates/peer/src/beat.rs
+++ b/crates/peer/src/beat.rs
@@ -36,8 +36,9 @@
     pub shard: String,
     /// The fencing token.
     pub token: u64,
-    /// Services and how much of their processor is asked for, in thousandths.
-    pub loads: Vec<(String, u32)>,
+    /// Services and how much of their processor is asked for, in thousandths: by tasks that keep
+    /// it, and by tasks that fill.
+    pub loads: Vec<(String, u32, u32)>,
     /// Queues and how many of their jobs have not begun.
     pub pending: Vec<(String, u32)>,
 }
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -20,7 +20,7 @@
             lead::{PeerView, Situation, should_take},
             progress::JobState,
             queues::Queues,
-            shard::{Batch, Order, Params},
+            shard::{Batch, Order, Params, ServiceLoad},
             worker::{Answer, Report, WorkerInfo},
         },
     },
@@ -619,11 +619,12 @@
         let leads = self.leading.values().map(|leading| {
             let mut pending: Vec<_> = leading.shard.pending().into_iter().collect();
             pending.sort();
+            let loads = leading.shard.loads().into_iter();
             pending.truncate(MOST_QUEUES / self.leading.len().max(1));
             Lead {
                 shard: leading.name.clone(),
                 token: leading.token,
-                loads: leading.shard.loads().into_iter().collect(),
+                loads: loads.map(|(s, l)| (s, l.kept, l.filling)).collect(),
                 pending,
             }
         });
@@ -693,11 +694,13 @@
             lease.token = lead.token;
             lease.leader = Some((beat.name.clone(), beat.incarnation));
             lease.led = Some(now);
+            let loads = lead.loads.into_iter();
+            let loads = loads.map(|(s, kept, filling)| (s, ServiceLoad { kept, filling }));
             lease.view = Some(LeaderView {
                 name: beat.name.clone(),
                 address: beat.address,
                 heard: now,
-                loads: lead.loads.into_iter().collect(),
+                loads: loads.collect(),
                 pending: lead.pending.into_iter().collect(),
             });
             let deposed = self.leading.get(&lead.shard).is_some_and(|l| l.token < lead.token);
--- a/crates/scheduler/src/view.rs
+++ b/crates/scheduler/src/view.rs
@@ -3,17 +3,19 @@
 use {
     marigoldbend_core::{
         hash::HashMap,
-        sched::{job::JobSpec, queues::Queues},
+        sched::{job::JobSpec, queues::Queues, shard::ServiceLoad},
     },
     std::{net::SocketAddr, sync::Arc, time::Instant},
 };
 
 /// How much more of its processor, in thousandths, may be asked for in the own domain than in
-/// the least loaded one before a job goes there.
-const SPILL_MARGIN: u32 = 250;
+/// the least loaded one before a job goes there; and the load up to which it stays in any case.
+const KEPT_MARGIN: u32 = 100;
+const KEPT_FLOOR: u32 = 600;
 
-/// The load, in thousandths, up to which jobs stay in the own domain in any case.
-const SPILL_FLOOR: u32 = 850;
+/// The same for jobs that only fill.
+const FILL_MARGIN: u32 = 150;
+const FILL_FLOOR: u32 = 200;
 
 /// A shard's leader, as it was last heard.
 #[derive(Clone, Debug)]
@@ -24,8 +26,8 @@
     pub address: SocketAddr,
     /// When it last said that it leads.
     pub heard: Instant,
-    /// Services and how much of their processor is asked for, in thousandths.
-    pub loads: HashMap<String, u32>,
+    /// Services and how much of their processor is asked for.
+    pub loads: HashMap<String, ServiceLoad>,
     /// Queues and how many of their jobs have not begun.
     pub pending: HashMap<String, u32>,
 }
@@ -61,6 +63,12 @@
         let needs: Vec<_> = needs.collect();
         let near = job.steps.iter().filter_map(|s| s.near.as_ref());
         let near: Vec<_> = near.collect();
+        let fills = job.steps.iter().all(|s| s.fills);
+        let (margin, floor) = if fills {
+            (FILL_MARGIN, FILL_FLOOR)
+        } else {
+            (KEPT_MARGIN, KEPT_FLOOR)
+        };
         let able = shards.iter().filter(|(shard, labels)| {
             self.leaders.contains_key(*shard) && needs.iter().all(|n| labels.contains(n))
         });
@@ -68,13 +76,15 @@
             let close = near.iter().filter(|n| labels.contains(n)).count();
             let leader = self.leaders.get(shard);
             let load = leader.and_then(|l| l.loads.get(&job.service));
-            (close, load.copied().unwrap_or(0), shard)
+            let load = load.copied().unwrap_or_default();
+            let load = if fills { load.filling } else { load.kept };
+            (close, load, shard)
         });
         let candidates: Vec<_> = candidates.collect();
         let closest = candidates.iter().map(|c| c.0).max().unwrap_or(0);
         let close = candidates.iter().filter(|c| c.0 == closest);
         let least = close.clone().map(|c| c.1).min().unwrap_or(0);
-        let limit = SPILL_FLOOR.max(least.saturating_add(SPILL_MARGIN));
+        let limit = floor.max(least.saturating_add(margin));
         let stays = |c: &&(usize, u32, &String)| c.2 == own && c.1 <= limit;
         if close.clone().any(|c| stays(&c)) {
             return own.to_owned();
