Pass jobs that have not begun on to less loaded shards; aim tails at 0.8

Cause: loads are old when many jobs come at once, and a full shard kept what it could not run. Change: one transaction moves such a job; a cancellation follows it; callers' queries read the identifier's row again when the leader does not know the job.

--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -199,6 +199,8 @@
     pub advised: bool,
     /// When it was accepted, in milliseconds of Unix time.
     pub accepted_ms: u64,
+    /// How often it was passed on to another shard before it began.
+    pub moves: u8,
 }
 
 impl JobSpec {
--- a/crates/core/src/sched/pace.rs
+++ b/crates/core/src/sched/pace.rs
@@ -10,7 +10,7 @@
 };
 
 /// The tail, as a share of the target, that paces aim at.
-const AIM: f64 = 0.85;
+const AIM: f64 = 0.8;
 
 /// The occupancy that an image must add to a serving task to be paced for it.
 const LEAST_PART: f64 = 0.02;
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -23,6 +23,9 @@
 /// Tokens of one leader for one worker; each life of the worker gets another.
 const TOKENS_PER_LEADER: u64 = 64;
 
+/// The wait before a job that could not be passed on is passed on again.
+const MOVE_RETRY: Duration = Duration::from_secs(1);
+
 /// Figures that a deployment sets.
 #[derive(Clone, Copy, Debug)]
 pub struct Params {
@@ -93,6 +96,13 @@
         /// The fencing token.
         token: u64,
     },
+    /// Pass a job that has not begun on to a shard with more room.
+    Move {
+        /// The job.
+        job: JobId,
+        /// What it is.
+        spec: Arc<JobSpec>,
+    },
     /// Ask which workers may run a step.
     Advise {
         /// Any task of the step.
@@ -223,6 +233,10 @@
     pub next_round: u32,
     pub records: Vec<TaskRecord>,
     pub accepted: Instant,
+    /// Whether it is being passed on to another shard.
+    pub moving: bool,
+    /// When it may be passed on.
+    pub move_after: Option<Instant>,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -253,6 +267,8 @@
     pub(super) orders: Vec<Order>,
     pub(super) changed: bool,
     pub(super) stopping: bool,
+    /// Loads of the least loaded other shard, by service.
+    pub(super) elsewhere: HashMap<String, ServiceLoad>,
     pub(super) fenced: bool,
 }
 
@@ -277,6 +293,7 @@
             orders: Vec::new(),
             changed: true,
             stopping: false,
+            elsewhere: HashMap::default(),
             fenced: false,
         }
     }
@@ -308,6 +325,8 @@
             next_round: 0,
             records: progress.tasks,
             accepted: now,
+            moving: false,
+            move_after: None,
         };
         self.jobs.insert(id, job);
         self.changed = true;
@@ -330,11 +349,34 @@
         }
     }
 
+    /// Takes in the least loads of other shards, by service.
+    pub fn set_elsewhere(&mut self, loads: HashMap<String, ServiceLoad>) {
+        self.elsewhere = loads;
+    }
+
+    /// Takes in whether a job was passed on.
+    pub fn moved(&mut self, id: JobId, moved: bool, now: Instant) {
+        if moved {
+            self.jobs.remove(&id);
+            return;
+        }
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.moving = false;
+            job.move_after = Some(now + MOVE_RETRY);
+            self.changed = true;
+        }
+    }
+
     /// Stops starting work, before the lead is given up.
     pub fn stop_starting(&mut self) {
         self.stopping = true;
     }
 
+    /// Returns whether a job is known here.
+    pub fn knows(&self, id: JobId) -> bool {
+        self.jobs.contains_key(&id) || self.over.contains_key(&id)
+    }
+
     /// Returns whether a worker has refused this leader's token.
     pub fn is_fenced(&self) -> bool {
         self.fenced
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -16,7 +16,7 @@
         clock::Clock,
         hash::HashMap,
         sched::{
-            job::{JobId, TaskName},
+            job::{JobId, JobSpec, TaskName},
             lead::{PeerView, Situation, should_take},
             progress::JobState,
             queues::Queues,
@@ -27,7 +27,8 @@
     marigoldbend_http::lane::Pool,
     marigoldbend_peer::beat::{Beat, Lead, MOST_QUEUES},
     marigoldbend_platform::{
-        rows::{Outcome, Range, Row, Tx},
+        backoff::Backoff,
+        rows::{Outcome, Range, Row, RowKey, Tx},
         store::{Store, StoreError},
     },
     marigoldbend_wire::{operator, store as wire, workers as worker_wire},
@@ -37,6 +38,7 @@
         sync::Arc,
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
+    tokio::time::sleep,
     xtra::prelude::*,
 };
 
@@ -123,6 +125,8 @@
     Answered(String, u64, Answered),
     /// The advice service answered.
     Advised(String, u64, TaskName, Vec<(String, String)>, Duration),
+    /// A job of a led shard was passed on, or not.
+    Moved(String, u64, JobId, bool),
     /// A write of a led shard has ended.
     Written(String, u64, Batch, Result<Outcome, StoreError>),
     /// The end of the process has begun.
@@ -399,7 +403,11 @@
             drain: self.settings.drain,
             ..Params::default()
         };
+        let cancelled = taken.cancelled.clone();
         let mut leading = Leading::new(shard, taken, params, sinks, self.metrics.clone(), now);
+        for job in cancelled.into_iter().filter(|job| !leading.shard.knows(*job)) {
+            self.forward_cancel(shard, job);
+        }
         leading.list(&self.workers, now);
         leading.feed = self.follow_jobs(shard, token, from);
         self.leading.insert(shard.to_owned(), leading);
@@ -522,12 +530,74 @@
             });
         }
         for order in rest {
-            if let Order::Advise { task, workers } = order {
-                self.advise(shard, token, task, workers, &address);
+            match order {
+                Order::Advise { task, workers } => {
+                    self.advise(shard, token, task, workers, &address);
+                }
+                Order::Move { job, spec } => self.pass_on(shard, token, job, &spec, &address),
+                // Workers have got theirs.
+                Order::Start { .. } | Order::Stop { .. } | Order::Pace { .. } => {}
             }
         }
     }
 
+    /// Passes a job on to the shard where least is asked for.
+    fn pass_on(
+        &self,
+        shard: &str,
+        token: u64,
+        job: JobId,
+        spec: &JobSpec,
+        address: &Address<Self>,
+    ) {
+        let view = self.view.load();
+        let target = view.choose_shard("", spec);
+        let ver = self.leading.get(shard).map(|l| l.ver);
+        let to = address.clone();
+        let from = shard.to_owned();
+        let (Some(ver), true) = (ver, view.leaders.contains_key(&target) && target != shard) else {
+            tokio::spawn(async move { tell(&to, Event::Moved(from, token, job, false)).await });
+            return;
+        };
+        let tx = names::pass_on(&from, ver, &target, job, spec);
+        let store = self.store.clone();
+        let mut unclear = false;
+        tokio::spawn(async move {
+            // A write without a reply may still take effect: only an answer settles it.
+            let mut backoff = Backoff::new();
+            let result = loop {
+                match store.tx(&tx).await {
+                    Ok(outcome) => break Ok(outcome),
+                    Err(StoreError::Undone) if !unclear => break Err(StoreError::Undone),
+                    Err(e) => unclear |= e != StoreError::Undone,
+                }
+                let wait = backoff.next(&mut rand::rng());
+                sleep(wait).await;
+            };
+            log::info!("lead: job={job} shard={from} passed on to {target}: {result:?}.");
+            let moved = matches!(result, Ok(Outcome::Applied(_)));
+            tell(&to, Event::Moved(from, token, job, moved)).await;
+        });
+    }
+
+    /// Passes the cancellation of a job on, which was itself passed on to another shard.
+    fn forward_cancel(&self, shard: &str, job: JobId) {
+        let store = self.store.clone();
+        let shard = shard.to_owned();
+        tokio::spawn(async move {
+            let mut backoff = Backoff::new();
+            loop {
+                let forwarded = takeover::forward_cancel(&store, &shard, job).await;
+                match forwarded {
+                    Ok(to) => break log::info!("lead: job={job} shard={shard} cancel goes to {to:?}."),
+                    Err(e) => log::warn!("lead: job={job} cancel is not passed on yet: {e}."),
+                }
+                let wait = backoff.next(&mut rand::rng());
+                sleep(wait).await;
+            }
+        });
+    }
+
     fn advise(
         &self,
         shard: &str,
@@ -802,6 +872,18 @@
         if before != ready {
             log::info!("entry: ready={ready}.");
         }
+        for (shard, leading) in &mut self.leading {
+            let others = leaders.iter().filter(|(name, _)| *name != shard);
+            let mut least: HashMap<String, ServiceLoad> = HashMap::default();
+            for (_, leader) in others {
+                for (service, load) in &leader.loads {
+                    let known = least.entry(service.clone()).or_insert(*load);
+                    known.kept = known.kept.min(load.kept);
+                    known.filling = known.filling.min(load.filling);
+                }
+            }
+            leading.shard.set_elsewhere(least);
+        }
         self.view.store(Arc::new(View {
             queues: self.queues.clone(),
             leaders,
@@ -837,7 +919,7 @@
             } => leading
                 .shard
                 .stopped(worker, *task, *attempt, answered.answer, now),
-            Order::Pace { .. } | Order::Advise { .. } => {}
+            Order::Pace { .. } | Order::Advise { .. } | Order::Move { .. } => {}
         }
         if answered.answer == Answer::Fenced {
             self.give_up(shard, "a worker knows a higher token");
@@ -863,7 +945,10 @@
             Event::Taken(shard, result) => self.taken(&shard, result, now),
             Event::Jobs(shard, token, rows) => {
                 if let Some(leading) = self.led(&shard, token) {
-                    leading.job_rows(&rows, now, unix_ms);
+                    let unknown = leading.job_rows(&rows, now, unix_ms);
+                    for job in unknown {
+                        self.forward_cancel(&shard, job);
+                    }
                     self.drive(&shard, now);
                 }
             }
@@ -885,6 +970,11 @@
                     self.drive(&shard, now);
                 }
             }
+            Event::Moved(shard, token, job, moved) => {
+                if let Some(leading) = self.led(&shard, token) {
+                    leading.shard.moved(job, moved, now);
+                }
+            }
             Event::Written(shard, token, batch, result) => {
                 if self.led(&shard, token).is_some() {
                     self.written(&shard, &batch, result, now);
@@ -987,17 +1077,17 @@
         zone: settings.zone.clone(),
         address: settings.peers,
     };
-    let key = marigoldbend_platform::rows::RowKey::new(names::INSTANCES, "", &settings.name);
+    let key = RowKey::new(names::INSTANCES, "", &settings.name);
     let tx = Tx {
         // Plain data always encodes.
         puts: vec![(key, postcard::to_stdvec(&row).unwrap_or_default())],
         ..Tx::default()
     };
-    let mut backoff = marigoldbend_platform::backoff::Backoff::new();
+    let mut backoff = Backoff::new();
     while let Err(e) = store.tx(&tx).await {
         log::warn!("peers: this instance is not written yet: {e}.");
         let wait = backoff.next(&mut rand::rng());
-        tokio::time::sleep(wait).await;
+        sleep(wait).await;
     }
     loop {
         match read_known(store, settings).await {
@@ -1005,7 +1095,7 @@
             Err(e) => log::warn!("peers: the instances are not read yet: {e}."),
         }
         let wait = backoff.next(&mut rand::rng());
-        tokio::time::sleep(wait).await;
+        sleep(wait).await;
     }
 }
 
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -6,7 +6,7 @@
         metrics::Metrics,
         names,
         settings::Settings,
-        takeover::read_lease,
+        takeover::read_row,
         view::View,
     },
     arc_swap::ArcSwap,
@@ -32,7 +32,7 @@
     },
     marigoldbend_platform::{
         backoff::Backoff,
-        rows::{Outcome, Range, RowKey, Tx},
+        rows::{Outcome, RowKey, Tx},
         store::{Store, StoreError},
     },
     marigoldbend_wire::callers as wire,
@@ -318,9 +318,15 @@
                 None => return Ok(None),
             },
         };
-        let state = match self.ask_leader(&shard, id).await {
-            Some(state) => state,
-            None => self.read_state(&shard, id, end).await?,
+        let (shard, state) = match self.ask_leader(&shard, id).await {
+            Some(state) => (shard, state),
+            None => {
+                // It may have been passed on, or the leader does not know it yet.
+                let there = self.read_shard(id, end).await?;
+                let there = there.unwrap_or(shard);
+                let state = self.read_state(&there, id, end).await?;
+                (there, state)
+            }
         };
         let over = !matches!(state, JobState::Queued | JobState::Running);
         self.remember(id, &shard, over.then_some(state));
@@ -376,17 +382,10 @@
     }
 
     async fn read_row(&self, key: &RowKey, end: Instant) -> Result<Option<Vec<u8>>, Failure> {
-        let after = format!("{}\u{1}", key.key);
-        let range = Range {
-            table: &key.table,
-            part: &key.part,
-            from: &key.key,
-            to: &after,
-        };
         let mut backoff = Backoff::new();
         loop {
-            let e = match self.store.range(&range).await {
-                Ok(page) => return Ok(page.rows.into_iter().next().map(|row| row.value)),
+            let e = match read_row(&self.store, key).await {
+                Ok(row) => return Ok(row),
                 Err(e) => e,
             };
             let wait = backoff.next(&mut rand::rng());
@@ -398,11 +397,8 @@
     }
 
     async fn cancel(&self, id: JobId, end: Instant) -> Answer {
-        let shard = match self.shard_of(id) {
-            Some(shard) => Ok(Some(shard)),
-            None => self.read_shard(id, end).await,
-        };
-        let shard = match shard {
+        // It may have been passed on since it was accepted, so that memory does not do.
+        let shard = match self.read_shard(id, end).await {
             Ok(Some(shard)) => shard,
             Ok(None) => return answer(wire::NO_SUCH_JOB, Bytes::new()),
             Err(_) => return refused("the job is not known now"),
@@ -440,14 +436,6 @@
         }
     }
 
-    /// Returns whether the store still answers; for operators.
-    ///
-    /// # Errors
-    ///
-    /// Returns the store's failure.
-    pub async fn check_store(&self) -> Result<(), StoreError> {
-        read_lease(&self.store, &self.settings.zone).await.map(drop)
-    }
 }
 
 fn host_of<'a>(headers: &'a HeaderMap, authority: Option<&'a str>) -> &'a str {
--- a/crates/scheduler/src/leading.rs
+++ b/crates/scheduler/src/leading.rs
@@ -135,11 +135,17 @@
         self.open_ways();
     }
 
-    /// Takes in rows of the shard's table of jobs.
-    pub fn job_rows(&mut self, rows: &[Row], now: Instant, unix_ms: u64) {
+    /// Takes in rows of the shard's table of jobs; returns cancelled jobs that it does not know.
+    pub fn job_rows(&mut self, rows: &[Row], now: Instant, unix_ms: u64) -> Vec<JobId> {
+        let mut unknown = Vec::new();
         for row in rows.iter().filter(|row| !row.dropped) {
             match names::read_job_key(&row.name.key) {
-                Some(names::JobRow::Cancel(id)) => self.shard.cancel(id, unix_ms),
+                Some(names::JobRow::Cancel(id)) => {
+                    if !self.shard.knows(id) {
+                        unknown.push(id);
+                    }
+                    self.shard.cancel(id, unix_ms);
+                }
                 Some(names::JobRow::Job(id)) => match postcard::from_bytes(&row.value) {
                     Ok(spec) => self.shard.add_job(id, spec, Found::New, now),
                     Err(e) => log::error!("lead: shard={} row={}: {e}.", self.name, row.name),
@@ -147,6 +153,8 @@
                 None => log::error!("lead: shard={} row={}: unknown key.", self.name, row.name),
             }
         }
+        unknown.retain(|id| !self.shard.knows(*id));
+        unknown
     }
 
     /// Says how a worker's next report is asked for.
--- a/crates/scheduler/src/names.rs
+++ b/crates/scheduler/src/names.rs
@@ -1,6 +1,9 @@
 //! The tables that the scheduler keeps in the store, and the keys of their rows.
 
-use {marigoldbend_core::sched::job::JobId, marigoldbend_platform::rows::RowKey};
+use {
+    marigoldbend_core::sched::job::{JobId, JobSpec},
+    marigoldbend_platform::rows::{RowKey, Tx},
+};
 
 /// The table of the leases; one row a shard.
 pub const LEASES: &str = "leases";
@@ -58,6 +61,23 @@
     RowKey::new("ids", &key[..1], &key)
 }
 
+/// Returns the transaction that passes a job on to another shard.
+pub fn pass_on(from: &str, lease_ver: u64, to: &str, id: JobId, spec: &JobSpec) -> Tx {
+    let spec = JobSpec {
+        moves: spec.moves + 1,
+        ..spec.clone()
+    };
+    Tx {
+        expect: vec![(lease(from), lease_ver)],
+        puts: vec![
+            (self::id(id), to.as_bytes().to_vec()),
+            // Plain data always encodes.
+            (job(to, id), postcard::to_stdvec(&spec).unwrap_or_default()),
+        ],
+        drops: vec![job(from, id), progress(from, id)],
+    }
+}
+
 /// What a row in a shard's table of jobs is about.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum JobRow {
--- a/crates/scheduler/src/orders.rs
+++ b/crates/scheduler/src/orders.rs
@@ -140,6 +140,7 @@
         Order::Stop { .. } => "stop",
         Order::Pace { .. } => "pace",
         Order::Advise { .. } => "advise",
+        Order::Move { .. } => "move",
     }
 }
 
@@ -148,7 +149,7 @@
         Order::Start { worker, .. } | Order::Stop { worker, .. } | Order::Pace { worker, .. } => {
             worker
         }
-        Order::Advise { .. } => "",
+        Order::Advise { .. } | Order::Move { .. } => "",
     }
 }
 
@@ -188,7 +189,7 @@
             token,
             ..
         } => Some(workers::pace(worker, *task, *attempt, *percent, *token)),
-        Order::Advise { .. } => None,
+        Order::Advise { .. } | Order::Move { .. } => None,
     }
 }
 
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -166,3 +166,54 @@
         Err(e) => Err(e.into()),
     }
 }
+
+/// Writes the cancellation of a job that is not in this shard into the one where it is; returns
+/// that one, if there is such a job.
+///
+/// # Errors
+///
+/// Returns an error if the store could not be used.
+pub async fn forward_cancel(
+    store: &Store,
+    shard: &str,
+    job: JobId,
+) -> Result<Option<String>, StoreError> {
+    let Some(there) = read_shard(store, job).await? else {
+        return Ok(None);
+    };
+    if there != shard {
+        let tx = Tx {
+            puts: vec![(names::cancel(&there, job), Vec::new())],
+            ..Tx::default()
+        };
+        store.tx(&tx).await?;
+    }
+    Ok(Some(there))
+}
+
+/// Reads which shard a job belongs to; `None` if there is no such job.
+///
+/// # Errors
+///
+/// Returns an error if the store could not be read.
+pub async fn read_shard(store: &Store, job: JobId) -> Result<Option<String>, StoreError> {
+    let row = read_row(store, &names::id(job)).await?;
+    Ok(row.map(|value| String::from_utf8_lossy(&value).into_owned()))
+}
+
+/// Reads one row; `None` if it is not there.
+///
+/// # Errors
+///
+/// Returns an error if the store could not be read.
+pub async fn read_row(store: &Store, key: &RowKey) -> Result<Option<Vec<u8>>, StoreError> {
+    let after = format!("{}\u{1}", key.key);
+    let range = Range {
+        table: &key.table,
+        part: &key.part,
+        from: &key.key,
+        to: &after,
+    };
+    let page = store.range(&range).await?;
+    Ok(page.rows.into_iter().next().map(|row| row.value))
+}
