One shard for the deployment; fix an end acknowledged before its row was stored

Cause: (1) the pool of one failure domain is too small for lasting jobs; (2) with a row in flight nothing counted as waiting for the store, so its ends were acknowledged and a new leader started the task again; (3) beats to other domains came every 450 ms, and two late ones passed for silence. Change: shards span the deployment by a setting; a leader that few hear is looked up in the store before it is replaced; ends wait for rows in flight; leaders beat everywhere as often.

--- a/crates/core/src/sched/lead.rs
+++ b/crates/core/src/sched/lead.rs
@@ -11,12 +11,22 @@
     std::time::{Duration, Instant},
 };
 
-/// How long a leader of the own domain may be silent; four beats and the delay of a busy host.
+/// How long a leader may be silent; five beats and the delay of a busy host.
 pub const LOCAL_SILENCE: Duration = Duration::from_millis(800);
 
+/// How long a peer may be silent before it counts as out of reach: three beats between domains.
+pub const PEER_SILENCE: Duration = Duration::from_millis(1_500);
+
 /// How long after a better candidate the next one tries.
 pub const RANK_DELAY: Duration = Duration::from_millis(350);
 
+/// How long the beat of a leader in the store must stand still for a few instances that hear
+/// less than half of the others to take its shard over; it is written every second.
+pub const STORE_SILENCE: Duration = Duration::from_millis(2_200);
+
+/// How long a peer that is not heard any more counts as one of those that should be.
+const PEER_MEMORY: Duration = Duration::from_secs(10);
+
 /// How long a domain's own instances must be silent before another domain leads its shard.
 pub const FOREIGN_SILENCE: Duration = Duration::from_millis(2_500);
 
@@ -55,8 +65,10 @@
     pub incarnation: u64,
     /// The own failure domain.
     pub zone: &'a str,
-    /// The shard's failure domain.
+    /// The shard.
     pub shard: &'a str,
+    /// The shard's failure domains.
+    pub zones: &'a [String],
     /// Whether this instance reaches the store.
     pub store_ok: bool,
     /// The peers.
@@ -67,6 +79,26 @@
     pub leader: Option<(&'a str, u64)>,
     /// When the leader last said that it leads.
     pub led: Option<Instant>,
+    /// When the leader's beat in the store was last seen to change, if it was looked at.
+    pub store_beat: Option<Instant>,
+}
+
+impl Situation<'_> {
+    /// Returns whether this instance hears less than half of the peers that it should hear.
+    ///
+    /// It may then be cut off together with a few others, while the leader is well.
+    pub fn is_minority(&self, now: Instant) -> bool {
+        let within = |p: &&PeerView, limit| now.duration_since(p.heard) < limit;
+        let known = self.peers.values().filter(|p| within(p, PEER_MEMORY)).count();
+        let alive = self.peers.values().filter(|p| within(p, PEER_SILENCE)).count();
+        (alive + 1) * 2 < known + 1
+    }
+
+    /// Returns whether the leader has not been heard for long.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        let since = self.led.unwrap_or(self.since).max(self.since);
+        now.duration_since(since) >= LOCAL_SILENCE
+    }
 }
 
 /// Returns whether this instance should try to take the shard over now.
@@ -74,10 +106,11 @@
     if !s.store_ok {
         return false;
     }
-    let local = s.zone == s.shard;
-    let alive = |p: &PeerView| now.duration_since(p.heard) < LOCAL_SILENCE;
+    let of_shard = |zone: &str| s.zones.iter().any(|z| z == zone);
+    let local = of_shard(s.zone);
+    let alive = |p: &PeerView| now.duration_since(p.heard) < PEER_SILENCE;
     let able = |p: &PeerView| alive(p) && p.store_ok && !p.ending;
-    let locals = s.peers.iter().filter(|(_, p)| p.zone == s.shard);
+    let locals = s.peers.iter().filter(|(_, p)| of_shard(&p.zone));
     let quiet_since = s.led.unwrap_or(s.since).max(s.since);
     let quiet = now.duration_since(quiet_since);
     let vacant = match s.leader {
@@ -88,6 +121,10 @@
             alive(p) && (p.incarnation != incarnation || p.ending || !p.store_ok)
         }),
     };
+    if !vacant && s.is_minority(now) {
+        let still = |at: Instant| now.duration_since(at) >= STORE_SILENCE;
+        return s.store_beat.is_some_and(still);
+    }
     if !local {
         let newest = locals.filter(|(_, p)| p.store_ok && !p.ending);
         let newest = newest.map(|(_, p)| p.heard).max();
@@ -97,7 +134,7 @@
         }
     }
     let rivals = s.peers.iter().filter(|(_, p)| able(p));
-    let rivals = rivals.filter(|(_, p)| (p.zone == s.shard) == local);
+    let rivals = rivals.filter(|(_, p)| of_shard(&p.zone) == local);
     let better = rivals.filter(|(name, _)| rank(s.shard, name) < rank(s.shard, s.me));
     let delay = RANK_DELAY * u32::try_from(better.count()).unwrap_or(u32::MAX);
     let silence = if vacant { Duration::ZERO } else { LOCAL_SILENCE };
--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -45,6 +45,12 @@
 /// How long a job waits for its first start before it is passed on.
 const MOVE_PATIENCE: Duration = Duration::from_millis(600);
 
+/// The least time between two rounds of placement, each of which looks at all that waits.
+const DISPATCH_GAP: Duration = Duration::from_millis(12);
+
+/// The time between two rounds of placement if nothing has changed but loads.
+const DISPATCH_IDLE: Duration = Duration::from_millis(100);
+
 /// What an approval must still be valid for when it is used.
 const ADVICE_RESERVE: Duration = Duration::from_millis(150);
 
@@ -56,10 +62,11 @@
         self.make_due_rounds(unix_ms);
         self.free_draining(now);
         self.stop_stuck(now);
-        if !self.stopping {
+        if !self.stopping && self.dispatch_at() <= now {
+            self.dispatched = Some(now);
             self.dispatch(now);
+            self.changed = false;
         }
-        self.changed = false;
         std::mem::take(&mut self.orders)
     }
 
@@ -105,11 +112,24 @@
         )
     }
 
-    /// Returns whether anything happened since the last poll that may allow a start.
+    /// Returns whether something happened that may allow a start since tasks were placed.
     pub fn has_changed(&self) -> bool {
         self.changed
     }
 
+    /// Returns when tasks are to be placed next: soon after a change, and now and then.
+    pub fn dispatch_at(&self) -> Instant {
+        let Some(last) = self.dispatched else {
+            return self.since;
+        };
+        let gap = if self.changed {
+            DISPATCH_GAP
+        } else {
+            DISPATCH_IDLE
+        };
+        last + gap
+    }
+
     /// Takes in the workers that may run a step, with their tickets.
     pub fn advised(&mut self, task: TaskName, rows: &[(String, String)], valid: Duration, now: Instant) {
         let born = |id: &str| self.workers.get(id).map_or(0, |w| w.info.born);
@@ -151,6 +171,7 @@
             .collect();
         order.sort();
         self.reserved.clear();
+        self.hopeless.clear();
         for (_, _, _, id) in order {
             self.dispatch_job(id, now);
         }
@@ -210,11 +231,17 @@
                 continue;
             }
             let avoid = task.avoid.clone();
+            let alike = (step.image.clone(), step.needs.clone());
+            if step.fills && self.hopeless.get(&alike).is_some_and(|r| step.room.holds(r)) {
+                return;
+            }
             let found = self.find(name, service, step, avoid.as_deref(), now);
             let found = found.or_else(|| avoid.and_then(|_| self.find(name, service, step, None, now)));
             let Some(worker) = found else {
                 if step.lasting {
                     self.reserve(name, service, step, now);
+                } else if step.fills {
+                    self.hopeless.insert(alike, step.room);
                 }
                 return;
             };
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -259,10 +259,15 @@
     pub(super) approvals: HashMap<(JobId, u32, u16), Approvals>,
     /// Workers that are kept for lasting tasks in this pass.
     pub(super) reserved: HashSet<String>,
+    /// Filling images and labels for which no worker was found in this pass, and the room.
+    pub(super) hopeless: HashMap<(String, Option<String>), Room>,
+    pub(super) dispatched: Option<Instant>,
     pub(super) early_cancels: HashSet<JobId>,
     pub(super) dirty: HashSet<JobId>,
     pub(super) dirty_since: Option<Instant>,
     pub(super) urgent: bool,
+    /// Whether rows were handed out whose fate is not known yet.
+    pub(super) storing: bool,
     pub(super) roster_dirty: bool,
     pub(super) orders: Vec<Order>,
     pub(super) changed: bool,
@@ -285,10 +290,13 @@
             disturbance: Disturbance::default(),
             approvals: HashMap::default(),
             reserved: HashSet::default(),
+            hopeless: HashMap::default(),
+            dispatched: None,
             early_cancels: HashSet::default(),
             dirty: HashSet::default(),
             dirty_since: None,
             urgent: false,
+            storing: false,
             roster_dirty: true,
             orders: Vec::new(),
             changed: true,
@@ -454,6 +462,7 @@
             let entry = |w: &Worker| (w.info.id.clone(), w.info.address.clone());
             batch.roster = Some(self.workers.values().map(entry).collect());
         }
+        self.storing = true;
         if self.dirty.is_empty() {
             self.dirty_since = None;
             self.urgent = false;
@@ -467,6 +476,7 @@
 
     /// Takes in whether a batch was stored.
     pub fn stored(&mut self, batch: &Batch, stored: bool, now: Instant) {
+        self.storing = false;
         if !stored {
             self.dirty.extend(batch.rows.iter().map(|(id, _)| *id));
             self.roster_dirty |= batch.roster.is_some();
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -106,7 +106,7 @@
     /// of the lease on the worker's clock, if that is known.
     pub fn contact(&mut self, id: &str, now: Instant) -> Option<(u64, Option<u64>)> {
         let lease = self.params.lease;
-        let quiet = self.dirty_since.is_none();
+        let quiet = self.dirty.is_empty() && !self.storing;
         let worker = self.workers.get_mut(id)?;
         if quiet {
             worker.acked = worker.seen;
@@ -117,7 +117,7 @@
     /// Returns whether a worker has ends that wait to be stored.
     pub fn awaits_store(&self, id: &str) -> bool {
         let worker = self.workers.get(id);
-        worker.is_some_and(|w| w.seen > w.acked) && self.dirty_since.is_some()
+        worker.is_some_and(|w| w.seen > w.acked) && (self.storing || !self.dirty.is_empty())
     }
 
     /// Returns whether a worker's serving tasks share it with filling ones.
--- a/crates/entry/src/settings/scheduling.rs
+++ b/crates/entry/src/settings/scheduling.rs
@@ -3,13 +3,16 @@
 use {
     super::{Keys, LogLevel, Reader, SettingsError, check_keys},
     ini::Ini,
-    marigoldbend_scheduler::settings::Settings as Scheduler,
+    marigoldbend_scheduler::settings::{Settings as Scheduler, ShardSettings},
     std::{fs, net::SocketAddr, path::Path, time::Duration},
 };
 
 /// The section that tells such settings from those of other instances.
 const SECTION: &str = "scheduler";
 
+/// The name of the shard that spans a whole deployment.
+const WHOLE: &str = "all";
+
 /// The sections and keys that a settings file may have.
 const KEYS: Keys = &[
     ("instance", &["name", "failure_domain"]),
@@ -20,6 +23,7 @@
             "store",
             "advice",
             "failure_domains",
+            "shards",
             "control_mode",
             "max_lease_ms",
             "drain_ms",
@@ -96,12 +100,30 @@
         if !zones.contains(&zone) {
             zones.push(zone.clone());
         }
+        let span: Option<String> = reader.optional(SECTION, "shards")?;
+        let shards = match span.as_deref() {
+            None | Some("deployment") => vec![ShardSettings {
+                name: WHOLE.to_owned(),
+                zones,
+            }],
+            Some("failure_domain") => zones
+                .into_iter()
+                .map(|zone| ShardSettings {
+                    name: zone.clone(),
+                    zones: vec![zone],
+                })
+                .collect(),
+            Some(other) => {
+                let problem = format!("{other:?} is neither deployment nor failure_domain");
+                return Err(reader.wrong(SECTION, "shards", &problem));
+            }
+        };
         let keep_s = reader.number(SECTION, "keep_s", Some(120), 1, 86_400)?;
         Ok(Self {
             scheduler: Scheduler {
                 name: reader.name("instance", "name")?,
                 zone,
-                zones,
+                shards,
                 peers: reader.required("listen", "peers")?,
                 store: reader.required(SECTION, "store")?,
                 advice: reader.optional(SECTION, "advice")?,
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -67,6 +67,12 @@
 /// The time between two looks at the list of workers, whose entries change with every heartbeat.
 const LIST_GAP: Duration = Duration::from_millis(800);
 
+/// The time between two beats of a leader in the store.
+const STORE_BEAT: Duration = Duration::from_secs(1);
+
+/// The time between two looks at a leader's beat in the store.
+const BEAT_LOOK: Duration = Duration::from_millis(400);
+
 /// The time between two lines that sum a led shard up.
 const SUMMARY: Duration = Duration::from_secs(2);
 
@@ -125,6 +131,10 @@
     Answered(String, u64, Answered),
     /// The advice service answered.
     Advised(String, u64, TaskName, Vec<(String, String)>, Duration),
+    /// It is time to place tasks of a led shard.
+    Wake(String, u64),
+    /// The beat of a shard's leader was read in the store.
+    StoreBeat(String, Vec<u8>),
     /// A job of a led shard was passed on, or not.
     Moved(String, u64, JobId, bool),
     /// A write of a led shard has ended.
@@ -162,6 +172,10 @@
     token: u64,
     trying: bool,
     not_before: Option<Instant>,
+    /// The contents of the leader's beat in the store, and when it was seen to change.
+    beat: Vec<u8>,
+    store_beat: Option<Instant>,
+    looked: Option<Instant>,
 }
 
 /// The control actor.
@@ -187,6 +201,8 @@
     ending: bool,
     expired: Instant,
     summed: Instant,
+    store_beat: Instant,
+    beats: u64,
 }
 
 impl Actor for Control {
@@ -215,7 +231,8 @@
         view: Arc<ArcSwap<View>>,
     ) -> Self {
         let now = clock.now();
-        let leases = settings.zones.iter().map(|z| (z.clone(), Lease::default()));
+        let leases = settings.shards.iter();
+        let leases = leases.map(|s| (s.name.clone(), Lease::default()));
         Self {
             leases: leases.collect(),
             advice: settings.advice.map(|a| Arc::new(Pool::new(a))),
@@ -238,6 +255,8 @@
             ending: false,
             expired: now,
             summed: now,
+            store_beat: now,
+            beats: 0,
         }
     }
 
@@ -284,6 +303,7 @@
         let now = self.clock.now();
         self.beat(now, false);
         self.check_leads(now);
+        self.write_beats(now);
         let shards: Vec<_> = self.leading.keys().cloned().collect();
         for shard in shards {
             self.drive(&shard, now);
@@ -320,6 +340,7 @@
             return;
         }
         let shards: Vec<_> = self.leases.keys().cloned().collect();
+        let mut unheard = Vec::new();
         for shard in shards {
             if self.leading.contains_key(&shard) {
                 continue;
@@ -335,16 +356,68 @@
                 incarnation: self.incarnation,
                 zone: &self.settings.zone,
                 shard: &shard,
+                zones: self.settings.zones_of(&shard),
                 store_ok,
                 peers: &self.heard,
                 since: self.since,
                 leader: lease.leader.as_ref().map(|(name, run)| (name.as_str(), *run)),
                 led: lease.led,
+                store_beat: lease.store_beat,
             };
+            if situation.is_silent(now) && situation.is_minority(now) {
+                unheard.push(shard.clone());
+            }
             if should_take(&situation, now) {
                 self.take(&shard);
             }
         }
+        for shard in unheard {
+            self.look_for_beat(&shard, now);
+        }
+    }
+
+    /// Looks into the store whether a leader that is not heard is alive.
+    fn look_for_beat(&mut self, shard: &str, now: Instant) {
+        let Some(lease) = self.leases.get_mut(shard) else {
+            return;
+        };
+        if lease.looked.is_some_and(|at| now.duration_since(at) < BEAT_LOOK) {
+            return;
+        }
+        lease.looked = Some(now);
+        let Some(to) = self.address.clone() else {
+            return;
+        };
+        let store = self.store.clone();
+        let shard = shard.to_owned();
+        tokio::spawn(async move {
+            if let Ok(beat) = takeover::read_row(&store, &names::beat(&shard)).await {
+                tell(&to, Event::StoreBeat(shard, beat.unwrap_or_default())).await;
+            }
+        });
+    }
+
+    /// Shows in the store that this leader is alive.
+    fn write_beats(&mut self, now: Instant) {
+        if now.duration_since(self.store_beat) < STORE_BEAT {
+            return;
+        }
+        self.store_beat = now;
+        for leading in self.leading.values() {
+            self.beats += 1;
+            // Plain data always encodes.
+            let value = postcard::to_stdvec(&(self.incarnation, self.beats)).unwrap_or_default();
+            let tx = Tx {
+                puts: vec![(names::beat(&leading.name), value)],
+                ..Tx::default()
+            };
+            let store = self.store.clone();
+            tokio::spawn(async move {
+                if let Err(e) = store.tx(&tx).await {
+                    log::debug!("lead: the beat is not written: {e}.");
+                }
+            });
+        }
     }
 
     fn take(&mut self, shard: &str) {
@@ -404,7 +477,10 @@
             ..Params::default()
         };
         let cancelled = taken.cancelled.clone();
-        let mut leading = Leading::new(shard, taken, params, sinks, self.metrics.clone(), now);
+        let Some(of) = self.settings.shards.iter().find(|s| s.name == shard) else {
+            return;
+        };
+        let mut leading = Leading::new(of, taken, params, sinks, self.metrics.clone(), now);
         for job in cancelled.into_iter().filter(|job| !leading.shard.knows(*job)) {
             self.forward_cancel(shard, job);
         }
@@ -467,10 +543,14 @@
 
     /// Lets a shard of another domain go once that domain can lead it again.
     fn hand_back(&mut self, now: Instant) {
-        let foreign = self.leading.keys().filter(|shard| **shard != self.settings.zone);
+        let foreign = self.leading.keys().filter(|shard| {
+            let zones = self.settings.zones_of(shard);
+            !zones.contains(&self.settings.zone)
+        });
         let able = |shard: &str| {
+            let zones = self.settings.zones_of(shard);
             self.heard.values().any(|p| {
-                p.zone == shard
+                zones.contains(&p.zone)
                     && p.store_ok
                     && !p.ending
                     && now.duration_since(p.heard) < LEADER_MEMORY
@@ -520,6 +600,16 @@
         let Some(address) = self.address.clone() else {
             return;
         };
+        if leading.shard.has_changed() && !leading.waking {
+            leading.waking = true;
+            let wait = leading.shard.dispatch_at().saturating_duration_since(now);
+            let to = address.clone();
+            let shard = shard.to_owned();
+            tokio::spawn(async move {
+                sleep(wait).await;
+                tell(&to, Event::Wake(shard, token)).await;
+            });
+        }
         if let Some((batch, tx)) = write {
             let store = self.store.clone();
             let to = address.clone();
@@ -672,8 +762,10 @@
 
     /// Tells peers of this instance, if it is time or if `now_all`.
     fn beat(&mut self, now: Instant, now_all: bool) {
+        let leads = !self.leading.is_empty();
         let due = |peer: &Peer, zone: &str| {
-            let gap = if peer.zone == zone {
+            // Whoever follows must notice the silence of a leader soon, wherever it is.
+            let gap = if leads || peer.zone == zone {
                 LOCAL_BEAT
             } else {
                 REMOTE_BEAT
@@ -799,7 +891,10 @@
         let mut labels: HashMap<String, HashMap<String, Vec<String>>> = HashMap::default();
         for worker in self.workers.values() {
             let of_service = labels.entry(worker.service.clone()).or_default();
-            let of_shard = of_service.entry(worker.zone.clone()).or_default();
+            let Some(shard) = self.settings.shard_of(&worker.zone) else {
+                continue;
+            };
+            let of_shard = of_service.entry(shard.to_owned()).or_default();
             for label in &worker.labels {
                 if !of_shard.contains(label) {
                     of_shard.push(label.clone());
@@ -970,6 +1065,20 @@
                     self.drive(&shard, now);
                 }
             }
+            Event::Wake(shard, token) => {
+                if let Some(leading) = self.led(&shard, token) {
+                    leading.waking = false;
+                    self.drive(&shard, now);
+                }
+            }
+            Event::StoreBeat(shard, beat) => {
+                if let Some(lease) = self.leases.get_mut(&shard)
+                    && (lease.beat != beat || lease.store_beat.is_none())
+                {
+                    lease.beat = beat;
+                    lease.store_beat = Some(now);
+                }
+            }
             Event::Moved(shard, token, job, moved) => {
                 if let Some(leading) = self.led(&shard, token) {
                     leading.shard.moved(job, moved, now);
@@ -1114,10 +1223,10 @@
     };
     let instances = page.rows.into_iter().filter_map(read).collect();
     let mut leases = Vec::new();
-    for shard in &settings.zones {
-        let (row, ver) = takeover::read_lease(store, shard).await?;
+    for shard in &settings.shards {
+        let (row, ver) = takeover::read_lease(store, &shard.name).await?;
         if ver > 0 {
-            leases.push((shard.clone(), row.holder, row.incarnation));
+            leases.push((shard.name.clone(), row.holder, row.incarnation));
         }
     }
     Ok(Event::Known { instances, leases })
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -232,7 +232,7 @@
                 return answer(StatusCode::BAD_REQUEST, body);
             }
         };
-        let shard = view.choose_shard(&self.settings.zone, &job);
+        let shard = view.choose_shard(self.own_shard(), &job);
         match self.store_job(&shard, id, &job, end).await {
             Ok(shard) => {
                 log::info!("intake: job={id} stored shard={shard}.");
@@ -418,6 +418,11 @@
         }
     }
 
+    fn own_shard(&self) -> &str {
+        let own = self.settings.shard_of(&self.settings.zone);
+        own.unwrap_or_default()
+    }
+
     fn shard_of(&self, id: JobId) -> Option<String> {
         let jobs = self.jobs.lock();
         jobs.shards.get(&id).map(|(shard, _)| shard.clone())
--- a/crates/scheduler/src/leading.rs
+++ b/crates/scheduler/src/leading.rs
@@ -5,6 +5,7 @@
         metrics::Metrics,
         names,
         orders::{Answered, Ask, Boxed, Way},
+        settings::ShardSettings,
         takeover::Taken,
     },
     marigoldbend_core::{
@@ -55,6 +56,8 @@
 pub struct Leading {
     /// The shard's name.
     pub name: String,
+    /// Its failure domains.
+    pub zones: Vec<String>,
     /// The fencing token.
     pub token: u64,
     /// The version of the lease row, on which writes depend.
@@ -63,6 +66,8 @@
     pub shard: Shard,
     /// The task that follows the shard's jobs.
     pub feed: Option<AbortHandle>,
+    /// Whether a wake-up for the next placement is under way.
+    pub waking: bool,
     ways: HashMap<String, Way>,
     asked: HashMap<String, Instant>,
     writing: bool,
@@ -82,7 +87,7 @@
 impl Leading {
     /// Begins to lead with what the store holds.
     pub fn new(
-        name: &str,
+        of: &ShardSettings,
         taken: Taken,
         params: Params,
         sinks: Sinks,
@@ -106,11 +111,13 @@
             shard.cancel(id, 0);
         }
         Self {
-            name: name.to_owned(),
+            name: of.name.clone(),
+            zones: of.zones.clone(),
             token: taken.token,
             ver: taken.ver,
             shard,
             feed: None,
+            waking: false,
             ways: HashMap::default(),
             asked: HashMap::default(),
             writing: false,
@@ -122,7 +129,7 @@
 
     /// Takes in the platform's list of workers; `None` for those that it does not name any more.
     pub fn list(&mut self, workers: &HashMap<String, WorkerInfo>, now: Instant) {
-        let of_shard = workers.values().filter(|w| w.zone == self.name);
+        let of_shard = workers.values().filter(|w| self.zones.contains(&w.zone));
         for worker in of_shard {
             self.shard.worker_listed(worker, now);
         }
--- a/crates/scheduler/src/names.rs
+++ b/crates/scheduler/src/names.rs
@@ -25,6 +25,11 @@
     RowKey::new(LEASES, shard, LEASE_KEY)
 }
 
+/// Returns the row that a shard's leader changes every second.
+pub fn beat(shard: &str) -> RowKey {
+    RowKey::new("beats", shard, "beat")
+}
+
 /// Returns the table of a shard's jobs: their specifications and cancellations.
 pub fn jobs_table(shard: &str) -> String {
     format!("jobs-{shard}")
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -9,8 +9,8 @@
     pub name: String,
     /// Its failure domain.
     pub zone: String,
-    /// All failure domains; each has one shard.
-    pub zones: Vec<String>,
+    /// The shards; every failure domain belongs to one.
+    pub shards: Vec<ShardSettings>,
     /// Where peers reach it, over UDP and TCP.
     pub peers: SocketAddr,
     /// The store.
@@ -24,3 +24,26 @@
     /// How long the state of a job that is over is told.
     pub keep: Duration,
 }
+
+/// A shard: the workers of some failure domains, and the jobs accepted for them.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ShardSettings {
+    /// Its name.
+    pub name: String,
+    /// Its failure domains.
+    pub zones: Vec<String>,
+}
+
+impl Settings {
+    /// Returns the name of the shard that a failure domain belongs to.
+    pub fn shard_of(&self, zone: &str) -> Option<&str> {
+        let found = self.shards.iter().find(|s| s.zones.iter().any(|z| z == zone));
+        found.map(|s| s.name.as_str())
+    }
+
+    /// Returns the failure domains of a shard.
+    pub fn zones_of(&self, shard: &str) -> &[String] {
+        let found = self.shards.iter().find(|s| s.name == shard);
+        found.map_or(&[], |s| &s.zones)
+    }
+}
