--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -51,6 +51,10 @@
 /// The time between two rounds of placement if nothing has changed but loads.
 const DISPATCH_IDLE: Duration = Duration::from_millis(100);
 
+/// How long a serving task may be over its target before all that fills beside it is halted,
+/// whatever has been learnt; the platform allows it four seconds.
+const OVER_LIMIT: Duration = Duration::from_millis(1_000);
+
 /// What an approval must still be valid for when it is used.
 const ADVICE_RESERVE: Duration = Duration::from_millis(150);
 
@@ -653,11 +657,13 @@
         }
         worker.pressure.observe(&cores, now);
         let mut serving: Vec<(Image, Load)> = Vec::new();
+        let mut worst: f64 = 0.0;
         for row in report.running.iter().filter(|row| row.percent >= AT_WORK) {
             if let (Some(run), Some(usage)) = (worker.runs.get_mut(&row.task), row.usage)
                 && run.target_ms > 0.0
             {
                 let tail = usage / run.target_ms;
+                worst = worst.max(tail);
                 let load = &mut run.load;
                 let pressure = &worker.pressure;
                 self.disturbance.observe(run.image, load, tail, pressure, now);
@@ -667,6 +673,13 @@
         if worker.serving == 0 {
             worker.paces.clear();
         }
+        if worst > 1.0 {
+            worker.over_since.get_or_insert(now);
+        } else {
+            worker.over_since = None;
+        }
+        let over = worker.over_since.map(|since| now.duration_since(since));
+        let over = over.is_some_and(|over| over >= OVER_LIMIT);
         let mut full: Vec<(Image, f64)> = Vec::new();
         for run in worker.runs.values().filter(|run| run.fill_cpu > 0) {
             add_cores(&mut full, run.image, cores_of(run.fill_cpu));
@@ -674,6 +687,7 @@
         for (image, percent) in pace::best(&self.disturbance, &serving, &full) {
             let pace = worker.paces.entry(image).or_default();
             let before = pace.percent();
+            let percent = if over { 0.0 } else { percent };
             if pace.set(percent, now) {
                 log::info!(
                     "jobs: worker={id} image={} pace={} before={before} serving={}.",
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -192,6 +192,8 @@
     /// The pace of its filling tasks, by image.
     pub paces: HashMap<Image, Pace>,
     pub pressure: Pressure,
+    /// Since when a serving task has been over its target.
+    pub over_since: Option<Instant>,
     pub failures: u32,
     pub ejected_until: Option<Instant>,
     pub full_until: Option<Instant>,
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -556,6 +556,7 @@
             acked: 0,
             paces: Default::default(),
             pressure: Default::default(),
+            over_since: None,
             failures: 0,
             ejected_until: None,
             full_until: None,
