Jobs bear the token of the leader they are accepted for

Change: the write that accepts a job depends on the lease row and stores its token; a leader gives up when it reads a later token, and treats an earlier one as work that may run already.

--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -199,6 +199,8 @@
     pub advised: bool,
     /// When it was accepted, in milliseconds of Unix time.
     pub accepted_ms: u64,
+    /// The fencing token of the leader for which it was accepted.
+    pub token: u64,
     /// How often it was passed on to another shard before it began.
     pub moves: u8,
 }
--- a/crates/peer/src/beat.rs
+++ b/crates/peer/src/beat.rs
@@ -36,6 +36,8 @@
     pub shard: String,
     /// The fencing token.
     pub token: u64,
+    /// The version of the lease row in the store.
+    pub ver: u64,
     /// Services and how much of their processor is asked for, in thousandths: by tasks that keep
     /// it, and by tasks that fill.
     pub loads: Vec<(String, u32, u32)>,
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -645,11 +645,12 @@
         let ver = self.leading.get(shard).map(|l| l.ver);
         let to = address.clone();
         let from = shard.to_owned();
-        let (Some(ver), true) = (ver, view.leaders.contains_key(&target) && target != shard) else {
+        let there = view.leaders.get(&target).filter(|_| target != shard);
+        let (Some(ver), Some(there)) = (ver, there) else {
             tokio::spawn(async move { tell(&to, Event::Moved(from, token, job, false)).await });
             return;
         };
-        let tx = names::pass_on(&from, ver, &target, job, spec);
+        let tx = names::pass_on((&from, ver), (&target, there.token, there.ver), job, spec);
         let store = self.store.clone();
         let mut unclear = false;
         tokio::spawn(async move {
@@ -786,6 +787,7 @@
             Lead {
                 shard: leading.name.clone(),
                 token: leading.token,
+                ver: leading.ver,
                 loads: loads.map(|(s, l)| (s, l.kept, l.filling)).collect(),
                 pending,
             }
@@ -861,6 +863,8 @@
             lease.view = Some(LeaderView {
                 name: beat.name.clone(),
                 address: beat.address,
+                token: lead.token,
+                ver: lead.ver,
                 heard: now,
                 loads: loads.collect(),
                 pending: lead.pending.into_iter().collect(),
@@ -948,6 +952,8 @@
                 let view = LeaderView {
                     name: self.settings.name.clone(),
                     address: self.settings.peers,
+                    token: leading.token,
+                    ver: leading.ver,
                     heard: now,
                     loads: leading.shard.loads(),
                     pending: leading.shard.pending(),
@@ -1040,7 +1046,10 @@
             Event::Taken(shard, result) => self.taken(&shard, result, now),
             Event::Jobs(shard, token, rows) => {
                 if let Some(leading) = self.led(&shard, token) {
-                    let unknown = leading.job_rows(&rows, now, unix_ms);
+                    let Some(unknown) = leading.job_rows(&rows, now, unix_ms) else {
+                        self.give_up(&shard, "a job was accepted for a later leader");
+                        return;
+                    };
                     for job in unknown {
                         self.forward_cancel(&shard, job);
                     }
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -6,7 +6,7 @@
         metrics::Metrics,
         names,
         settings::Settings,
-        takeover::read_row,
+        takeover::{read_lease, read_row},
         view::View,
     },
     arc_swap::ArcSwap,
@@ -233,7 +233,7 @@
             }
         };
         let shard = view.choose_shard(self.own_shard(), &job);
-        match self.store_job(&shard, id, &job, end).await {
+        match self.store_job(view, &shard, id, &job, end).await {
             Ok(shard) => {
                 log::info!("intake: job={id} stored shard={shard}.");
                 self.remember(id, &shard, None);
@@ -247,33 +247,57 @@
         }
     }
 
-    /// Stores a job under its identifier; returns the shard that it belongs to.
+    /// Stores a job under its identifier, for the leader of a shard; returns the shard that it
+    /// belongs to.
+    ///
+    /// The write depends on the lease row, so that a job is known to be new to the leader whose
+    /// token it bears, and a leader that was replaced can tell from the token.
     async fn store_job(
         &self,
+        view: &View,
         shard: &str,
         id: JobId,
         job: &JobSpec,
         end: Instant,
     ) -> Result<String, Failure> {
-        let tx = Tx {
-            expect: vec![(names::id(id), 0)],
-            puts: vec![
-                (names::id(id), shard.as_bytes().to_vec()),
-                // Plain data always encodes.
-                (names::job(shard, id), postcard::to_stdvec(job).unwrap_or_default()),
-            ],
-            drops: Vec::new(),
+        let known = view.leaders.get(shard).map(|l| (l.token, l.ver));
+        let (mut token, mut ver) = match known {
+            Some(known) => known,
+            None => self.read_lease(shard).await?,
         };
-        match self.write(&tx, end).await? {
-            Outcome::Applied(_) => Ok(shard.to_owned()),
-            Outcome::Conflict(rows) => {
-                let row = rows.into_iter().find(|row| !row.value.is_empty());
-                let row = row.ok_or(Failure::Unclear)?;
-                String::from_utf8(row.value).map_err(|_| Failure::Unclear)
+        loop {
+            let job = JobSpec {
+                token,
+                ..job.clone()
+            };
+            let tx = Tx {
+                expect: vec![(names::id(id), 0), (names::lease(shard), ver)],
+                puts: vec![
+                    (names::id(id), shard.as_bytes().to_vec()),
+                    // Plain data always encodes.
+                    (names::job(shard, id), postcard::to_stdvec(&job).unwrap_or_default()),
+                ],
+                drops: Vec::new(),
+            };
+            let rows = match self.write(&tx, end).await? {
+                Outcome::Applied(_) => return Ok(shard.to_owned()),
+                Outcome::Conflict(rows) => rows,
+            };
+            let own = names::id(id);
+            let there = rows.into_iter().find(|row| row.name == own && row.ver > 0);
+            if let Some(there) = there.filter(|row| !row.dropped) {
+                return String::from_utf8(there.value).map_err(|_| Failure::Unclear);
             }
+            (token, ver) = self.read_lease(shard).await?;
+            log::info!("intake: job={id} shard={shard} has another leader, token={token}.");
         }
     }
 
+    async fn read_lease(&self, shard: &str) -> Result<(u64, u64), Failure> {
+        let (row, ver) = read_lease(&self.store, shard).await?;
+        Ok((row.token, ver))
+    }
+
     /// Writes until the outcome is known.
     async fn write(&self, tx: &Tx, end: Instant) -> Result<Outcome, Failure> {
         let patience = Instant::now() + WRITE_PATIENCE;
--- a/crates/scheduler/src/leading.rs
+++ b/crates/scheduler/src/leading.rs
@@ -11,7 +11,8 @@
     marigoldbend_core::{
         hash::HashMap,
         sched::{
-            job::JobId,
+            job::{JobId, JobSpec},
+            progress::Progress,
             shard::{Batch, Found, Order, Params, Shard},
             worker::{Report, WorkerInfo},
         },
@@ -98,14 +99,8 @@
         for (worker, address) in &taken.roster {
             shard.worker_used(worker, address, now);
         }
-        let first = taken.token == 1;
         for (id, spec, progress) in taken.jobs {
-            let found = if first {
-                Found::New
-            } else {
-                Found::Stored(progress)
-            };
-            shard.add_job(id, spec, found, now);
+            shard.add_job(id, spec, Found::Stored(progress), now);
         }
         for id in taken.cancelled {
             shard.cancel(id, 0);
@@ -142,8 +137,9 @@
         self.open_ways();
     }
 
-    /// Takes in rows of the shard's table of jobs; returns cancelled jobs that it does not know.
-    pub fn job_rows(&mut self, rows: &[Row], now: Instant, unix_ms: u64) -> Vec<JobId> {
+    /// Takes in rows of the shard's table of jobs; returns cancelled jobs that it does not know,
+    /// or nothing if a row shows that there is a later leader.
+    pub fn job_rows(&mut self, rows: &[Row], now: Instant, unix_ms: u64) -> Option<Vec<JobId>> {
         let mut unknown = Vec::new();
         for row in rows.iter().filter(|row| !row.dropped) {
             match names::read_job_key(&row.name.key) {
@@ -153,15 +149,23 @@
                     }
                     self.shard.cancel(id, unix_ms);
                 }
-                Some(names::JobRow::Job(id)) => match postcard::from_bytes(&row.value) {
-                    Ok(spec) => self.shard.add_job(id, spec, Found::New, now),
+                Some(names::JobRow::Job(id)) => match postcard::from_bytes::<JobSpec>(&row.value) {
+                    Ok(spec) if spec.token > self.token => return None,
+                    Ok(spec) => {
+                        let found = if spec.token == self.token {
+                            Found::New
+                        } else {
+                            Found::Stored(Progress::default())
+                        };
+                        self.shard.add_job(id, spec, found, now);
+                    }
                     Err(e) => log::error!("lead: shard={} row={}: {e}.", self.name, row.name),
                 },
                 None => log::error!("lead: shard={} row={}: unknown key.", self.name, row.name),
             }
         }
         unknown.retain(|id| !self.shard.knows(*id));
-        unknown
+        Some(unknown)
     }
 
     /// Says how a worker's next report is asked for.
--- a/crates/scheduler/src/names.rs
+++ b/crates/scheduler/src/names.rs
@@ -66,14 +66,21 @@
     RowKey::new("ids", &key[..1], &key)
 }
 
-/// Returns the transaction that passes a job on to another shard.
-pub fn pass_on(from: &str, lease_ver: u64, to: &str, id: JobId, spec: &JobSpec) -> Tx {
+/// Returns the transaction that passes a job on, from a shard with the version of its lease row
+/// to one with the token and the version of its lease row.
+pub fn pass_on(
+    (from, from_ver): (&str, u64),
+    (to, token, to_ver): (&str, u64, u64),
+    id: JobId,
+    spec: &JobSpec,
+) -> Tx {
     let spec = JobSpec {
+        token,
         moves: spec.moves + 1,
         ..spec.clone()
     };
     Tx {
-        expect: vec![(lease(from), lease_ver)],
+        expect: vec![(lease(from), from_ver), (lease(to), to_ver)],
         puts: vec![
             (self::id(id), to.as_bytes().to_vec()),
             // Plain data always encodes.
--- a/crates/scheduler/src/view.rs
+++ b/crates/scheduler/src/view.rs
@@ -24,6 +24,10 @@
     pub name: String,
     /// Where peers reach it.
     pub address: SocketAddr,
+    /// Its fencing token.
+    pub token: u64,
+    /// The version of its lease row.
+    pub ver: u64,
     /// When it last said that it leads.
     pub heard: Instant,
     /// Services and how much of their processor is asked for.
