--- a/crates/core/src/sched/progress.rs
+++ b/crates/core/src/sched/progress.rs
@@ -57,8 +57,9 @@
     pub index: u32,
     /// Whether a run ended well.
     pub done: bool,
-    /// How many runs failed.
-    pub failures: u32,
+    /// The attempts that failed; workers list an end again until it is acknowledged, and it
+    /// must not count twice.
+    pub failed: Vec<u32>,
     /// The checkpoint to resume from, if any.
     pub saved: String,
 }
--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -777,7 +777,9 @@
             let Some(task) = of_step.and_then(|s| s.get_mut(record.index as usize)) else {
                 continue;
             };
-            task.failures = record.failures;
+            task.failed.clone_from(&record.failed);
+            let newest = record.failed.iter().copied().max();
+            task.attempt = newest.unwrap_or(0);
             task.saved.clone_from(&record.saved);
             if record.done {
                 task.done = true;
--- a/crates/core/src/sched/shard/ends.rs
+++ b/crates/core/src/sched/shard/ends.rs
@@ -75,12 +75,15 @@
         match row.how {
             How::Done if !step.lasting => self.task_done(row.task, step.gang, now, unix_ms),
             How::Failed if !step.lasting => {
-                task.failures += 1;
+                if task.failed.contains(&row.attempt) {
+                    return;
+                }
+                task.failed.push(row.attempt);
                 task.avoid = Some(id.to_owned());
                 let failures = if step.gang {
                     gang_failures(job, &row.task)
                 } else {
-                    task.failures
+                    task.failed.len() as u32
                 };
                 self.blame(id, now);
                 self.mark(row.task.job, false, now);
@@ -177,5 +180,5 @@
 fn gang_failures(job: &Job, name: &TaskName) -> u32 {
     let round = job.rounds.iter().find(|r| r.number == name.round);
     let tasks = round.and_then(|r| r.tasks.get(usize::from(name.step)));
-    tasks.map_or(0, |tasks| tasks.iter().map(|t| t.failures).sum())
+    tasks.map_or(0, |tasks| tasks.iter().map(|t| t.failed.len() as u32).sum())
 }
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -202,7 +202,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Task {
     pub done: bool,
-    pub failures: u32,
+    /// The attempts that failed.
+    pub failed: Vec<u32>,
     pub attempt: u32,
     pub saved: String,
     /// The workers that have a run of it.
@@ -614,13 +615,13 @@
         for round in &self.rounds {
             for (step, of_step) in round.tasks.iter().enumerate() {
                 for (index, task) in of_step.iter().enumerate() {
-                    if task.done || task.failures > 0 || !task.saved.is_empty() {
+                    if task.done || !task.failed.is_empty() || !task.saved.is_empty() {
                         tasks.push(TaskRecord {
                             round: round.number,
                             step: step as u16,
                             index: index as u32,
                             done: task.done,
-                            failures: task.failures,
+                            failed: task.failed.clone(),
                             saved: if task.done {
                                 String::new()
                             } else {
