Cheaper placement; idle jobs start; one takeover at a time

Cause: with 200 jobs waiting, a round of placement took most of a tenth of a core, so that beats were late and leads changed; after a restart of all two instances took the lead within half a second; jobs whose tasks disturb had nothing running while the workers were mostly free. Change: the occupancy left to each image is kept up to date for each worker, and rounds of placement are spaced by what they take; ticks go first; a takeover is announced, and the former holder has the first turn; a job idle for 1.3 s starts one task.

--- a/crates/core/src/sched/disturb.rs
+++ b/crates/core/src/sched/disturb.rs
@@ -114,7 +114,8 @@
 pub struct Disturbance {
     images: HashMap<String, Image>,
     floors: HashMap<Image, f64>,
-    pairs: HashMap<(Image, Image), Estimate>,
+    /// By serving image, then by filling image.
+    pairs: Vec<Vec<Estimate>>,
 }
 
 impl Disturbance {
@@ -139,12 +140,10 @@
         found.map_or("", |(name, _)| name)
     }
 
-    /// Returns the tail to expect of a serving task, as a share of its target, with `cores` in
-    /// use beside it.
+    /// Returns the occupancy to expect of a serving task with `cores` in use beside it.
     pub fn expect(&self, serving: Image, load: &Load, cores: &[(Image, f64)]) -> f64 {
         let added = cores.iter().map(|(f, c)| c * self.per_core(serving, *f));
-        let occupancy = load.estimate.mean + added.sum::<f64>();
-        self.floor(serving) / (1.0 - occupancy.clamp(0.0, FULL))
+        load.estimate.mean + added.sum::<f64>()
     }
 
     /// Returns the occupancy at which a serving task's tail is this share of its target.
@@ -154,7 +153,8 @@
 
     /// Returns the occupancy that a core in use by the filling image adds to the serving one.
     pub fn per_core(&self, serving: Image, filling: Image) -> f64 {
-        let known = self.pairs.get(&(serving, filling));
+        let of_serving = self.pairs.get(usize::from(serving.0));
+        let known = of_serving.and_then(|row| row.get(usize::from(filling.0)));
         known.map_or(FIRST_COEFFICIENT.0, |c| c.mean)
     }
 
@@ -196,8 +196,16 @@
     }
 
     fn pair(&mut self, serving: Image, filling: Image) -> &mut Estimate {
-        let new = || FIRST_COEFFICIENT.into();
-        self.pairs.entry((serving, filling)).or_insert_with(new)
+        let row = usize::from(serving.0);
+        if self.pairs.len() <= row {
+            self.pairs.resize(row + 1, Vec::new());
+        }
+        let row = &mut self.pairs[row];
+        let column = usize::from(filling.0);
+        if row.len() <= column {
+            row.resize(column + 1, FIRST_COEFFICIENT.into());
+        }
+        &mut row[column]
     }
 
     fn floor(&self, serving: Image) -> f64 {
--- a/crates/core/src/sched/lead.rs
+++ b/crates/core/src/sched/lead.rs
@@ -135,7 +135,10 @@
     }
     let rivals = s.peers.iter().filter(|(_, p)| able(p));
     let rivals = rivals.filter(|(_, p)| of_shard(&p.zone) == local);
-    let better = rivals.filter(|(name, _)| rank(s.shard, name) < rank(s.shard, s.me));
+    // A leader that runs anew is the first to take its shard again.
+    let holder = s.leader.map(|(name, _)| name);
+    let place = |name: &str| (Some(name) != holder, rank(s.shard, name));
+    let better = rivals.filter(|(name, _)| place(name) < place(s.me));
     let delay = RANK_DELAY * u32::try_from(better.count()).unwrap_or(u32::MAX);
     let silence = if vacant { Duration::ZERO } else { LOCAL_SILENCE };
     // Right after the start nobody has been heard yet.
--- a/crates/core/src/sched/place.rs
+++ b/crates/core/src/sched/place.rs
@@ -23,10 +23,12 @@
     pub serving: u32,
     /// How many of them run the same image as the step.
     pub same_image: u32,
-    /// The highest tail to expect of them with a task of the step, as a share of the target.
-    pub tail: f64,
     /// The occupancy that a task of the step adds to the serving task that it disturbs most.
     pub added: f64,
+    /// The least occupancy that is then left to a serving task, below the highest tail.
+    pub left: f64,
+    /// Whether the step must start somewhere, even if it may then hardly work.
+    pub forced: bool,
     /// Tasks of the same step and round that run there.
     pub siblings: u32,
 }
@@ -38,7 +40,7 @@
 const SERVING_USE: i64 = 55;
 
 /// The tail, as a share of the target, up to which filling tasks are added.
-const HIGHEST_TAIL: f64 = 0.8;
+pub const HIGHEST_TAIL: f64 = 0.8;
 
 /// What a whole occupancy that is added is worth in unused processor, in thousandths of a core.
 const ADDED_WORTH: f64 = 60_000.0;
@@ -63,7 +65,8 @@
             return false;
         }
         !step.fills
-            || (self.unused() * 100 >= step.room.cpu * LEAST_UNUSED && self.tail <= HIGHEST_TAIL)
+            || self.forced
+            || (self.unused() * 100 >= step.room.cpu * LEAST_UNUSED && self.left >= 0.0)
     }
 
     /// Returns the processor that nobody uses, as far as can be told.
--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -7,7 +7,7 @@
             disturb::{Image, Load},
             job::{JobId, JobSpec, Step, TaskName},
             pace,
-            place::{Candidate, choose, taken},
+            place::{Candidate, HIGHEST_TAIL, choose, taken},
             progress::Outcome,
             worker::Report,
         },
@@ -45,8 +45,17 @@
 /// How long a job waits for its first start before it is passed on.
 const MOVE_PATIENCE: Duration = Duration::from_millis(600);
 
+/// The time between two looks at what depends on time alone.
+const CHECK_GAP: Duration = Duration::from_millis(40);
+
 /// The least time between two rounds of placement, each of which looks at all that waits.
-const DISPATCH_GAP: Duration = Duration::from_millis(12);
+pub(super) const DISPATCH_GAP: Duration = Duration::from_millis(12);
+
+/// How many times as long as a round of placement the time until the next one is.
+const PLACEMENT_SHARE: u32 = 6;
+
+/// The longest time between two rounds of placement.
+const LONGEST_GAP: Duration = Duration::from_millis(150);
 
 /// The time between two rounds of placement if nothing has changed but loads.
 const DISPATCH_IDLE: Duration = Duration::from_millis(100);
@@ -55,17 +64,32 @@
 /// whatever has been learnt; the platform allows it four seconds.
 const OVER_LIMIT: Duration = Duration::from_millis(1_000);
 
+/// How long a job may have nothing running while most of the workers is free; the platform
+/// allows it three seconds.
+const IDLE_LIMIT: Duration = Duration::from_millis(1_300);
+
+/// The free part of the workers, in percent, from which they count as mostly free: below the
+/// half at which the platform says so.
+const MOSTLY_FREE: i64 = 42;
+
 /// What an approval must still be valid for when it is used.
 const ADVICE_RESERVE: Duration = Duration::from_millis(150);
 
 impl Shard {
     /// Returns the orders that follow from all that was taken in.
     pub fn poll(&mut self, now: Instant, unix_ms: u64) -> Vec<Order> {
-        self.lapse(now);
-        self.resend(now);
-        self.make_due_rounds(unix_ms);
-        self.free_draining(now);
-        self.stop_stuck(now);
+        let last = self.checked.unwrap_or(self.since);
+        if now.duration_since(last) >= CHECK_GAP || self.checked.is_none() {
+            self.checked = Some(now);
+            self.lapse(now);
+            self.resend(now);
+            self.free_draining(now);
+            self.stop_stuck(now);
+            self.make_due_rounds(unix_ms);
+        }
+        if self.changed {
+            self.make_due_rounds(unix_ms);
+        }
         if !self.stopping && self.dispatch_at() <= now {
             self.dispatched = Some(now);
             self.dispatch(now);
@@ -116,6 +140,17 @@
         )
     }
 
+    /// Takes in how long the last placement took, so that placement stays a small part of all
+    /// that the leader does.
+    pub fn placement_took(&mut self, took: Duration) {
+        self.dispatch_gap = (took * PLACEMENT_SHARE).clamp(DISPATCH_GAP, LONGEST_GAP);
+    }
+
+    /// Returns when tasks were last placed.
+    pub fn placed_at(&self) -> Option<Instant> {
+        self.dispatched
+    }
+
     /// Returns whether something happened that may allow a start since tasks were placed.
     pub fn has_changed(&self) -> bool {
         self.changed
@@ -127,9 +162,9 @@
             return self.since;
         };
         let gap = if self.changed {
-            DISPATCH_GAP
+            self.dispatch_gap
         } else {
-            DISPATCH_IDLE
+            DISPATCH_IDLE.max(self.dispatch_gap)
         };
         last + gap
     }
@@ -176,6 +211,16 @@
         order.sort();
         self.reserved.clear();
         self.hopeless.clear();
+        let open = self.workers.values().filter(|w| w.listed);
+        let sum = open.fold((0, 0), |(free, all), w| (free + w.free.cpu, all + w.info.room.cpu));
+        self.mostly_free = sum.0 * 100 >= sum.1 * MOSTLY_FREE;
+        for job in self.jobs.values_mut() {
+            if job.rounds.iter().any(|r| r.tasks.iter().flatten().any(|t| !t.at.is_empty())) {
+                job.idle_since = None;
+            } else {
+                job.idle_since.get_or_insert(now);
+            }
+        }
         for (_, _, _, id) in order {
             self.dispatch_job(id, now);
         }
@@ -235,24 +280,38 @@
                 continue;
             }
             let avoid = task.avoid.clone();
+            let forced = self.must_start(name.job, step, now);
             let alike = (step.image.clone(), step.needs.clone());
-            if step.fills && self.hopeless.get(&alike).is_some_and(|r| step.room.holds(r)) {
+            if step.fills && !forced && self.hopeless.get(&alike).is_some_and(|r| step.room.holds(r)) {
                 return;
             }
-            let found = self.find(name, service, step, avoid.as_deref(), now);
-            let found = found.or_else(|| avoid.and_then(|_| self.find(name, service, step, None, now)));
+            let found = self.find(name, service, step, avoid.as_deref(), forced, now);
+            let found = found.or_else(|| avoid.and_then(|_| self.find(name, service, step, None, forced, now)));
             let Some(worker) = found else {
                 if step.lasting {
                     self.reserve(name, service, step, now);
-                } else if step.fills {
+                } else if step.fills && !forced {
                     self.hopeless.insert(alike, step.room);
                 }
                 return;
             };
+            if forced {
+                log::info!("jobs: task={name} worker={worker} starts although it disturbs: idle job.");
+            }
             self.start(&worker, name, now);
         }
     }
 
+    /// Returns whether a filling task of an idle job must start, whatever it disturbs.
+    ///
+    /// While the kept part of the workers is mostly free nobody would understand that a job
+    /// waits; its pace keeps the disturbance down.
+    fn must_start(&self, id: JobId, step: &Step, now: Instant) -> bool {
+        let job = self.jobs.get(&id);
+        let idle = job.and_then(|j| j.idle_since);
+        step.fills && self.mostly_free && idle.is_some_and(|at| now.duration_since(at) >= IDLE_LIMIT)
+    }
+
     /// Starts all members of a gang, or none.
     fn dispatch_gang(&mut self, name: TaskName, service: &str, step: &Step, now: Instant) {
         let members = (0..step.count).map(|index| TaskName { index, ..name });
@@ -292,7 +351,7 @@
             }
             let mut placed = Vec::new();
             for member in &members {
-                let Some(worker) = self.find(*member, service, &limited, None, now) else {
+                let Some(worker) = self.find(*member, service, &limited, None, false, now) else {
                     break;
                 };
                 if let Some(task) = self.jobs.get_mut(&name.job).and_then(|j| j.task(member)) {
@@ -359,7 +418,7 @@
                 step: at as u16,
                 index,
             };
-            let Some(worker) = self.find(name, &spec.service, step, None, now) else {
+            let Some(worker) = self.find(name, &spec.service, step, None, false, now) else {
                 break;
             };
             self.add_run(&worker, name, 0, Phase::Sent, now);
@@ -426,6 +485,7 @@
         service: &str,
         step: &Step,
         avoid: Option<&str>,
+        forced: bool,
         now: Instant,
     ) -> Option<String> {
         let approvals = self.approvals.get(&(name.job, name.round, name.step));
@@ -451,6 +511,11 @@
             } else {
                 0
             };
+            let (added, left) = if step.fills {
+                self.effect(w, image, step.room.cpu)
+            } else {
+                (0.0, 0.0)
+            };
             let candidate = Candidate {
                 info: &w.info,
                 free: w.free,
@@ -458,16 +523,9 @@
                 serving_cpu: w.serving_cpu,
                 serving: w.serving,
                 same_image: if serves { w.same_image(image) } else { 0 },
-                tail: if step.fills {
-                    self.expected_tail(w, image, step.room.cpu)
-                } else {
-                    0.0
-                },
-                added: if step.fills {
-                    self.added(w, image) * cores_of(step.room.cpu)
-                } else {
-                    0.0
-                },
+                added,
+                left,
+                forced,
                 siblings,
             };
             (w.info.id.as_str(), candidate)
@@ -483,6 +541,9 @@
         };
         let attempt = (task.attempt + 1).max(floor);
         self.add_run(worker, name, attempt, Phase::Sent, now);
+        if let Some(job) = self.jobs.get_mut(&name.job) {
+            job.idle_since = None;
+        }
         self.order_start(worker, name, now);
     }
 
@@ -619,26 +680,40 @@
         step.is_none_or(|step| step.lasting || step.gang)
     }
 
-    /// Returns the highest tail to expect on a worker with another filling task on it.
-    fn expected_tail(&self, worker: &Worker, image: Image, cpu: i64) -> f64 {
+    /// Returns the occupancy that a filling task adds to the serving task that it disturbs
+    /// most, and the least occupancy that is then left below the highest tail.
+    fn effect(&self, worker: &Worker, image: Image, cpu: i64) -> (f64, f64) {
+        let mut most: f64 = 0.0;
+        let mut least = f64::INFINITY;
+        for (serving, left) in &worker.left {
+            let added = self.disturbance.per_core(*serving, image) * cores_of(cpu);
+            most = most.max(added);
+            least = least.min(left - added);
+        }
+        (most, least)
+    }
+
+    /// Works out anew which occupancy is left to each serving image of a worker.
+    pub(super) fn update_left(&mut self, id: &str) {
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        worker.left.clear();
         if worker.serving == 0 {
-            return 0.0;
+            return;
         }
         let mut cores = Vec::new();
         for run in worker.runs.values().filter(|run| run.fill_cpu > 0) {
             add_cores(&mut cores, run.image, cores_of(run.fill_cpu));
         }
-        add_cores(&mut cores, image, cores_of(cpu));
-        let serving = worker.runs.values().filter(|run| run.target_ms > 0.0);
-        let tails = serving.map(|run| self.disturbance.expect(run.image, &run.load, &cores));
-        tails.fold(0.0, f64::max)
-    }
-
-    /// Returns the most occupancy that a core of the filling image adds to a serving task.
-    fn added(&self, worker: &Worker, image: Image) -> f64 {
-        let serving = worker.runs.values().filter(|run| run.target_ms > 0.0);
-        let added = serving.map(|run| self.disturbance.per_core(run.image, image));
-        added.fold(0.0, f64::max)
+        for run in worker.runs.values().filter(|run| run.target_ms > 0.0) {
+            let limit = self.disturbance.occupancy(run.image, HIGHEST_TAIL);
+            let left = limit - self.disturbance.expect(run.image, &run.load, &cores);
+            match worker.left.iter_mut().find(|(i, _)| *i == run.image) {
+                Some((_, known)) => *known = known.min(left),
+                None => worker.left.push((run.image, left)),
+            }
+        }
     }
 
     /// Learns from the tails of a worker's serving tasks, and paces its filling tasks by them.
@@ -723,6 +798,7 @@
             log::info!("jobs: task={task} worker={id} disturbs serving tasks, stopping it.");
             self.stop_run(id, task);
         }
+        self.update_left(id);
     }
 }
 
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -1,6 +1,7 @@
 //! Jobs, workers and what is to be stored.
 
 use {
+    super::dispatch::DISPATCH_GAP,
     crate::{
         hash::{HashMap, HashSet},
         sched::{
@@ -192,6 +193,8 @@
     /// The pace of its filling tasks, by image.
     pub paces: HashMap<Image, Pace>,
     pub pressure: Pressure,
+    /// The occupancy that is left to each serving image.
+    pub left: Vec<(Image, f64)>,
     /// Since when a serving task has been over its target.
     pub over_since: Option<Instant>,
     pub failures: u32,
@@ -238,6 +241,8 @@
     pub accepted: Instant,
     /// Whether it is being passed on to another shard.
     pub moving: bool,
+    /// Since when nothing of it has been running.
+    pub idle_since: Option<Instant>,
     /// When it may be passed on.
     pub move_after: Option<Instant>,
 }
@@ -265,6 +270,10 @@
     /// Filling images and labels for which no worker was found in this pass, and the room.
     pub(super) hopeless: HashMap<(String, Option<String>), Room>,
     pub(super) dispatched: Option<Instant>,
+    pub(super) dispatch_gap: Duration,
+    pub(super) checked: Option<Instant>,
+    /// Whether most of the workers' processor is not kept by anybody.
+    pub(super) mostly_free: bool,
     pub(super) early_cancels: HashSet<JobId>,
     pub(super) dirty: HashSet<JobId>,
     pub(super) dirty_since: Option<Instant>,
@@ -295,6 +304,9 @@
             reserved: HashSet::default(),
             hopeless: HashMap::default(),
             dispatched: None,
+            dispatch_gap: DISPATCH_GAP,
+            checked: None,
+            mostly_free: false,
             early_cancels: HashSet::default(),
             dirty: HashSet::default(),
             dirty_since: None,
@@ -337,6 +349,7 @@
             records: progress.tasks,
             accepted: now,
             moving: false,
+            idle_since: None,
             move_after: None,
         };
         self.jobs.insert(id, job);
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -281,6 +281,7 @@
         if worker.serving == 0 {
             worker.paces.clear();
         }
+        self.update_left(id);
         Some(run)
     }
 
@@ -325,6 +326,7 @@
             saved: String::new(),
         };
         worker.runs.insert(task, run);
+        self.update_left(id);
     }
 
     /// Gives the tasks of a lost run back.
@@ -556,6 +558,7 @@
             acked: 0,
             paces: Default::default(),
             pressure: Default::default(),
+            left: Vec::new(),
             over_since: None,
             failures: 0,
             ejected_until: None,
--- a/crates/entry/src/scheduling.rs
+++ b/crates/entry/src/scheduling.rs
@@ -217,7 +217,8 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        tell(&actor, Event::Tick).await;
+        // Beats must not wait behind a burst of reports.
+        let _ = actor.send(Event::Tick).priority(1).detach().await;
     }
 }
 
--- a/crates/peer/src/beat.rs
+++ b/crates/peer/src/beat.rs
@@ -62,6 +62,8 @@
     pub store_ok: bool,
     /// Whether it is ending.
     pub ending: bool,
+    /// Shards that it is taking over.
+    pub taking: Vec<String>,
     /// What it leads.
     pub leads: Vec<Lead>,
 }
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -85,6 +85,9 @@
 /// The time limit of a question to the advice service.
 const ADVICE_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// How long a takeover by a peer is let alone: reading all rows of a busy shard takes as long.
+const RIVAL_PAUSE: Duration = Duration::from_millis(700);
+
 /// How long a failed takeover is not tried again.
 const TAKE_PAUSE: Duration = Duration::from_millis(250);
 
@@ -428,6 +431,7 @@
             lease.trying = true;
         }
         log::info!("lead: shard={shard} taking it.");
+        self.beat(self.clock.now(), true);
         let store = self.store.clone();
         let name = self.settings.name.clone();
         let incarnation = self.incarnation;
@@ -792,6 +796,7 @@
                 pending,
             }
         });
+        let taking = self.leases.iter().filter(|(_, lease)| lease.trying);
         let beat = Beat {
             name: self.settings.name.clone(),
             zone: zone.clone(),
@@ -800,6 +805,7 @@
             config: self.queues.as_ref().map_or(0, |q| q.version),
             store_ok: self.store.is_in_reach(),
             ending: self.ending,
+            taking: taking.map(|(shard, _)| shard.clone()).collect(),
             leads: leads.collect(),
         };
         let buf = match beat.encode() {
@@ -848,6 +854,12 @@
         if before.is_some_and(|p| p.incarnation != beat.incarnation) {
             log::info!("peers: {} runs anew.", beat.name);
         }
+        for shard in beat.taking {
+            if let Some(lease) = self.leases.get_mut(&shard) {
+                // Whoever began first is let alone for a while.
+                lease.not_before = lease.not_before.max(Some(now + RIVAL_PAUSE));
+            }
+        }
         for lead in beat.leads {
             let Some(lease) = self.leases.get_mut(&lead.shard) else {
                 continue;
--- a/crates/scheduler/src/leading.rs
+++ b/crates/scheduler/src/leading.rs
@@ -204,7 +204,13 @@
     /// Carries out what the state machine asks for.
     pub fn drive(&mut self, now: Instant, unix_ms: u64) -> Vec<Order> {
         let mut rest = Vec::new();
-        for order in self.shard.poll(now, unix_ms) {
+        let before = self.shard.placed_at();
+        let begin = Instant::now();
+        let orders = self.shard.poll(now, unix_ms);
+        if self.shard.placed_at() != before {
+            self.shard.placement_took(begin.elapsed());
+        }
+        for order in orders {
             let (Order::Start { worker, .. }
             | Order::Stop { worker, .. }
             | Order::Pace { worker, .. }) = &order
