--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -111,7 +111,15 @@
         if quiet {
             worker.acked = worker.seen;
         }
-        Some((worker.acked, worker.clock.grant(lease, now)))
+        // A worker that does not answer may still get what is sent: renewing its leases would
+        // keep its tasks from starting elsewhere for good.
+        let silent = worker.answered.is_some_and(|at| now.duration_since(at) > DOUBTFUL);
+        let until_ms = if silent {
+            None
+        } else {
+            worker.clock.grant(lease, now)
+        };
+        Some((worker.acked, until_ms))
     }
 
     /// Returns whether a worker has ends that wait to be stored.
