Order a leader's writes by a head row; do not trust the silence of others after an own pause

Change: each write depends on the row that the one before changed; waiting jobs stand in the leader's beat in the store; an instance that stood still or heard few starts counting anew.

--- a/crates/core/src/sched/lead.rs
+++ b/crates/core/src/sched/lead.rs
@@ -79,6 +79,9 @@
     pub leader: Option<(&'a str, u64)>,
     /// When the leader last said that it leads.
     pub led: Option<Instant>,
+    /// When this instance last could not trust its own silence: it stood still, or heard less
+    /// than half of its peers.
+    pub deaf: Option<Instant>,
     /// When the leader's beat in the store was last seen to change, if it was looked at.
     pub store_beat: Option<Instant>,
 }
@@ -94,10 +97,16 @@
         (alive + 1) * 2 < known + 1
     }
 
-    /// Returns whether the leader has not been heard for long.
+    /// Returns from when on the leader's silence means something.
+    fn quiet_since(&self) -> Instant {
+        let heard = self.led.unwrap_or(self.since).max(self.since);
+        self.deaf.map_or(heard, |deaf| heard.max(deaf))
+    }
+
+    /// Returns whether the leader has not been heard for long, for whatever reason.
     pub fn is_silent(&self, now: Instant) -> bool {
-        let since = self.led.unwrap_or(self.since).max(self.since);
-        now.duration_since(since) >= LOCAL_SILENCE
+        let heard = self.led.unwrap_or(self.since).max(self.since);
+        now.duration_since(heard) >= LOCAL_SILENCE
     }
 }
 
@@ -111,8 +120,7 @@
     let alive = |p: &PeerView| now.duration_since(p.heard) < PEER_SILENCE;
     let able = |p: &PeerView| alive(p) && p.store_ok && !p.ending;
     let locals = s.peers.iter().filter(|(_, p)| of_shard(&p.zone));
-    let quiet_since = s.led.unwrap_or(s.since).max(s.since);
-    let quiet = now.duration_since(quiet_since);
+    let quiet = now.duration_since(s.quiet_since());
     let vacant = match s.leader {
         None => true,
         // A leader that runs anew, or gives up, or has lost the store has ended for us.
@@ -122,6 +130,7 @@
         }),
     };
     if !vacant && s.is_minority(now) {
+        // Its own silence says little, the leader's beat in the store says more.
         let still = |at: Instant| now.duration_since(at) >= STORE_SILENCE;
         return s.store_beat.is_some_and(still);
     }
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -490,6 +490,14 @@
         Some(batch)
     }
 
+    /// Takes in that a batch was stored which was taken for not stored; its rows stay to be
+    /// stored once more, since they may have changed.
+    pub fn stored_late(&mut self, batch: &Batch, now: Instant) {
+        let storing = self.storing;
+        self.stored(batch, true, now);
+        self.storing = storing;
+    }
+
     /// Takes in whether a batch was stored.
     pub fn stored(&mut self, batch: &Batch, stored: bool, now: Instant) {
         self.storing = false;
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -67,6 +67,9 @@
 /// The time between two looks at the list of workers, whose entries change with every heartbeat.
 const LIST_GAP: Duration = Duration::from_millis(800);
 
+/// The time between two ticks from which this process counts as having stood still.
+const STANDSTILL: Duration = Duration::from_millis(450);
+
 /// The time between two beats of a leader in the store.
 const STORE_BEAT: Duration = Duration::from_secs(1);
 
@@ -206,6 +209,9 @@
     summed: Instant,
     store_beat: Instant,
     beats: u64,
+    ticked: Instant,
+    /// When silence of others last said nothing of them.
+    deaf: Option<Instant>,
 }
 
 impl Actor for Control {
@@ -260,6 +266,8 @@
             summed: now,
             store_beat: now,
             beats: 0,
+            ticked: now,
+            deaf: None,
         }
     }
 
@@ -304,6 +312,12 @@
 
     fn tick(&mut self) {
         let now = self.clock.now();
+        let gap = now.duration_since(self.ticked);
+        if gap > STANDSTILL {
+            log::warn!("entry: stood still for {} ms.", gap.as_millis());
+            self.deaf = Some(now);
+        }
+        self.ticked = now;
         self.beat(now, false);
         self.check_leads(now);
         self.write_beats(now);
@@ -344,6 +358,7 @@
         }
         let shards: Vec<_> = self.leases.keys().cloned().collect();
         let mut unheard = Vec::new();
+        let mut deaf = false;
         for shard in shards {
             if self.leading.contains_key(&shard) {
                 continue;
@@ -365,15 +380,22 @@
                 since: self.since,
                 leader: lease.leader.as_ref().map(|(name, run)| (name.as_str(), *run)),
                 led: lease.led,
+                deaf: self.deaf,
                 store_beat: lease.store_beat,
             };
-            if situation.is_silent(now) && situation.is_minority(now) {
-                unheard.push(shard.clone());
+            if situation.is_minority(now) {
+                deaf = true;
+                if situation.is_silent(now) {
+                    unheard.push(shard.clone());
+                }
             }
             if should_take(&situation, now) {
                 self.take(&shard);
             }
         }
+        if deaf {
+            self.deaf = Some(now);
+        }
         for shard in unheard {
             self.look_for_beat(&shard, now);
         }
@@ -408,8 +430,14 @@
         self.store_beat = now;
         for leading in self.leading.values() {
             self.beats += 1;
-            // Plain data always encodes.
-            let value = postcard::to_stdvec(&(self.incarnation, self.beats)).unwrap_or_default();
+            // Plain data always encodes below.
+            let pending: Vec<_> = leading.shard.pending().into_iter().collect();
+            let beat = takeover::StoreBeat {
+                incarnation: self.incarnation,
+                number: self.beats,
+                pending,
+            };
+            let value = postcard::to_stdvec(&beat).unwrap_or_default();
             let tx = Tx {
                 puts: vec![(names::beat(&leading.name), value)],
                 ..Tx::default()
@@ -728,24 +756,17 @@
     fn written(
         &mut self,
         shard: &str,
-        batch: &Batch,
-        result: Result<Outcome, StoreError>,
+        batch: Batch,
+        result: &Result<Outcome, StoreError>,
         now: Instant,
     ) {
         let Some(leading) = self.leading.get_mut(shard) else {
             return;
         };
-        match result {
-            Ok(Outcome::Applied(_)) => leading.written(batch, true, now),
-            Ok(Outcome::Conflict(_)) => {
-                self.give_up(shard, "another instance leads it");
-                if let Some(lease) = self.leases.get_mut(shard) {
-                    lease.leader = None;
-                }
-            }
-            Err(e) => {
-                log::info!("lead: shard={shard} rows={} not stored: {e}.", batch.rows.len());
-                leading.written(batch, false, now);
+        if !leading.written(batch, result, now) {
+            self.give_up(shard, "another instance leads it");
+            if let Some(lease) = self.leases.get_mut(shard) {
+                lease.leader = None;
             }
         }
     }
@@ -1107,7 +1128,7 @@
             }
             Event::Written(shard, token, batch, result) => {
                 if self.led(&shard, token).is_some() {
-                    self.written(&shard, &batch, result, now);
+                    self.written(&shard, batch, &result, now);
                     self.drive(&shard, now);
                 }
             }
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -6,7 +6,7 @@
         metrics::Metrics,
         names,
         settings::Settings,
-        takeover::{read_lease, read_row},
+        takeover::{StoreBeat, read_lease, read_row},
         view::View,
     },
     arc_swap::ArcSwap,
@@ -138,8 +138,8 @@
         let deadline = deadline.unwrap_or(DEFAULT_DEADLINE);
         let end = begin + deadline.saturating_sub(ANSWER_RESERVE);
         if parts.method == Method::GET && rest.is_empty() {
-            let pending = wire::write_pending(view.pending(&queue.name));
-            return self.done("pending", begin, answer(StatusCode::OK, pending));
+            let answer = self.pending(&view, &queue.name, end).await;
+            return self.done("pending", begin, answer);
         }
         let Ok(id) = rest.parse::<JobId>() else {
             let problem = "the job's identifier is not 16 lower-case hexadecimal digits";
@@ -322,6 +322,25 @@
         }
     }
 
+    async fn pending(&self, view: &View, queue: &str, end: Instant) -> Answer {
+        let mut sum = 0;
+        for shard in &self.settings.shards {
+            if let Some(pending) = view.pending(&shard.name, queue) {
+                sum += pending;
+                continue;
+            }
+            // The leader is not heard here, but the store has what it wrote last.
+            let Ok(row) = self.read_row(&names::beat(&shard.name), end).await else {
+                return refused("it is not known how many jobs wait");
+            };
+            let beat = row.map(|value| postcard::from_bytes::<StoreBeat>(&value));
+            let beat = beat.and_then(Result::ok).unwrap_or_default();
+            let of_queue = beat.pending.iter().filter(|(name, _)| name == queue);
+            sum += of_queue.map(|(_, pending)| pending).sum::<u32>();
+        }
+        answer(StatusCode::OK, wire::write_pending(sum))
+    }
+
     async fn state(&self, id: JobId, end: Instant) -> Answer {
         match self.find_state(id, end).await {
             Ok(Some(state)) => answer(StatusCode::OK, wire::write_state(state)),
--- a/crates/scheduler/src/leading.rs
+++ b/crates/scheduler/src/leading.rs
@@ -17,7 +17,10 @@
             worker::{Report, WorkerInfo},
         },
     },
-    marigoldbend_platform::rows::{Row, Tx},
+    marigoldbend_platform::{
+        rows::{Outcome, Row, Tx},
+        store::StoreError,
+    },
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -71,6 +74,12 @@
     pub waking: bool,
     ways: HashMap<String, Way>,
     asked: HashMap<String, Instant>,
+    /// The version of the row that orders the writes.
+    head_ver: u64,
+    /// The number of the newest write.
+    seq: u64,
+    /// Writes without a reply; at most one of them takes effect, since each depends on the head.
+    unclear: Vec<(u64, Batch)>,
     writing: bool,
     write_after: Option<Instant>,
     sinks: Sinks,
@@ -115,6 +124,9 @@
             waking: false,
             ways: HashMap::default(),
             asked: HashMap::default(),
+            head_ver: taken.head_ver,
+            seq: 0,
+            unclear: Vec::new(),
             writing: false,
             write_after: None,
             sinks,
@@ -229,13 +241,24 @@
     }
 
     /// Returns the next transaction, if it is time for one; [`Leading::written`] must follow.
+    ///
+    /// Each write depends on the one before, so that one that was held up can't bring back
+    /// older rows after a newer one.
     pub fn next_write(&mut self, now: Instant) -> Option<(Batch, Tx)> {
         if self.writing || self.write_after.is_some_and(|at| now < at) {
             return None;
         }
         let batch = self.shard.take_batch(MOST_ROWS, now)?;
+        self.seq += 1;
+        let head = names::head(&self.name);
+        // Plain data always encodes.
+        let mark = postcard::to_stdvec(&(self.token, self.seq)).unwrap_or_default();
         let mut tx = Tx {
-            expect: vec![(names::lease(&self.name), self.ver)],
+            expect: vec![
+                (names::lease(&self.name), self.ver),
+                (head.clone(), self.head_ver),
+            ],
+            puts: vec![(head, mark)],
             ..Tx::default()
         };
         for (id, row) in &batch.rows {
@@ -250,11 +273,65 @@
         Some((batch, tx))
     }
 
-    /// Takes in whether a transaction was stored.
-    pub fn written(&mut self, batch: &Batch, stored: bool, now: Instant) {
+    /// Takes in what became of a write; returns whether this instance still leads.
+    pub fn written(
+        &mut self,
+        batch: Batch,
+        result: &Result<Outcome, StoreError>,
+        now: Instant,
+    ) -> bool {
         self.writing = false;
-        self.write_after = (!stored).then(|| now + WRITE_RETRY);
-        self.shard.stored(batch, stored, now);
+        match result {
+            Ok(Outcome::Applied(ver)) => {
+                self.head_ver = *ver;
+                self.unclear.clear();
+                self.write_after = None;
+                self.shard.stored(&batch, true, now);
+                return true;
+            }
+            Ok(Outcome::Conflict(rows)) => {
+                let lease = names::lease(&self.name);
+                if rows.iter().any(|r| r.name == lease && r.ver != self.ver) {
+                    return false;
+                }
+                self.shard.stored(&batch, false, now);
+                self.learn_head(rows, now);
+            }
+            Err(e) => {
+                log::info!(
+                    "lead: shard={} write={} rows={} not stored: {e}.",
+                    self.name,
+                    self.seq,
+                    batch.rows.len(),
+                );
+                self.shard.stored(&batch, false, now);
+                if *e != StoreError::Undone {
+                    self.unclear.push((self.seq, batch));
+                }
+            }
+        }
+        self.write_after = Some(now + WRITE_RETRY);
+        true
+    }
+
+    /// Finds out from the head row which of the writes without a reply took effect.
+    fn learn_head(&mut self, rows: &[Row], now: Instant) {
+        let name = names::head(&self.name);
+        let Some(head) = rows.iter().find(|r| r.name == name) else {
+            return;
+        };
+        self.head_ver = head.ver;
+        let mark = postcard::from_bytes::<(u64, u64)>(&head.value).ok();
+        let unclear = std::mem::take(&mut self.unclear);
+        let found = unclear.into_iter().find(|(seq, _)| Some((self.token, *seq)) == mark);
+        log::info!(
+            "lead: shard={} head={mark:?} found={}.",
+            self.name,
+            found.is_some(),
+        );
+        if let Some((_, batch)) = found {
+            self.shard.stored_late(&batch, now);
+        }
     }
 
     /// Returns whether nothing waits to be stored.
--- a/crates/scheduler/src/names.rs
+++ b/crates/scheduler/src/names.rs
@@ -14,6 +14,9 @@
 /// The key of a shard's lease.
 pub const LEASE_KEY: &str = "lease";
 
+/// The key of the row that orders a leader's writes, among the progress rows.
+pub const HEAD_KEY: &str = "@head";
+
 /// The key of the workers that a shard's leader uses, among the progress rows.
 pub const ROSTER_KEY: &str = "@workers";
 
@@ -55,6 +58,11 @@
     RowKey::new(&progress_table(shard), shard, &id.to_string())
 }
 
+/// Returns the row that each write of a shard's leader changes, and that the next depends on.
+pub fn head(shard: &str) -> RowKey {
+    RowKey::new(&progress_table(shard), shard, HEAD_KEY)
+}
+
 /// Returns the row of the workers that a shard's leader uses.
 pub fn roster(shard: &str) -> RowKey {
     RowKey::new(&progress_table(shard), shard, ROSTER_KEY)
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -11,6 +11,7 @@
         rows::{Outcome, Page, Range, RowKey, Tx},
         store::{Store, StoreError},
     },
+    serde::{Deserialize, Serialize},
     snafu::Snafu,
     std::collections::BTreeMap,
 };
@@ -44,6 +45,8 @@
     pub token: u64,
     /// The version of the lease row.
     pub ver: u64,
+    /// The version of the row that orders the leader's writes.
+    pub head_ver: u64,
     /// The jobs with their progress.
     pub jobs: Vec<(JobId, JobSpec, Progress)>,
     /// Cancelled jobs.
@@ -54,6 +57,17 @@
     pub from: u64,
 }
 
+/// What a leader writes into the store every second.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct StoreBeat {
+    /// Its run.
+    pub incarnation: u64,
+    /// Grows with each beat.
+    pub number: u64,
+    /// Queues and how many of their jobs have not begun.
+    pub pending: Vec<(String, u32)>,
+}
+
 /// Reads who leads a shard, and the version of that row.
 ///
 /// # Errors
@@ -87,6 +101,7 @@
     let mut taken = Taken {
         token,
         ver,
+        head_ver: 0,
         jobs: Vec::new(),
         cancelled: Vec::new(),
         roster: Vec::new(),
@@ -96,6 +111,8 @@
     for row in progress.rows {
         if row.name.key == names::ROSTER_KEY {
             taken.roster = postcard::from_bytes(&row.value).unwrap_or_default();
+        } else if row.name.key == names::HEAD_KEY {
+            taken.head_ver = row.ver;
         } else if let Ok(id) = row.name.key.parse::<JobId>() {
             match Progress::decode(&row.value) {
                 Ok(progress) => drop(stored.insert(id, progress)),
--- a/crates/scheduler/src/view.rs
+++ b/crates/scheduler/src/view.rs
@@ -52,10 +52,10 @@
 }
 
 impl View {
-    /// Returns how many jobs of a queue have not begun.
-    pub fn pending(&self, queue: &str) -> u32 {
-        let leaders = self.leaders.values();
-        leaders.filter_map(|l| l.pending.get(queue)).sum()
+    /// Returns how many jobs of a queue have not begun in a shard, if its leader is heard.
+    pub fn pending(&self, shard: &str, queue: &str) -> Option<u32> {
+        let leader = self.leaders.get(shard)?;
+        Some(leader.pending.get(queue).copied().unwrap_or(0))
     }
 
     /// Returns the shard for a new job; the own one unless it can't run it or is much busier.
