--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -32,11 +32,15 @@
         sync::Arc,
         time::{Duration, Instant},
     },
+    tokio::time::sleep,
 };
 
 /// The most tries of one idempotent request.
 const MOST_TRIES: usize = 3;
 
+/// The time between two looks for a token of the retry budget.
+const TOKEN_STEP: Duration = Duration::from_millis(10);
+
 /// The expected wait in the own queue from which a request is offered to another domain.
 const CROSS_DOMAIN_WAIT: Duration = Duration::from_millis(20);
 
@@ -188,7 +192,17 @@
             }
             let last = turn + 1 == MOST_TRIES || Instant::now() >= journey.deadline;
             // A try that sent nothing added no load, so the next one is no retry.
-            if last || (may_have_run && !journey.pool.budget.try_retry()) {
+            let token = !last && (!may_have_run || wait_for_token(journey).await);
+            log::info!(
+                "route: request={} try={} token={token} last={last} left_ms={}.",
+                journey.id,
+                turn + 1,
+                journey
+                    .deadline
+                    .saturating_duration_since(Instant::now())
+                    .as_millis(),
+            );
+            if !token {
                 break;
             }
             self.metrics.retries.inc();
@@ -441,6 +455,23 @@
 }
 
 /// Ends a journey without an answer, truthfully: an earlier try may have been run.
+/// Waits for a token of the retry budget; returns whether there was one in time.
+///
+/// A failure that hits all requests of a moment spends the budget at once. Waiting spreads
+/// their retries over the time that they have, at the rate that the budget allows.
+async fn wait_for_token(journey: &Journey<'_>) -> bool {
+    let until = journey.deadline.checked_sub(ANSWER_MARGIN);
+    loop {
+        if journey.pool.budget.try_retry() {
+            return true;
+        }
+        if until.is_none_or(|until| Instant::now() + TOKEN_STEP >= until) {
+            return false;
+        }
+        sleep(TOKEN_STEP).await;
+    }
+}
+
 fn give_up(journey: &Journey<'_>, reason: &str) -> Outcome {
     match &journey.maybe_run {
         Some(earlier) if Instant::now() >= journey.deadline => Outcome::Late(earlier.clone()),
