Jobs that can be in time go first

Change: within a priority, jobs that can still meet their objective go before those that can only be late, and these before those that are too late in any case.

--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -185,6 +185,10 @@
     pub priority: u8,
     /// How many failed runs of a task make the job fail.
     pub max_attempts: u32,
+    /// How many times as long as its longest chain of steps the job may take, in percent.
+    pub slack_percent: u32,
+    /// What the job may take beyond that, in milliseconds.
+    pub aim_ms: u32,
     /// The text that each task is started with.
     pub spec: String,
     /// The steps.
@@ -206,6 +210,31 @@
 }
 
 impl JobSpec {
+    /// Returns the estimated length of the longest chain of steps that are not done, in
+    /// milliseconds; `left` says how many tasks of each step are not done.
+    pub fn chain_ms(&self, left: &[u32]) -> u64 {
+        let mut longest: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for (i, step) in self.steps.iter().enumerate() {
+            let before = step
+                .after
+                .iter()
+                .filter_map(|a| longest.get(usize::from(*a)));
+            let own = if left.get(i).is_none_or(|left| *left > 0) {
+                u64::from(step.estimate_ms)
+            } else {
+                0
+            };
+            longest.push(before.copied().max().unwrap_or(0) + own);
+        }
+        longest.into_iter().max().unwrap_or(0)
+    }
+
+    /// Returns how long the job may take to be in time, in milliseconds.
+    pub fn objective_ms(&self) -> u64 {
+        let chain = self.chain_ms(&[]);
+        chain * u64::from(self.slack_percent) / 100 + u64::from(self.aim_ms)
+    }
+
     /// Returns how many rounds the job has.
     pub fn round_count(&self) -> u32 {
         self.rounds.max(1)
--- a/crates/core/src/sched/queues.rs
+++ b/crates/core/src/sched/queues.rs
@@ -15,6 +15,10 @@
     pub priority: u8,
     /// How many failed runs of a task make a job fail.
     pub max_attempts: u32,
+    /// How many times as long as its longest chain of steps a job may take, in percent.
+    pub slack_percent: u32,
+    /// What a job may take beyond that, in milliseconds.
+    pub aim_ms: u32,
     /// Whether starts need an approval.
     pub advised: bool,
 }
--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -215,7 +215,8 @@
         let mut order: Vec<_> = jobs
             .map(|(id, job)| {
                 let lasting = job.spec.steps.iter().any(|step| step.lasting);
-                (job.spec.priority, !lasting, job.accepted, *id)
+                let turn = job.turn(now);
+                (job.spec.priority, !lasting, turn, job.accepted, *id)
             })
             .collect();
         order.sort();
@@ -237,7 +238,7 @@
                 job.idle_since.get_or_insert(now);
             }
         }
-        for (_, _, _, id) in order {
+        for (_, _, _, _, id) in order {
             self.dispatch_job(id, now);
         }
     }
@@ -869,7 +870,38 @@
     }
 }
 
+/// How many times its objective a job may take and still be of some use.
+const LATE_FACTOR: u64 = 3;
+
+/// Which jobs of one priority go first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Turn {
+    /// Those that can be in time.
+    InTime,
+    /// Those that can only be late, but not too late.
+    Late,
+    /// Those that are too late in any case.
+    TooLate,
+}
+
 impl Job {
+    fn turn(&self, now: Instant) -> Turn {
+        if self.spec.rounds > 0 {
+            return Turn::InTime;
+        }
+        let left = self.rounds.first().map_or(&[][..], |round| &round.left);
+        let chain = self.spec.chain_ms(left);
+        let took = now.duration_since(self.accepted).as_millis() as u64;
+        let objective = self.spec.objective_ms();
+        if took + chain <= objective {
+            Turn::InTime
+        } else if took + chain <= objective * LATE_FACTOR {
+            Turn::Late
+        } else {
+            Turn::TooLate
+        }
+    }
+
     /// Makes the next round, with what is stored of it.
     pub(super) fn make_round(&mut self) {
         let number = self.next_round;
--- a/crates/core/tests/shard.rs
+++ b/crates/core/tests/shard.rs
@@ -35,6 +35,8 @@
         service: "s".to_owned(),
         priority: 0,
         max_attempts: 2,
+        slack_percent: 150,
+        aim_ms: 300,
         spec: "text".to_owned(),
         steps,
         rounds: 0,
--- a/crates/core/tests/shard_model/world.rs
+++ b/crates/core/tests/shard_model/world.rs
@@ -141,6 +141,8 @@
         service: "s".to_owned(),
         priority: 0,
         max_attempts: 2,
+        slack_percent: 150,
+        aim_ms: 300,
         spec: "text".to_owned(),
         steps: vec![step, second],
         rounds: 0,
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -537,7 +537,15 @@
         let Some(of) = self.settings.shards.iter().find(|s| s.name == shard) else {
             return;
         };
-        let mut leading = Leading::new(of, taken, params, sinks, self.metrics.clone(), now);
+        let mut leading = Leading::new(
+            of,
+            taken,
+            params,
+            sinks,
+            self.metrics.clone(),
+            now,
+            unix_ms(),
+        );
         for job in cancelled
             .into_iter()
             .filter(|job| !leading.shard.knows(*job))
--- a/crates/scheduler/src/leading.rs
+++ b/crates/scheduler/src/leading.rs
@@ -44,6 +44,9 @@
 /// How long reports may wait for the store altogether.
 const LONGEST_DELAY: Duration = Duration::from_millis(300);
 
+/// The age up to which jobs that an earlier leader left are told apart, in milliseconds.
+const LONGEST_AGE_MS: u64 = 60_000;
+
 /// Where the events of a led shard go.
 pub struct Sinks {
     /// Says how a worker's next report is asked for.
@@ -94,13 +97,17 @@
         sinks: Sinks,
         metrics: Arc<Metrics>,
         now: Instant,
+        unix_ms: u64,
     ) -> Self {
         let mut shard = Shard::new(params, taken.token, now);
         for (worker, address) in &taken.roster {
             shard.worker_used(worker, address, now);
         }
         for (id, spec, progress) in taken.jobs {
-            shard.add_job(id, spec, Found::Stored(progress), now);
+            // Clocks differ between instances, but not by more than matters for the order.
+            let age = unix_ms.saturating_sub(spec.accepted_ms).min(LONGEST_AGE_MS);
+            let accepted = now.checked_sub(Duration::from_millis(age)).unwrap_or(now);
+            shard.add_job(id, spec, Found::Stored(progress), accepted);
         }
         for id in taken.cancelled {
             shard.cancel(id, 0);
