Split the control actor and the dispatch of a shard

Change: leads, peers and the driving of shards are parts of their own; so are tails, checks and moves. No behaviour changes.

--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -3,46 +3,20 @@
 use {
     super::state::{Approvals, Job, Order, Phase, Round, Shard, Task, Worker},
     crate::sched::{
-        disturb::{Image, Load},
-        job::{JobId, JobSpec, Step, TaskName},
-        pace,
-        place::{Candidate, HIGHEST_TAIL, choose, taken},
+        disturb::Image,
+        job::{JobId, Step, TaskName},
+        place::{Candidate, choose, taken},
         progress::Outcome,
-        worker::Report,
     },
     std::time::{Duration, Instant},
 };
 
-/// How long a task that is at work may show no progress.
-const STUCK: Duration = Duration::from_millis(2_500);
-
-/// The pace below which no progress is expected, in percent.
-const STUCK_PACE: u8 = 30;
-
-/// How long a worker with a task that stood still gets no further work.
-const STUCK_PAUSE: Duration = Duration::from_secs(6);
-
-/// What is left of the drain time when everything still there is stopped.
-const DRAIN_RESERVE: Duration = Duration::from_millis(500);
-
 /// How long an unanswered question for approvals blocks the next.
 const ADVICE_PATIENCE: Duration = Duration::from_millis(1_500);
 
 /// The most workers in one question for approvals.
 const ADVICE_WORKERS: usize = 30;
 
-/// The share of its startup, in percent, from which a serving task's tail counts.
-const AT_WORK: f64 = 100.0;
-
-/// How often a job may be passed on.
-const MOST_MOVES: u8 = 2;
-
-/// How much less, in thousandths, must be asked for in another shard for a job to go there.
-const MOVE_MARGIN: u32 = 100;
-
-/// How long a job waits for its first start before it is passed on.
-const MOVE_PATIENCE: Duration = Duration::from_millis(600);
-
 /// The time between two looks at what depends on time alone.
 const CHECK_GAP: Duration = Duration::from_millis(40);
 
@@ -58,10 +32,6 @@
 /// The time between two rounds of placement if nothing has changed but loads.
 const DISPATCH_IDLE: Duration = Duration::from_millis(100);
 
-/// How long a serving task may be over its target before all that fills beside it is halted,
-/// whatever has been learnt; the platform allows it four seconds.
-const OVER_LIMIT: Duration = Duration::from_millis(1_000);
-
 /// How long a job may have nothing running while most of the workers is free; the platform
 /// allows it three seconds.
 const IDLE_LIMIT: Duration = Duration::from_millis(1_300);
@@ -404,69 +374,6 @@
         }
     }
 
-    /// Returns whether a job that has not begun had better go to another shard.
-    fn should_move(&mut self, id: JobId, now: Instant) -> bool {
-        let Some(job) = self.jobs.get(&id) else {
-            return false;
-        };
-        let waits = now.duration_since(job.accepted);
-        let early = job.move_after.is_some_and(|at| now < at);
-        if job.begun || early || job.spec.moves >= MOST_MOVES || job.runs(id).next().is_some() {
-            return false;
-        }
-        let spec = job.spec.clone();
-        let Some(there) = self.elsewhere.get(&spec.service).copied() else {
-            return false;
-        };
-        let here = self.loads().get(&spec.service).copied().unwrap_or_default();
-        let lasting = spec.steps.iter().any(|step| step.lasting);
-        if lasting {
-            return here.kept >= there.kept + MOVE_MARGIN && !self.fits_whole(id, &spec, now);
-        }
-        let (here, there) = if spec.steps.iter().all(|step| step.fills) {
-            (here.filling, there.filling)
-        } else {
-            (here.kept, there.kept)
-        };
-        waits >= MOVE_PATIENCE && here >= there + MOVE_MARGIN
-    }
-
-    /// Returns whether all tasks of a job's first lasting step find room at once.
-    fn fits_whole(&mut self, id: JobId, spec: &JobSpec, now: Instant) -> bool {
-        let lasting = spec.steps.iter().position(|step| step.lasting);
-        let Some(at) = lasting else {
-            return true;
-        };
-        let step = &spec.steps[at];
-        let mut placed = Vec::new();
-        for index in 0..step.count {
-            let name = TaskName {
-                job: id,
-                round: 0,
-                step: at as u16,
-                index,
-            };
-            let Some(worker) = self.find(name, &spec.service, step, None, false, now) else {
-                break;
-            };
-            self.add_run(&worker, name, 0, Phase::Sent, now);
-            placed.push((worker, name));
-        }
-        let whole = placed.len() == step.count as usize;
-        for (worker, name) in placed {
-            self.remove_run(&worker, name);
-        }
-        whole
-    }
-
-    fn order_move(&mut self, id: JobId) {
-        if let Some(job) = self.jobs.get_mut(&id) {
-            job.moving = true;
-            let spec = job.spec.clone();
-            self.orders.push(Order::Move { job: id, spec });
-        }
-    }
-
     /// Keeps shorter tasks off a worker that has room for a lasting one once they have ended.
     fn reserve(&mut self, name: TaskName, service: &str, step: &Step, now: Instant) {
         let need = taken(step);
@@ -510,7 +417,7 @@
         labels
     }
 
-    fn find(
+    pub(super) fn find(
         &self,
         name: TaskName,
         service: &str,
@@ -655,200 +562,6 @@
         });
         false
     }
-
-    /// Stops what is still on a worker that is about to leave, so that it resumes elsewhere.
-    fn free_draining(&mut self, now: Instant) {
-        let limit = self.params.drain.saturating_sub(DRAIN_RESERVE);
-        let mut stop = Vec::new();
-        for (id, worker) in &self.workers {
-            let Some(since) = worker.draining_since.filter(|_| worker.listed) else {
-                continue;
-            };
-            let late = now.duration_since(since) >= limit;
-            for (task, run) in &worker.runs {
-                let lasting = run.target_ms > 0.0 || self.is_lasting(*task);
-                if (late || lasting) && !matches!(run.phase, Phase::Stopping(_)) {
-                    stop.push((id.clone(), *task));
-                }
-            }
-        }
-        for (id, task) in stop {
-            self.stop_run(&id, task);
-        }
-    }
-
-    fn is_lasting(&self, name: TaskName) -> bool {
-        let job = self.jobs.get(&name.job);
-        let step = job.and_then(|j| j.spec.steps.get(usize::from(name.step)));
-        step.is_some_and(|step| step.lasting)
-    }
-
-    /// Stops tasks that stand still; they resume on another worker.
-    fn stop_stuck(&mut self, now: Instant) {
-        let mut stuck = Vec::new();
-        for (id, worker) in &self.workers {
-            if !worker.is_in_contact(now) {
-                continue;
-            }
-            for (task, run) in &worker.runs {
-                let running = matches!(run.phase, Phase::Running(_));
-                let still = now.duration_since(run.moved) > STUCK;
-                if running && still && run.pace >= STUCK_PACE && !self.may_stand(*task) {
-                    stuck.push((id.clone(), *task));
-                }
-            }
-        }
-        for (id, task) in stuck {
-            log::warn!("jobs: task={task} worker={id} stands still, stopping it.");
-            self.stop_run(&id, task);
-            if let Some(worker) = self.workers.get_mut(&id) {
-                worker.ejected_until = Some(now + STUCK_PAUSE);
-            }
-            if let Some(of_job) = self.jobs.get_mut(&task.job).and_then(|j| j.task(&task)) {
-                of_job.avoid = Some(id);
-            }
-        }
-    }
-
-    /// Returns whether a task may show no progress although it is sound.
-    fn may_stand(&self, name: TaskName) -> bool {
-        let job = self.jobs.get(&name.job);
-        let step = job.and_then(|j| j.spec.steps.get(usize::from(name.step)));
-        step.is_none_or(|step| step.lasting || step.gang)
-    }
-
-    /// Returns the occupancy that a filling task adds to the serving task that it disturbs
-    /// most, and the least occupancy that is then left below the highest tail.
-    fn effect(&self, worker: &Worker, image: Image, cpu: i64) -> (f64, f64) {
-        let mut most: f64 = 0.0;
-        let mut least = f64::INFINITY;
-        for (serving, left) in &worker.left {
-            let added = self.disturbance.per_core(*serving, image) * cores_of(cpu);
-            most = most.max(added);
-            least = least.min(left - added);
-        }
-        (most, least)
-    }
-
-    /// Works out anew which occupancy is left to each serving image of a worker.
-    pub(super) fn update_left(&mut self, id: &str) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        worker.left.clear();
-        if worker.serving == 0 {
-            return;
-        }
-        let mut cores = Vec::new();
-        for run in worker.runs.values().filter(|run| run.fill_cpu > 0) {
-            add_cores(&mut cores, run.image, cores_of(run.fill_cpu));
-        }
-        for run in worker.runs.values().filter(|run| run.target_ms > 0.0) {
-            let limit = self.disturbance.occupancy(run.image, HIGHEST_TAIL);
-            let left = limit - self.disturbance.expect(run.image, &run.load, &cores);
-            match worker.left.iter_mut().find(|(i, _)| *i == run.image) {
-                Some((_, known)) => *known = known.min(left),
-                None => worker.left.push((run.image, left)),
-            }
-        }
-    }
-
-    /// Learns from the tails of a worker's serving tasks, and paces its filling tasks by them.
-    pub(super) fn watch_tails(&mut self, id: &str, report: &Report, now: Instant) {
-        let token = self.worker_token(id);
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        let mut cores: Vec<(Image, f64)> = Vec::new();
-        for row in &report.running {
-            if let (Some(run), Some(usage)) = (worker.runs.get(&row.task), row.usage)
-                && run.fill_cpu > 0
-            {
-                add_cores(&mut cores, run.image, usage / 1_000.0);
-            }
-        }
-        worker.pressure.observe(&cores, now);
-        let mut serving: Vec<(Image, Load)> = Vec::new();
-        let mut worst: f64 = 0.0;
-        for row in report.running.iter().filter(|row| row.percent >= AT_WORK) {
-            if let (Some(run), Some(usage)) = (worker.runs.get_mut(&row.task), row.usage)
-                && run.target_ms > 0.0
-            {
-                let tail = usage / run.target_ms;
-                worst = worst.max(tail);
-                let load = &mut run.load;
-                let pressure = &worker.pressure;
-                self.disturbance
-                    .observe(run.image, load, tail, pressure, now);
-                serving.push((run.image, *load));
-            }
-        }
-        if worker.serving == 0 {
-            worker.paces.clear();
-        }
-        if worst > 1.0 {
-            worker.over_since.get_or_insert(now);
-        } else {
-            worker.over_since = None;
-        }
-        let over = worker.over_since.map(|since| now.duration_since(since));
-        let over = over.is_some_and(|over| over >= OVER_LIMIT);
-        let mut full: Vec<(Image, f64)> = Vec::new();
-        for run in worker.runs.values().filter(|run| run.fill_cpu > 0) {
-            add_cores(&mut full, run.image, cores_of(run.fill_cpu));
-        }
-        for (image, percent) in pace::best(&self.disturbance, &serving, &full) {
-            let pace = worker.paces.entry(image).or_default();
-            let before = pace.percent();
-            let percent = if over { 0.0 } else { percent };
-            if pace.set(percent, now) {
-                log::info!(
-                    "jobs: worker={id} image={} pace={} before={before} serving={}.",
-                    self.disturbance.name(image),
-                    pace.percent(),
-                    worker.serving,
-                );
-            }
-        }
-        let mut stop = Vec::new();
-        for (task, run) in &mut worker.runs {
-            let running = matches!(run.phase, Phase::Running(_));
-            if run.fill_cpu == 0 || !running {
-                continue;
-            }
-            let pace = worker.paces.get(&run.image).copied().unwrap_or_default();
-            let percent = pace.percent();
-            if pace.is_crawling(now) {
-                stop.push(*task);
-            } else if run.pace != percent {
-                run.pace = percent;
-                run.moved = now;
-                self.orders.push(Order::Pace {
-                    worker: id.to_owned(),
-                    task: *task,
-                    attempt: run.attempt,
-                    percent,
-                    token,
-                });
-            }
-        }
-        for task in stop {
-            log::info!("jobs: task={task} worker={id} disturbs serving tasks, stopping it.");
-            self.stop_run(id, task);
-        }
-        self.update_left(id);
-    }
-}
-
-fn cores_of(cpu: i64) -> f64 {
-    cpu as f64 / 1_000.0
-}
-
-fn add_cores(cores: &mut Vec<(Image, f64)>, image: Image, more: f64) {
-    match cores.iter_mut().find(|(i, _)| *i == image) {
-        Some((_, known)) => *known += more,
-        None => cores.push((image, more)),
-    }
 }
 
 impl Worker {
