Restart lapsed work only once the store shows that nobody else leads

Change: a lapse counts once a call that was sent after it found the lease row unchanged; a leader that hears less than half of its peers and has no confirmation for 2 s gives up.

--- a/crates/core/src/sched/lead.rs
+++ b/crates/core/src/sched/lead.rs
@@ -87,24 +87,6 @@
 }
 
 impl Situation<'_> {
-    /// Returns whether this instance hears less than half of the peers that it should hear.
-    ///
-    /// It may then be cut off together with a few others, while the leader is well.
-    pub fn is_minority(&self, now: Instant) -> bool {
-        let within = |p: &&PeerView, limit| now.duration_since(p.heard) < limit;
-        let known = self
-            .peers
-            .values()
-            .filter(|p| within(p, PEER_MEMORY))
-            .count();
-        let alive = self
-            .peers
-            .values()
-            .filter(|p| within(p, PEER_SILENCE))
-            .count();
-        (alive + 1) * 2 < known + 1
-    }
-
     /// Returns from when on the leader's silence means something.
     fn quiet_since(&self) -> Instant {
         let heard = self.led.unwrap_or(self.since).max(self.since);
@@ -118,6 +100,16 @@
     }
 }
 
+/// Returns whether an instance hears less than half of the peers that it should hear.
+///
+/// It may then be cut off together with a few others, while the leader is well.
+pub fn is_minority(peers: &HashMap<String, PeerView>, now: Instant) -> bool {
+    let within = |p: &&PeerView, limit| now.duration_since(p.heard) < limit;
+    let known = peers.values().filter(|p| within(p, PEER_MEMORY)).count();
+    let alive = peers.values().filter(|p| within(p, PEER_SILENCE)).count();
+    (alive + 1) * 2 < known + 1
+}
+
 /// Returns whether this instance should try to take the shard over now.
 pub fn should_take(s: &Situation<'_>, now: Instant) -> bool {
     if !s.store_ok {
@@ -138,7 +130,7 @@
             .get(name)
             .is_some_and(|p| alive(p) && (p.incarnation != incarnation || p.ending || !p.store_ok)),
     };
-    if !vacant && s.is_minority(now) {
+    if !vacant && is_minority(s.peers, now) {
         // Its own silence says little, the leader's beat in the store says more.
         let still = |at: Instant| now.duration_since(at) >= STORE_SILENCE;
         return s.store_beat.is_some_and(still);
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -182,6 +182,8 @@
     pub draining_since: Option<Instant>,
     pub lives: u64,
     pub clock: LeaseClock,
+    /// Since when its leases have surely ended.
+    pub lapsed_at: Option<Instant>,
     pub answered: Option<Instant>,
     pub runs: HashMap<TaskName, Run>,
     pub free: Room,
@@ -284,6 +286,9 @@
     pub(super) orders: Vec<Order>,
     pub(super) changed: bool,
     pub(super) stopping: bool,
+    pub(super) confirmed: Instant,
+    /// Whether work waits for a confirmation to start again.
+    pub(super) unconfirmed: bool,
     /// Loads of the least loaded other shard, by service.
     pub(super) elsewhere: HashMap<String, ServiceLoad>,
     pub(super) fenced: bool,
@@ -316,6 +321,8 @@
             orders: Vec::new(),
             changed: true,
             stopping: false,
+            confirmed: now,
+            unconfirmed: false,
             elsewhere: HashMap::default(),
             fenced: false,
         }
@@ -393,6 +400,17 @@
         }
     }
 
+    /// Takes in that the store showed this leader's lease row unchanged to a call that was sent
+    /// at `sent`.
+    pub fn confirm(&mut self, sent: Instant) {
+        self.confirmed = self.confirmed.max(sent);
+    }
+
+    /// Returns when the store was last asked and showed that this instance leads.
+    pub fn confirmed_at(&self) -> Instant {
+        self.confirmed
+    }
+
     /// Stops starting work, before the lead is given up.
     pub fn stop_starting(&mut self) {
         self.stopping = true;
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -517,7 +517,15 @@
         }
     }
 
+    /// Returns whether work waits until the store shows that this instance still leads.
+    pub fn wants_confirmation(&self) -> bool {
+        self.unconfirmed
+    }
+
     /// Gives back what ran on workers whose leases have surely ended; forgets gone workers.
+    ///
+    /// A later leader may have renewed those leases. So the store must have shown after their
+    /// end that there is none: then the work had ended before anybody could renew it.
     pub(super) fn lapse(&mut self, now: Instant) {
         let unsure = self.unsure_until();
         let silent = |w: &Worker| {
@@ -526,8 +534,10 @@
         };
         let mut lost = Vec::new();
         let mut gone = Vec::new();
-        for (id, worker) in &self.workers {
+        self.unconfirmed = false;
+        for (id, worker) in &mut self.workers {
             if !silent(worker) {
+                worker.lapsed_at = None;
                 continue;
             }
             let lapsed = if worker.clock.is_known() {
@@ -535,11 +545,17 @@
             } else {
                 now >= unsure
             };
-            if lapsed {
-                lost.extend(worker.runs.keys().map(|task| (id.clone(), *task)));
-                if !worker.listed {
-                    gone.push(id.clone());
-                }
+            if !lapsed {
+                continue;
+            }
+            let since = *worker.lapsed_at.get_or_insert(now);
+            if self.confirmed <= since {
+                self.unconfirmed |= !worker.runs.is_empty();
+                continue;
+            }
+            lost.extend(worker.runs.keys().map(|task| (id.clone(), *task)));
+            if !worker.listed {
+                gone.push(id.clone());
             }
         }
         for (id, task) in lost {
@@ -612,6 +628,7 @@
             draining_since: draining.then_some(now),
             lives: 0,
             clock: LeaseClock::default(),
+            lapsed_at: None,
             answered: None,
             runs: Default::default(),
             free,
--- a/crates/core/tests/shard.rs
+++ b/crates/core/tests/shard.rs
@@ -211,6 +211,7 @@
     let mut started = None;
     for _ in 0..140 {
         b.now += 50;
+        b.shard.confirm(b.at());
         // Asking for reports goes on all the time.
         b.shard.contact(&silent, b.at());
         let now = b.now;
@@ -226,6 +227,25 @@
     assert!((4_000..6_500).contains(&at), "{at}");
 }
 
+#[test]
+fn lapsed_work_waits_until_the_store_shows_that_nobody_else_leads() {
+    let mut b = Bench::new(&[worker("a", 4_000), worker("b", 4_000)]);
+    b.shard
+        .add_job(JOB, job(vec![step(1, 1_000)]), Found::New, b.at());
+    let (_, silent) = b.starts(20)[0].clone();
+    let other = if silent == "a" { "b" } else { "a" };
+    for _ in 0..200 {
+        b.now += 50;
+        let now = b.now;
+        b.report(other, &report(now));
+        // Without a confirmation another leader may have renewed the lease.
+        assert_eq!(b.starts(0), []);
+    }
+    assert!(b.shard.wants_confirmation());
+    b.shard.confirm(b.at());
+    assert_eq!(b.starts(50).len(), 1);
+}
+
 #[test]
 fn work_of_an_earlier_leader_waits_for_all_workers() {
     let base = Instant::now();
--- a/crates/core/tests/shard_model/world.rs
+++ b/crates/core/tests/shard_model/world.rs
@@ -382,6 +382,7 @@
                 leader.alive = false;
                 return;
             }
+            leader.shard.confirm(now);
         }
         while leader.read < self.jobs.len() {
             let (id, spec) = &self.jobs[leader.read];
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -21,7 +21,7 @@
         hash::HashMap,
         sched::{
             job::{JobId, JobSpec, TaskName},
-            lead::{PeerView, Situation, should_take},
+            lead::{PeerView, Situation, is_minority, should_take},
             progress::JobState,
             queues::Queues,
             shard::{Batch, Order, Params, ServiceLoad},
@@ -103,6 +103,8 @@
     Answered(String, u64, Answered),
     /// The advice service answered.
     Advised(String, u64, TaskName, Vec<(String, String)>, Duration),
+    /// The store showed to a call of that time that this instance leads a shard.
+    Confirmed(String, u64, Instant),
     /// The store shows that another instance leads a shard.
     Replaced(String, u64),
     /// It is time to place tasks of a led shard.
@@ -529,6 +531,11 @@
                     self.drive(&shard, now);
                 }
             }
+            Event::Confirmed(shard, token, sent) => {
+                if let Some(leading) = self.led(&shard, token) {
+                    leading.shard.confirm(sent);
+                }
+            }
             Event::Replaced(shard, token) => {
                 if self.led(&shard, token).is_some() {
                     self.give_up(&shard, "the store shows another leader");
--- a/crates/scheduler/src/control/leads.rs
+++ b/crates/scheduler/src/control/leads.rs
@@ -2,6 +2,13 @@
 
 use super::*;
 
+/// The same while work waits for a confirmation.
+const WANTED_BEAT: Duration = Duration::from_millis(200);
+
+/// How long a leader that hears less than half of its peers goes on without a confirmation by
+/// the store; a successor counts on it before it starts work of unknown whereabouts.
+const UNCONFIRMED_LIMIT: Duration = Duration::from_millis(2_000);
+
 /// The time between two beats of a leader in the store.
 const STORE_BEAT: Duration = Duration::from_secs(1);
 
@@ -26,6 +33,7 @@
             log::warn!("lead: giving up, peers reach the store and this instance does not.");
             self.give_up_all(now);
         }
+        self.give_up_unconfirmed(now);
         self.hand_back(now);
         if self.ending {
             let stored: Vec<_> = self
@@ -41,6 +49,7 @@
         }
         let shards: Vec<_> = self.leases.keys().cloned().collect();
         let mut unheard = Vec::new();
+        let minority = is_minority(&self.heard, now);
         let mut deaf = false;
         for shard in shards {
             if self.leading.contains_key(&shard) {
@@ -69,7 +78,7 @@
                 deaf: self.deaf,
                 store_beat: lease.store_beat,
             };
-            if situation.is_minority(now) {
+            if minority {
                 deaf = true;
                 if situation.is_silent(now) {
                     unheard.push(shard.clone());
@@ -87,6 +96,20 @@
         }
     }
 
+    /// Gives up leads that the store has not confirmed while few peers are heard: the others
+    /// have a new leader by then.
+    fn give_up_unconfirmed(&mut self, now: Instant) {
+        let old = |l: &&Leading| now.duration_since(l.shard.confirmed_at()) > UNCONFIRMED_LIMIT;
+        let old = self.leading.values().filter(old).map(|l| l.name.clone());
+        let old: Vec<_> = old.collect();
+        if old.is_empty() || !is_minority(&self.heard, now) {
+            return;
+        }
+        for shard in old {
+            self.give_up(&shard, "neither the store nor most peers are in reach");
+        }
+    }
+
     /// Looks into the store whether a leader that is not heard is alive.
     pub(super) fn look_for_beat(&mut self, shard: &str, now: Instant) {
         let Some(lease) = self.leases.get_mut(shard) else {
@@ -113,7 +136,9 @@
 
     /// Shows in the store that this leader is alive.
     pub(super) fn write_beats(&mut self, now: Instant) {
-        if now.duration_since(self.store_beat) < STORE_BEAT {
+        let wanted = self.leading.values().any(|l| l.shard.wants_confirmation());
+        let gap = if wanted { WANTED_BEAT } else { STORE_BEAT };
+        if now.duration_since(self.store_beat) < gap {
             return;
         }
         self.store_beat = now;
@@ -140,7 +165,7 @@
             let (shard, token) = (leading.name.clone(), leading.token);
             tokio::spawn(async move {
                 match store.tx(&tx).await {
-                    Ok(Outcome::Applied(_)) => {}
+                    Ok(Outcome::Applied(_)) => tell(&to, Event::Confirmed(shard, token, now)).await,
                     Ok(Outcome::Conflict(_)) => tell(&to, Event::Replaced(shard, token)).await,
                     Err(e) => log::debug!("lead: the beat is not written: {e}."),
                 }
