--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -247,16 +247,16 @@
     /// Returns the field that is wrong.
     pub fn check(&self) -> Result<()> {
         if self.steps.is_empty() {
-            return Err(wrong("phases", "there is no step"));
+            return Err(wrong("steps", "there is no step"));
         }
         if self.steps.len() > MOST_STEPS {
-            return Err(wrong("phases", "there are more than 64 steps"));
+            return Err(wrong("steps", "there are more than 64 steps"));
         }
         if self.spec.len() > 4_000 {
             return Err(wrong("spec", "it is longer than 4000 bytes"));
         }
         for (i, step) in self.steps.iter().enumerate() {
-            let field = |name: &str| format!("phases[{i}].{name}");
+            let field = |name: &str| format!("steps[{i}].{name}");
             if step.count == 0 {
                 return Err(wrong(field("count"), "it is zero"));
             }
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -365,6 +365,15 @@
         }
         let shard = match known {
             Some((shard, _)) => shard,
+            // With a single shard its leader knows, whether the store is in reach or not.
+            None if self.settings.shards.len() == 1
+                && let Some(state) = self.ask_leader(self.own_shard(), id).await =>
+            {
+                let over = !matches!(state, JobState::Queued | JobState::Running);
+                let shard = self.own_shard().to_owned();
+                self.remember(id, &shard, over.then_some(state));
+                return Ok(Some(state));
+            }
             None => match self.read_shard(id, end).await? {
                 Some(shard) => shard,
                 None => return Ok(None),
