Log the wait in the leader's queue and each count of waiting jobs

Cause: the logs could not tell a leader that is too slow from a count taken from an old row or a store that limits writes. Change: a setting cpu_share, sent in heartbeats (at the end, so that earlier versions still read them) and logged; the wait of events, the busy share and the time to intake in the leader's summary; a histogram of the wait; a log line a count with source and age. Nothing decides by them.

--- a/crates/core/src/sched/leadership.rs
+++ b/crates/core/src/sched/leadership.rs
@@ -62,6 +62,8 @@
     pub store_reachable: bool,
     /// Whether the peer is shutting down.
     pub shutting_down: bool,
+    /// The processor time that the peer may use, in thousandths of a core; zero if unknown.
+    pub cpu_share: u32,
 }
 
 /// The input of the decision whether to take a shard over.
--- a/crates/core/tests/leadership.rs
+++ b/crates/core/tests/leadership.rs
@@ -58,6 +58,7 @@
         }),
         store_reachable: true,
         shutting_down: false,
+        cpu_share: 1_000,
     };
     let peers: HashMap<_, _> = (0..case.peers)
         .map(|i| (format!("p{i}"), peer(i)))
@@ -125,6 +126,7 @@
         last_heard: now - Duration::from_millis(*last_heard),
         store_reachable: *store_reachable,
         shutting_down: *shutting_down,
+        cpu_share: 1_000,
     };
     let named = |(i, peer)| (format!("p{i}"), view(peer));
     let peers: HashMap<_, _> = peers.iter().enumerate().map(named).collect();
--- a/crates/entry/src/scheduling.rs
+++ b/crates/entry/src/scheduling.rs
@@ -103,9 +103,10 @@
     let metrics_listener = metrics_listener.transpose()?.map(|(listener, _)| listener);
     let incarnation: u64 = rand::rng().random();
     log::info!(
-        "entry: start name={} failure_domain={} run={incarnation:016x} callers={} peers={} store={}.",
+        "entry: start name={} failure_domain={} cpu_share={} run={incarnation:016x} callers={} peers={} store={}.",
         settings.scheduler.name,
         settings.scheduler.domain,
+        settings.scheduler.cpu_share,
         settings.callers,
         settings.scheduler.peers,
         settings.scheduler.store,
--- a/crates/entry/src/settings/scheduling.rs
+++ b/crates/entry/src/settings/scheduling.rs
@@ -13,9 +13,13 @@
 /// The name of the shard that spans the whole deployment.
 const DEPLOYMENT_SHARD: &str = "all";
 
+/// The limits of the processor time that an instance may use, in cores.
+const MIN_CPU_SHARE: f64 = 0.001;
+const MAX_CPU_SHARE: f64 = 1_024.0;
+
 /// The sections and keys that a settings file may have.
 const KEYS: Keys = &[
-    ("instance", &["name", "failure_domain"]),
+    ("instance", &["name", "failure_domain", "cpu_share"]),
     ("listen", &["callers", "readiness", "peers", "metrics"]),
     (
         SECTION,
@@ -122,12 +126,18 @@
                 return Err(reader.invalid(SECTION, "shards", &problem));
             }
         };
+        let cores: f64 = reader.optional("instance", "cpu_share")?.unwrap_or(1.0);
+        if !(MIN_CPU_SHARE..=MAX_CPU_SHARE).contains(&cores) {
+            let problem = format!("{cores} is not within {MIN_CPU_SHARE} to {MAX_CPU_SHARE}");
+            return Err(reader.invalid("instance", "cpu_share", &problem));
+        }
         let keep_s = reader.number(SECTION, "keep_s", Some(120), 1, 86_400)?;
         Ok(Self {
             scheduler: SchedulerSettings {
                 name: reader.name("instance", "name")?,
                 domain,
                 shards,
+                cpu_share: (cores * 1_000.0) as u32,
                 peers: reader.required("listen", "peers")?,
                 store: reader.required(SECTION, "store")?,
                 advice: reader.optional(SECTION, "advice")?,
--- a/crates/peer/src/heartbeat.rs
+++ b/crates/peer/src/heartbeat.rs
@@ -69,6 +69,10 @@
     pub taking_over: Vec<String>,
     /// The shards that the sender leads.
     pub led_shards: Vec<LedShard>,
+    /// The processor time that the sender may use, in thousandths of a core; zero if it is unknown,
+    /// as from a sender of an earlier version.
+    #[serde(skip)]
+    pub cpu_share: u32,
 }
 
 impl Heartbeat {
@@ -78,7 +82,7 @@
     ///
     /// Returns an error if the heartbeat is longer than [`MAX_BYTES`].
     pub fn encode(&self) -> Result<Vec<u8>> {
-        frame::encode(MAGIC, MAX_BYTES, self).ok_or(HeartbeatError::TooLong)
+        frame::encode(MAGIC, MAX_BYTES, &(self, self.cpu_share)).ok_or(HeartbeatError::TooLong)
     }
 
     /// Decodes a heartbeat.
@@ -88,6 +92,17 @@
     /// Returns an error if `buf` is damaged, or belongs to another protocol or version.
     pub fn decode(buf: &[u8]) -> Result<Self> {
         let body = buf.strip_prefix(MAGIC).ok_or(HeartbeatError::Damaged)?;
-        postcard::from_bytes(body).map_err(|_| HeartbeatError::Damaged)
+        let decoded = postcard::take_from_bytes::<Self>(body);
+        let (heartbeat, rest) = decoded.map_err(|_| HeartbeatError::Damaged)?;
+        // Earlier versions send nothing after the first part.
+        let cpu_share = if rest.is_empty() {
+            0
+        } else {
+            postcard::from_bytes(rest).map_err(|_| HeartbeatError::Damaged)?
+        };
+        Ok(Self {
+            cpu_share,
+            ..heartbeat
+        })
     }
 }
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -7,7 +7,7 @@
 mod publish;
 mod watches;
 
-pub use events::{Event, GetJobState, HasResignedAll, NextReportRequest, send_event};
+pub use events::{Event, GetJobState, HasResignedAll, NextReportRequest, QueuedEvent, send_event};
 
 use {
     crate::{
@@ -142,6 +142,10 @@
     /// The sequence number of the last store heartbeat; all led shards share it.
     store_heartbeat_number: u64,
     last_tick: Instant,
+    /// The longest time that an event has waited in the queue since the last summary.
+    max_event_wait: Duration,
+    /// How long events have been handled since the last summary.
+    busy: Duration,
     /// When this instance last stalled or heard from only a minority of its peers.
     impaired_at: Option<Instant>,
 }
@@ -199,6 +203,8 @@
             store_heartbeat_written: now,
             store_heartbeat_number: 0,
             last_tick: now,
+            max_event_wait: Duration::ZERO,
+            busy: Duration::ZERO,
             impaired_at: None,
         }
     }
@@ -220,9 +226,18 @@
             self.advance_shard(&shard, now);
         }
         if now.duration_since(self.last_summary) >= SUMMARY_INTERVAL {
+            let interval = now.duration_since(self.last_summary);
             self.last_summary = now;
-            for leader in self.led_shards.values() {
-                log::info!("lead: shard={} {}.", leader.name, leader.shard.summary(now));
+            let wait_ms = std::mem::take(&mut self.max_event_wait).as_millis();
+            let busy = std::mem::take(&mut self.busy);
+            let busy_percent = busy.as_millis() * 100 / interval.as_millis().max(1);
+            for leader in self.led_shards.values_mut() {
+                let intake_ms = std::mem::take(&mut leader.max_intake_ms);
+                log::info!(
+                    "lead: shard={} {} event_wait_ms={wait_ms} busy_percent={busy_percent} intake_ms={intake_ms}.",
+                    leader.name,
+                    leader.shard.summary(now)
+                );
             }
         }
         if now.duration_since(self.last_expiry) >= EXPIRY_INTERVAL {
@@ -394,6 +409,19 @@
     }
 }
 
+impl Handler<QueuedEvent> for Control {
+    type Return = ();
+
+    async fn handle(&mut self, queued: QueuedEvent, _: &mut xtra::Context<Self>) {
+        let start = self.clock.now();
+        let wait = start.saturating_duration_since(queued.queued_at);
+        self.metrics.event_wait.observe(wait.as_secs_f64());
+        self.max_event_wait = self.max_event_wait.max(wait);
+        self.handle_event(queued.event);
+        self.busy += self.clock.now().saturating_duration_since(start);
+    }
+}
+
 impl Handler<NextReportRequest> for Control {
     type Return = Option<ReportRequest>;
 
--- a/crates/scheduler/src/control/events.rs
+++ b/crates/scheduler/src/control/events.rs
@@ -81,8 +81,21 @@
 #[derive(Clone, Copy, Debug)]
 pub struct HasResignedAll;
 
+/// An event in the queue of the control thread.
+#[derive(Debug)]
+pub struct QueuedEvent {
+    /// The event.
+    pub event: Event,
+    /// When the event was queued.
+    pub queued_at: Instant,
+}
+
 /// Sends an event to the control thread.
 pub async fn send_event(address: &Address<Control>, event: Event) {
+    let queued_at = Instant::now();
     // Sending fails only when the process ends.
-    let _ = address.send(event).detach().await;
+    let _ = address
+        .send(QueuedEvent { event, queued_at })
+        .detach()
+        .await;
 }
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -221,7 +221,10 @@
         if let Some(leadership) = self.leadership.get_mut(shard) {
             leadership.taking_over = true;
         }
-        log::info!("lead: shard={shard} taking over.");
+        log::info!(
+            "lead: shard={shard} taking over cpu_share={}.",
+            self.settings.cpu_share
+        );
         self.send_heartbeats(self.clock.now(), true);
         let store = self.store.clone();
         let name = self.settings.name.clone();
--- a/crates/scheduler/src/control/peers.rs
+++ b/crates/scheduler/src/control/peers.rs
@@ -70,6 +70,7 @@
             shutting_down: self.shutting_down,
             taking_over: taking_over.map(|(shard, _)| shard.clone()).collect(),
             led_shards: led_shards.collect(),
+            cpu_share: self.settings.cpu_share,
         };
         let buf = match heartbeat.encode() {
             Ok(buf) => buf,
@@ -108,9 +109,10 @@
         peer.address = heartbeat.address;
         if is_new {
             log::info!(
-                "peers: discovered {} at {}.",
+                "peers: discovered {} at {} cpu_share={}.",
                 heartbeat.name,
-                heartbeat.address
+                heartbeat.address,
+                heartbeat.cpu_share
             );
         }
         let previous = self.peer_views.insert(
@@ -121,6 +123,7 @@
                 last_heard: now,
                 store_reachable: heartbeat.store_reachable,
                 shutting_down: heartbeat.shutting_down,
+                cpu_share: heartbeat.cpu_share,
             },
         );
         if previous.is_some_and(|p| p.incarnation != heartbeat.incarnation) {
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -378,8 +378,16 @@
     async fn pending(&self, view: &View, queue: &str, respond_by: Instant) -> HttpResponse {
         let mut total = 0;
         for shard in &self.settings.shards {
-            if let Some(pending) = view.pending(&shard.name, queue) {
+            if let Some(leader) = view.leaders.get(&shard.name) {
+                let pending = leader.pending.get(queue).copied().unwrap_or(0);
                 total += pending;
+                log::info!(
+                    "intake: call=pending queue={queue} shard={} pending={pending} leader={} token={} age_ms={}.",
+                    shard.name,
+                    leader.name,
+                    leader.token,
+                    leader.last_heard.elapsed().as_millis(),
+                );
                 continue;
             }
             // No heartbeat of a leader arrives here; its heartbeat in the store has the numbers.
@@ -392,7 +400,13 @@
             let heartbeat = row.map(|value| postcard::from_bytes::<StoreHeartbeat>(&value));
             let heartbeat = heartbeat.and_then(Result::ok).unwrap_or_default();
             let counts = heartbeat.pending.iter().filter(|(name, _)| name == queue);
-            total += counts.map(|(_, pending)| pending).sum::<u32>();
+            let pending = counts.map(|(_, pending)| pending).sum::<u32>();
+            total += pending;
+            log::info!(
+                "intake: call=pending queue={queue} shard={} pending={pending} leader=none number={}.",
+                shard.name,
+                heartbeat.number,
+            );
         }
         respond(StatusCode::OK, wire::write_pending(total))
     }
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -34,6 +34,8 @@
     pub commands: IntCounterVec,
     /// Time from sending a command to the worker's reply, in seconds.
     pub command_latency: Histogram,
+    /// Time that events wait for the control thread, in seconds.
+    pub event_wait: Histogram,
     /// Report requests to workers, by result.
     pub reports: IntCounterVec,
     /// Shards that this instance leads.
@@ -67,6 +69,12 @@
         let opts = HistogramOpts::new("mgb_order_seconds", "Time to a worker's reply.");
         let command_latency = Histogram::with_opts(opts.buckets(buckets))?;
         registry.register(Box::new(command_latency.clone()))?;
+        let opts = HistogramOpts::new(
+            "mgb_event_wait_seconds",
+            "Time that events wait for the control thread.",
+        );
+        let event_wait = Histogram::with_opts(opts.buckets(BUCKETS.to_vec()))?;
+        registry.register(Box::new(event_wait.clone()))?;
         let led_shards = IntGauge::new("mgb_leads", "Shards led by this instance.")?;
         registry.register(Box::new(led_shards.clone()))?;
         let store_calls = IntGaugeVec::new(
@@ -85,6 +93,7 @@
             latency,
             commands,
             command_latency,
+            event_wait,
             reports,
             led_shards,
             store_calls,
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -11,6 +11,8 @@
     pub domain: String,
     /// The shards; every failure domain belongs to one of them.
     pub shards: Vec<ShardSettings>,
+    /// The processor time that this instance may use, in thousandths of a core.
+    pub cpu_share: u32,
     /// This instance's address for peers, over UDP and TCP.
     pub peers: SocketAddr,
     /// The address of the store.
--- a/crates/scheduler/src/shard_leader.rs
+++ b/crates/scheduler/src/shard_leader.rs
@@ -74,6 +74,9 @@
     pub shard: Shard,
     /// The task that watches the shard's job table.
     pub job_watch: Option<AbortHandle>,
+    /// The longest time from the acceptance of a job to its arrival here since the last summary, in
+    /// milliseconds by the clocks of two instances.
+    pub max_intake_ms: u64,
     /// Whether an [`Event::Wake`](crate::control::Event::Wake) is scheduled.
     pub wake_scheduled: bool,
     /// The links to the workers, by name.
@@ -125,6 +128,7 @@
             lease_version: state.lease_version,
             shard,
             job_watch: None,
+            max_intake_ms: 0,
             wake_scheduled: false,
             links: HashMap::default(),
             report_requested_at: HashMap::default(),
@@ -171,6 +175,10 @@
                 Some(keys::JobRow::Job(id)) => match postcard::from_bytes::<JobSpec>(&row.value) {
                     Ok(spec) if spec.token > self.token => return None,
                     Ok(spec) => {
+                        if !self.shard.contains_job(id) {
+                            let intake_ms = unix_ms.saturating_sub(spec.accepted_ms);
+                            self.max_intake_ms = self.max_intake_ms.max(intake_ms);
+                        }
                         let origin = if spec.token == self.token {
                             JobOrigin::New
                         } else {
--- a/crates/scheduler/src/view.rs
+++ b/crates/scheduler/src/view.rs
@@ -60,13 +60,6 @@
 }
 
 impl View {
-    /// Returns the number of jobs of a queue that have not started in a shard; `None` if the shard
-    /// has no reachable leader.
-    pub fn pending(&self, shard: &str, queue: &str) -> Option<u32> {
-        let leader = self.leaders.get(shard)?;
-        Some(leader.pending.get(queue).copied().unwrap_or(0))
-    }
-
     /// Returns the shard for a new job; `own` is the shard of this instance's failure domain, or
     /// empty if no shard is preferred.
     ///
