Let instances with more processor time lead

Cause: the leader of a shard was chosen by a hash of its name, so an instance with 0.07 or 0.12 of a core led 350 workers, fell behind and was replaced by an equally small one, each time with a new report of every worker. Change: the rank of a candidate begins with the power of two of its processor share; an instance of a larger class takes the shard over from a smaller leader after 3 s, and fencing makes that safe. Deployments of small instances only are not helped by it; failed takeovers and old counts are separate faults.

--- a/crates/core/src/sched/leadership.rs
+++ b/crates/core/src/sched/leadership.rs
@@ -9,7 +9,10 @@
 use {
     crate::hash::HashMap,
     serde::{Deserialize, Serialize},
-    std::time::{Duration, Instant},
+    std::{
+        cmp::Reverse,
+        time::{Duration, Instant},
+    },
 };
 
 /// How long a leader may be silent before it is replaced: five heartbeats and the delay of a
@@ -38,6 +41,10 @@
 /// domain takes the shard over.
 pub const OTHER_DOMAIN_DELAY: Duration = Duration::from_millis(2_500);
 
+/// How long a leader is left alone before an instance with at least twice its processor time takes
+/// the shard over; each takeover makes every worker report anew.
+pub const MIN_LEADERSHIP: Duration = Duration::from_secs(3);
+
 /// The contents of a lease row.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeaseRow {
@@ -73,6 +80,8 @@
     pub own_name: &'a str,
     /// The incarnation of this instance.
     pub incarnation: u64,
+    /// The processor time that this instance may use, in thousandths of a core.
+    pub cpu_share: u32,
     /// The failure domain of this instance.
     pub domain: &'a str,
     /// The shard.
@@ -91,6 +100,8 @@
     /// When a heartbeat last named the leader, or this instance last won or lost a takeover or
     /// resigned. The leader's silence counts from then on; `None` if none of these has happened.
     pub leader_updated_at: Option<Instant>,
+    /// When a heartbeat first named the leader with its present token; `None` if none has.
+    pub leader_since: Option<Instant>,
     /// When this instance last stalled or heard from only a minority of its peers.
     ///
     /// The leader's silence counts only from then on.
@@ -183,12 +194,20 @@
     }
     let rivals = view.peers.iter().filter(|(_, p)| is_eligible(p));
     let rivals = rivals.filter(|(_, p)| is_shard_domain(&p.domain) == is_in_shard_domain);
-    // The last leader ranks first, so that it gets its shard back after a restart.
+    // Among instances of similar size the last leader ranks first, so that it gets its shard back
+    // after a restart.
     let leader_name = view.leader.map(|(name, _)| name);
-    let takeover_order = |name: &str| (Some(name) != leader_name, rank(view.shard, name));
+    let takeover_order = |name: &str, cpu_share| {
+        let size = Reverse(size_class(cpu_share));
+        (size, Some(name) != leader_name, rank(view.shard, name))
+    };
+    let own_order = takeover_order(view.own_name, view.cpu_share);
     let better_candidates =
-        rivals.filter(|(name, _)| takeover_order(name) < takeover_order(view.own_name));
+        rivals.filter(|(name, p)| takeover_order(name, p.cpu_share) < own_order);
     let delay = RANK_DELAY * u32::try_from(better_candidates.count()).unwrap_or(u32::MAX);
+    if !is_leaderless && is_leader_too_small(view, delay, now) {
+        return true;
+    }
     let required_silence = if is_leaderless {
         Duration::ZERO
     } else {
@@ -203,6 +222,26 @@
     silence >= required_silence + delay + startup_delay
 }
 
+/// Returns whether the leader has much less processor time than this instance, and both have been
+/// steady for [`MIN_LEADERSHIP`] and `delay`.
+fn is_leader_too_small(view: &LeadershipView<'_>, delay: Duration, now: Instant) -> bool {
+    let leader = view.leader.and_then(|(name, _)| view.peers.get(name));
+    let is_smaller = leader.is_some_and(|p| size_class(p.cpu_share) < size_class(view.cpu_share));
+    let since = view
+        .leader_since
+        .max(view.impaired_at)
+        .max(Some(view.since));
+    is_smaller
+        && view.leader_since.is_some()
+        && since.is_some_and(|at| now.duration_since(at) >= MIN_LEADERSHIP + delay)
+}
+
+/// Returns the power of two of a processor share, so that instances of similar size compare as
+/// equal.
+fn size_class(cpu_share: u32) -> u32 {
+    cpu_share.checked_ilog2().unwrap_or(0)
+}
+
 /// Returns the rank of a candidate for a shard; the candidate with the lowest rank takes over
 /// first.
 pub fn rank(shard: &str, name: &str) -> u64 {
--- a/crates/core/tests/leadership.rs
+++ b/crates/core/tests/leadership.rs
@@ -66,6 +66,7 @@
     let domains = ["z".to_owned()];
     let view = LeadershipView {
         own_name: "me",
+        cpu_share: 1_000,
         incarnation: 1,
         domain: "z",
         shard: "all",
@@ -75,6 +76,7 @@
         since: ms_ago(50_000),
         leader: Some(("p0", 5)),
         leader_updated_at: Some(ms_ago(case.leader_updated_at)),
+        leader_since: Some(ms_ago(40_000)),
         impaired_at: case.impaired_at.map(ms_ago),
         store_heartbeat_changed: case.store_heartbeat_changed.map(ms_ago),
     };
@@ -88,6 +90,7 @@
     let domains = ["z".to_owned()];
     let view = LeadershipView {
         own_name: "me",
+        cpu_share: 1_000,
         incarnation: 2,
         domain: "z",
         shard: "all",
@@ -97,6 +100,7 @@
         since: now,
         leader: Some(("me", 1)),
         leader_updated_at: None,
+        leader_since: None,
         impaired_at: None,
         store_heartbeat_changed: None,
     };
@@ -132,3 +136,106 @@
     let peers: HashMap<_, _> = peers.iter().enumerate().map(named).collect();
     assert_eq!(is_rejected_by_store(store_reachable, &peers, now), expected);
 }
+
+/// Who may lead: the processor share of this instance, of the present leader and of another
+/// candidate, in thousandths of a core.
+struct Sizes {
+    own: u32,
+    leader: u32,
+    other: u32,
+}
+
+const SAME: Sizes = Sizes {
+    own: 69,
+    leader: 69,
+    other: 69,
+};
+
+#[test_case(SAME, 60_000, None, false; "all are small")]
+#[test_case(Sizes { own: 500, ..SAME }, 60_000, None, true; "the leader is small and this instance is large")]
+#[test_case(Sizes { own: 500, other: 500, ..SAME }, 60_000, None, true; "another large candidate has had its turn")]
+#[test_case(Sizes { own: 500, leader: 500, other: 69 }, 60_000, None, false; "the leader is large")]
+#[test_case(Sizes { own: 500, leader: 400, other: 69 }, 60_000, None, false; "the leader is a little smaller")]
+#[test_case(Sizes { own: 500, ..SAME }, 1_000, None, false; "the leader is new")]
+#[test_case(Sizes { own: 500, ..SAME }, 60_000, Some(500), false; "this instance was impaired")]
+fn small_leader_is_replaced_by_a_large_instance(
+    sizes: Sizes,
+    leader_since: u64,
+    impaired_at: Option<u64>,
+    expected: bool,
+) {
+    let now = Instant::now() + Duration::from_secs(90);
+    let ms_ago = |ms| now - Duration::from_millis(ms);
+    let peer = |cpu_share| PeerView {
+        domain: "z".to_owned(),
+        incarnation: 5,
+        last_heard: ms_ago(100),
+        store_reachable: true,
+        shutting_down: false,
+        cpu_share,
+    };
+    let peers = [("leader", sizes.leader), ("other", sizes.other)];
+    let peers: HashMap<_, _> = peers
+        .into_iter()
+        .map(|(name, cpu_share)| (name.to_owned(), peer(cpu_share)))
+        .collect();
+    let domains = ["z".to_owned()];
+    let view = LeadershipView {
+        own_name: "me",
+        cpu_share: sizes.own,
+        incarnation: 1,
+        domain: "z",
+        shard: "all",
+        domains: &domains,
+        store_reachable: true,
+        peers: &peers,
+        since: ms_ago(80_000),
+        leader: Some(("leader", 5)),
+        leader_updated_at: Some(ms_ago(100)),
+        leader_since: Some(ms_ago(leader_since)),
+        impaired_at: impaired_at.map(ms_ago),
+        store_heartbeat_changed: None,
+    };
+    assert_eq!(should_take_over(&view, now), expected);
+}
+
+#[test_case(500, true; "the largest instance takes over at once")]
+#[test_case(69, false; "a small instance leaves a silent leader to large ones first")]
+fn silent_leader_is_replaced_by_the_largest_instance(own: u32, expected: bool) {
+    let now = Instant::now() + Duration::from_secs(90);
+    let ms_ago = |ms| now - Duration::from_millis(ms);
+    let peer = |last_heard, cpu_share| PeerView {
+        domain: "z".to_owned(),
+        incarnation: 5,
+        last_heard: ms_ago(last_heard),
+        store_reachable: true,
+        shutting_down: false,
+        cpu_share,
+    };
+    let mut peers: HashMap<_, _> = (0..8)
+        .map(|i| (format!("small{i}"), peer(100, 69)))
+        .collect();
+    peers.insert("leader".to_owned(), peer(900, 500));
+    if own == 69 {
+        peers.insert("large".to_owned(), peer(100, 500));
+    }
+    let domains = ["z".to_owned()];
+    // The name ranks behind those of some peers of any size.
+    let view = LeadershipView {
+        own_name: "me",
+        cpu_share: own,
+        incarnation: 1,
+        domain: "z",
+        shard: "all",
+        domains: &domains,
+        store_reachable: true,
+        peers: &peers,
+        since: ms_ago(80_000),
+        leader: Some(("leader", 5)),
+        leader_updated_at: Some(ms_ago(1_200)),
+        leader_since: Some(ms_ago(60_000)),
+        impaired_at: None,
+        store_heartbeat_changed: None,
+    };
+    assert_eq!(should_take_over(&view, now), expected);
+}
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -91,6 +91,8 @@
     /// When a heartbeat last named the leader, or this instance last won or lost a takeover or
     /// resigned. The leader's silence counts from then on; `None` if none of these has happened.
     leader_updated_at: Option<Instant>,
+    /// When a heartbeat first named the leader with the present token; `None` if none has.
+    leader_since: Option<Instant>,
     /// The leader's state from its last heartbeat, if another instance leads the shard.
     view: Option<LeaderView>,
     /// The highest fencing token seen.
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -81,6 +81,7 @@
             }
             let view = LeadershipView {
                 own_name: &self.settings.name,
+                cpu_share: self.settings.cpu_share,
                 incarnation: self.incarnation,
                 domain: &self.settings.domain,
                 shard: &shard,
@@ -93,6 +94,7 @@
                     .as_ref()
                     .map(|(name, incarnation)| (name.as_str(), *incarnation)),
                 leader_updated_at: leadership.leader_updated_at,
+                leader_since: leadership.leader_since,
                 impaired_at: self.impaired_at,
                 store_heartbeat_changed: leadership.store_heartbeat_changed,
             };
@@ -256,6 +258,7 @@
                 if let TakeoverError::Lost { holder, token } = e {
                     leadership.leader = Some((holder, 0));
                     leadership.token = token;
+                    leadership.leader_since = None;
                     leadership.leader_updated_at = Some(now);
                 }
                 return;
--- a/crates/scheduler/src/control/peers.rs
+++ b/crates/scheduler/src/control/peers.rs
@@ -144,6 +144,9 @@
             if led_shard.token < leadership.token {
                 continue;
             }
+            if leadership.leader_since.is_none() || led_shard.token > leadership.token {
+                leadership.leader_since = Some(now);
+            }
             leadership.token = led_shard.token;
             leadership.leader = Some((heartbeat.name.clone(), heartbeat.incarnation));
             leadership.leader_updated_at = Some(now);
