Read a shard in short pages when it is taken over

Cause: a takeover wrote the lease row, which fences the leader, and then read all rows in replies of up to 1 MB with a limit of 1 s each; on 10 Mbit/s and a tenth of a core that failed, the takeover was given up and begun anew 250 ms later, with more rows. Change: Store::part reads a part in pages of 50 rows and repeats a failed call; takeovers and watches use it. Tests: scheduler::takeover::a_large_shard_is_taken_over_on_a_slow_link, a_takeover_survives_rejected_reads; both failed with pages of the store's size and no retry. A failing instance still keeps others from trying, the rows still grow by finished jobs.

--- a/crates/platform/src/rows.rs
+++ b/crates/platform/src/rows.rs
@@ -103,6 +103,8 @@
     pub from: &'a str,
     /// The key at which the range ends, exclusive; empty for the end of the part.
     pub to: &'a str,
+    /// The maximum number of rows in a reply; `None` for the store's own maximum.
+    pub limit: Option<u32>,
 }
 
 /// A platform's encoding of the calls.
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -7,7 +7,10 @@
 //! replies with a conflict and the present rows.
 
 use {
-    crate::rows::{Page, Range, Tx, TxOutcome, Wire, WireError},
+    crate::{
+        backoff::Backoff,
+        rows::{Page, Range, Tx, TxOutcome, Wire, WireError},
+    },
     hyper::StatusCode,
     marigoldbend_core::clock::Clock,
     marigoldbend_http::{
@@ -24,6 +27,7 @@
         },
         time::{Duration, Instant},
     },
+    tokio::time::sleep,
 };
 
 /// The time limit of a write. A store at a hundredth of its normal speed takes 0.8 s for a write
@@ -33,6 +37,13 @@
 /// The time limit of a read, in addition to the time that the store may wait for changes.
 const READ_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// The maximum number of rows in one reply when a whole part is read. A row has a few kilobytes, so
+/// that a link of 10 Mbit/s needs a fifth of [`READ_TIMEOUT`] for a reply.
+const PART_PAGE_ROWS: u32 = 50;
+
+/// How often a failed call is repeated when a whole part is read.
+const PART_PAGE_RETRIES: u32 = 3;
+
 /// The weight of the newest write in the moving average of the write time, in percent.
 const NEWEST_WEIGHT_PERCENT: u32 = 30;
 
@@ -149,28 +160,68 @@
         let mut all = Page::default();
         let mut from = range.from.to_owned();
         loop {
-            self.counters.reads.fetch_add(1, Ordering::Relaxed);
             let remaining = Range {
                 from: &from,
                 ..range.clone()
             };
-            let reply = self
-                .call((self.wire.range)(&remaining), READ_TIMEOUT)
-                .await?;
-            let page = (self.wire.page)(&reply.body)?;
-            if all.rows.is_empty() {
-                all.version = page.version;
+            let page = self.page(&remaining).await?;
+            match append(&mut all, page) {
+                Some(next) => from = next,
+                None => return Ok(all),
             }
-            let last = page.rows.last().map(|row| row.name.key.clone());
-            all.rows.extend(page.rows);
-            match last {
-                // The smallest key after the last one.
-                Some(last) if page.more => from = last + "\u{1}",
-                _ => return Ok(all),
+        }
+    }
+
+    /// Reads all rows of one part of a table.
+    ///
+    /// The rows are read in short pages and a failed call is repeated, so that a slow link or a
+    /// short failure does not make the whole read fail. The result has the version of the first
+    /// page, as that of [`Store::range`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a call has failed repeatedly.
+    pub async fn part(&self, table: &str, part: &str) -> Result<Page> {
+        let mut all = Page::default();
+        let mut from = String::new();
+        let mut failures = 0;
+        let mut backoff = Backoff::new();
+        loop {
+            let range = Range {
+                table,
+                part,
+                from: &from,
+                to: "",
+                limit: Some(PART_PAGE_ROWS),
+            };
+            match self.page(&range).await {
+                Ok(page) => {
+                    failures = 0;
+                    match append(&mut all, page) {
+                        Some(next) => from = next,
+                        None => return Ok(all),
+                    }
+                }
+                Err(e) if failures < PART_PAGE_RETRIES => {
+                    failures += 1;
+                    log::info!(
+                        "platform: reading table {table} from {from:?} failed, retrying: {e}."
+                    );
+                    let wait = backoff.next(&mut rand::rng());
+                    sleep(wait).await;
+                }
+                Err(e) => return Err(e),
             }
         }
     }
 
+    /// Reads the first page of a range.
+    async fn page(&self, range: &Range<'_>) -> Result<Page> {
+        self.counters.reads.fetch_add(1, Ordering::Relaxed);
+        let reply = self.call((self.wire.range)(range), READ_TIMEOUT).await?;
+        Ok((self.wire.page)(&reply.body)?)
+    }
+
     /// Waits up to `wait` for changes of a table after the version `after`.
     ///
     /// # Errors
@@ -244,3 +295,15 @@
         }
     }
 }
+
+/// Adds a page to the rows read before it; returns the first key of the next page, or `None` if
+/// there is none.
+fn append(all: &mut Page, page: Page) -> Option<String> {
+    if all.rows.is_empty() {
+        all.version = page.version;
+    }
+    let last = page.rows.last().map(|row| row.name.key.clone());
+    all.rows.extend(page.rows);
+    // The smallest key after the last one.
+    last.filter(|_| page.more).map(|last| last + "\u{1}")
+}
--- a/crates/platform/tests/store.rs
+++ b/crates/platform/tests/store.rs
@@ -133,6 +133,7 @@
         part: "",
         from: "",
         to: "",
+        limit: None,
     };
     let page = store.range(&range).await.expect("reading the range failed");
     let keys: Vec<_> = page.rows.iter().map(|r| r.name.key.as_str()).collect();
--- a/crates/scheduler/src/control/peers.rs
+++ b/crates/scheduler/src/control/peers.rs
@@ -258,6 +258,7 @@
         part: "",
         from: "",
         to: "",
+        limit: None,
     };
     let page = store.range(&range).await?;
     let decode = |row: Row| {
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -12,7 +12,7 @@
         progress::Progress,
     },
     marigoldbend_platform::{
-        rows::{Page, Range, Row, RowKey, Tx, TxOutcome},
+        rows::{Range, Row, RowKey, Tx, TxOutcome},
         store::{Store, StoreError},
     },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
@@ -85,6 +85,7 @@
         part: shard,
         from: "",
         to: "",
+        limit: None,
     };
     let page = store.range(&range).await?;
     let row = page
@@ -111,8 +112,8 @@
 ) -> Result<TakeoverState> {
     let (token, lease_version) = take_lease(store, shard, name, incarnation).await?;
     let jobs_table = keys::jobs_table(shard);
-    let jobs = read_part(store, &jobs_table, shard).await?;
-    let progress = read_part(store, &keys::progress_table(shard), shard).await?;
+    let jobs = store.part(&jobs_table, shard).await?;
+    let progress = store.part(&keys::progress_table(shard), shard).await?;
     let mut state = TakeoverState {
         token,
         lease_version,
@@ -176,17 +177,6 @@
     decoded.unwrap_or_default()
 }
 
-/// Reads all rows of one part of a table.
-async fn read_part(store: &Store, table: &str, part: &str) -> Result<Page, StoreError> {
-    let range = Range {
-        table,
-        part,
-        from: "",
-        to: "",
-    };
-    store.range(&range).await
-}
-
 /// Writes a lease row that names this instance, with the next fencing token; returns the token and
 /// the version of the row.
 async fn take_lease(
@@ -274,6 +264,7 @@
         part: &key.part,
         from: &key.key,
         to: &end,
+        limit: None,
     };
     let page = store.range(&range).await?;
     Ok(page.rows.into_iter().next().map(|row| row.value))
--- a/crates/scheduler/src/watch.rs
+++ b/crates/scheduler/src/watch.rs
@@ -6,7 +6,7 @@
 use {
     crate::commands::BoxFuture,
     marigoldbend_platform::{
-        rows::{Page, Range, Row},
+        rows::Row,
         store::{Store, StoreError},
     },
     std::{sync::Arc, time::Duration},
@@ -58,7 +58,8 @@
     let mut after_version = after_version;
     loop {
         let result = match after_version {
-            None => read_all(&store, &target)
+            None => store
+                .part(&target.table, &target.part)
                 .await
                 .map(|p| (p.version, WatchEvent::All(p.rows))),
             Some(after) => {
@@ -97,13 +98,3 @@
         }
     }
 }
-
-async fn read_all(store: &Store, target: &WatchTarget) -> Result<Page, StoreError> {
-    let range = Range {
-        table: &target.table,
-        part: &target.part,
-        from: "",
-        to: "",
-    };
-    store.range(&range).await
-}
--- /dev/null
+++ b/crates/scheduler/tests/takeover.rs
@@ -0,0 +1,140 @@
+//! Tests the takeover of a shard whose rows are read over a slow link.
+
+use {
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{Method, Request, Response, StatusCode, body::Incoming, service::service_fn},
+    hyper_util::rt::TokioIo,
+    marigoldbend_core::{clock::SystemClock, sched::job::JobSpec},
+    marigoldbend_http::connection::Outgoing,
+    marigoldbend_platform::{
+        rows::{Page, Range, Result, Row, RowKey, Tx, TxOutcome, Wire},
+        store::Store,
+    },
+    marigoldbend_scheduler::takeover::take_over,
+    std::{
+        convert::Infallible,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicU32, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{net::TcpListener, time::sleep},
+};
+
+/// The number of open jobs of the shard.
+const JOBS: u64 = 400;
+
+/// The time that the link needs for a row.
+const ROW_TIME: Duration = Duration::from_millis(4);
+
+/// The maximum number of rows in a response of the store.
+const MAX_ROWS: u64 = 500;
+
+/// The first page that fails, if pages fail.
+const FAILING_FROM: u64 = 100;
+
+/// A minimal encoding: a request names the table, the first job and the maximum number of rows, and
+/// a response has the first job and the number of rows.
+const WIRE: Wire = Wire {
+    tx,
+    range,
+    feed: |_, _, _| Outgoing::new(Method::GET, "/none/0/0", ""),
+    outcome: |_, _| Ok(TxOutcome::Applied(1)),
+    page,
+};
+
+fn tx(_: &Tx) -> Outgoing {
+    Outgoing::new(Method::POST, "/none/0/0", "")
+}
+
+fn range(range: &Range<'_>) -> Outgoing {
+    let first = u64::from_str_radix(range.from.trim_end_matches('\u{1}'), 16);
+    let first = first.map_or(0, |last| last + 1);
+    let limit = range.limit.map_or(MAX_ROWS, u64::from);
+    Outgoing::new(Method::GET, format!("/{}/{first}/{limit}", range.table), "")
+}
+
+fn page(body: &[u8]) -> Result<Page> {
+    let text = String::from_utf8_lossy(body);
+    let (first, rows) = text.split_once(' ').unwrap_or(("0", "0"));
+    let first: u64 = first.parse().unwrap_or(0);
+    let end = first + rows.parse::<u64>().unwrap_or(0);
+    let spec = postcard::to_stdvec(&JobSpec::default()).unwrap_or_default();
+    let row = |i: u64| Row {
+        name: RowKey::new("jobs-all", "all", &format!("{i:016x}")),
+        value: spec.clone(),
+        version: 1,
+        deleted: false,
+    };
+    Ok(Page {
+        rows: (first..end).map(row).collect(),
+        more: rows != "0" && end < JOBS,
+        version: 1,
+    })
+}
+
+async fn respond(
+    req: Request<Incoming>,
+    failures: Arc<AtomicU32>,
+) -> std::result::Result<Response<Full<Bytes>>, Infallible> {
+    let fields: Vec<_> = req.uri().path()[1..].split('/').collect();
+    let first: u64 = fields[1].parse().unwrap_or(0);
+    let limit: u64 = fields[2].parse().unwrap_or(0);
+    if fields[0] != "jobs-all" {
+        return Ok(Response::new(Full::new(Bytes::from("0 0"))));
+    }
+    let count_down = |left: u32| left.checked_sub(1);
+    let relaxed = Ordering::Relaxed;
+    let fails = || failures.fetch_update(relaxed, relaxed, count_down).is_ok();
+    if first >= FAILING_FROM && fails() {
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        return Ok(response);
+    }
+    let rows = limit.min(JOBS - first);
+    sleep(ROW_TIME * u32::try_from(rows).unwrap_or(0)).await;
+    let body = format!("{first} {rows}");
+    Ok(Response::new(Full::new(Bytes::from(body))))
+}
+
+/// Starts a store that rejects the given number of reads in the middle of the jobs.
+async fn start_store(failures: u32) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("binding a port failed");
+    let address = listener.local_addr().expect("the listener has no address");
+    let failures = Arc::new(AtomicU32::new(failures));
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let io = TokioIo::new(stream);
+            let http = hyper::server::conn::http1::Builder::new();
+            let failures = failures.clone();
+            let service = service_fn(move |req| respond(req, failures.clone()));
+            tokio::spawn(http.serve_connection(io, service));
+        }
+    });
+    address
+}
+
+async fn jobs_taken_over(failures: u32) -> Option<usize> {
+    let address = start_store(failures).await;
+    let store = Store::new(address, WIRE, Arc::new(SystemClock));
+    let state = take_over(&store, "all", "a1", 7).await.ok()?;
+    Some(state.jobs.len())
+}
+
+/// Guards against a takeover that fails whenever the rows of the shard take longer than the time
+/// limit of one call, which leaves the shard without a leader for good.
+#[tokio::test]
+async fn a_large_shard_is_taken_over_on_a_slow_link() {
+    assert_eq!(jobs_taken_over(0).await, Some(JOBS as usize));
+}
+
+/// Guards against a takeover that starts anew after one rejected read.
+#[tokio::test]
+async fn a_takeover_survives_rejected_reads() {
+    assert_eq!(jobs_taken_over(2).await, Some(JOBS as usize));
+}
