Let another instance try after a failed takeover

Cause: an instance whose takeover failed tried again 250 ms later, and its heartbeats made every other instance wait 700 ms each time, so nobody else ever tried. Test: leadership::a_failed_takeover_lets_another_instance_try_first; it fails with a delay of 250 ms.

--- a/crates/core/src/sched/leadership.rs
+++ b/crates/core/src/sched/leadership.rs
@@ -45,6 +45,62 @@
 /// the shard over; each takeover makes every worker report anew.
 pub const MIN_LEADERSHIP: Duration = Duration::from_secs(3);
 
+/// The minimum time between the end of a takeover and the next one of the same shard, unless it
+/// failed.
+const RETRY_DELAY: Duration = Duration::from_millis(250);
+
+/// How long an instance waits after a heartbeat from a peer that is taking a shard over, before it
+/// may take over that shard itself; reading all rows of a busy shard takes that long.
+const RIVAL_DELAY: Duration = Duration::from_millis(700);
+
+/// The minimum time between a failed takeover and the next one by the same instance; longer than
+/// [`RIVAL_DELAY`], so that another instance tries first.
+const FAILURE_DELAY: Duration = Duration::from_millis(1_500);
+
+/// The maximum number of [`FAILURE_DELAY`]s between two takeovers.
+const MAX_FAILURE_DELAYS: u32 = 4;
+
+/// How long an instance that resigned as leader leaves the shard to others.
+const RESIGNED_DELAY: Duration = Duration::from_millis(2_500);
+
+/// When an instance may take a shard over, judged by its own and its peers' earlier takeovers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TakeoverDelay {
+    /// No takeover begins before this time; `None` if nothing delays it.
+    not_before: Option<Instant>,
+    /// The number of failed takeovers in a row.
+    failures: u32,
+}
+
+impl TakeoverDelay {
+    /// Returns whether a takeover may begin at `now`.
+    pub fn has_passed(&self, now: Instant) -> bool {
+        self.not_before.is_none_or(|at| at <= now)
+    }
+
+    /// Records that this instance became leader, or that another instance was first.
+    pub fn on_decided(&mut self, now: Instant) {
+        self.failures = 0;
+        self.not_before = Some(now + RETRY_DELAY);
+    }
+
+    /// Records that a takeover by this instance failed.
+    pub fn on_failure(&mut self, now: Instant) {
+        self.failures = (self.failures + 1).min(MAX_FAILURE_DELAYS);
+        self.not_before = Some(now + FAILURE_DELAY * self.failures);
+    }
+
+    /// Records a heartbeat from a peer that is taking the shard over.
+    pub fn on_rival(&mut self, now: Instant) {
+        self.not_before = self.not_before.max(Some(now + RIVAL_DELAY));
+    }
+
+    /// Records that this instance resigned as the shard's leader.
+    pub fn on_resigned(&mut self, now: Instant) {
+        self.not_before = Some(now + RESIGNED_DELAY);
+    }
+}
+
 /// The contents of a lease row.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeaseRow {
--- a/crates/core/tests/leadership.rs
+++ b/crates/core/tests/leadership.rs
@@ -3,7 +3,9 @@
 use {
     marigoldbend_core::{
         hash::HashMap,
-        sched::leadership::{LeadershipView, PeerView, is_rejected_by_store, should_take_over},
+        sched::leadership::{
+            LeadershipView, PeerView, TakeoverDelay, is_rejected_by_store, should_take_over,
+        },
     },
     std::time::{Duration, Instant},
     test_case::test_case,
@@ -239,3 +241,24 @@
     };
     assert_eq!(should_take_over(&view, now), expected);
 }
+
+/// Guards against one instance that fails again and again and keeps all others from trying.
+#[test]
+fn a_failed_takeover_lets_another_instance_try_first() {
+    let failed_at = Instant::now();
+    let mut failing = TakeoverDelay::default();
+    let mut other = TakeoverDelay::default();
+    for round in 0..5 {
+        // The heartbeats of the failing instance announce its takeover until it fails.
+        other.on_rival(failed_at);
+        failing.on_failure(failed_at);
+        let first_try = |delay: &TakeoverDelay| {
+            let mut times = (0..10_000).map(|ms| failed_at + Duration::from_millis(ms));
+            times.find(|at| delay.has_passed(*at))
+        };
+        let (own, others) = (first_try(&failing), first_try(&other));
+        assert!(others.is_some() && others < own, "round {round}");
+    }
+    failing.on_decided(failed_at);
+    assert!(failing.has_passed(failed_at + Duration::from_millis(500)));
+}
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -27,7 +27,8 @@
         sched::{
             job::{JobId, JobSpec, TaskName},
             leadership::{
-                LeadershipView, PeerView, is_minority, is_rejected_by_store, should_take_over,
+                LeadershipView, PeerView, TakeoverDelay, is_minority, is_rejected_by_store,
+                should_take_over,
             },
             progress::JobState,
             queues::Queues,
@@ -56,8 +57,7 @@
 /// The interval of [`Event::Tick`], which drives heartbeats, leadership checks and led shards.
 pub const TICK: Duration = Duration::from_millis(50);
 
-/// How long a leader counts as reachable after its last heartbeat, and how long this instance waits
-/// after it resigned a shard before it may take the same shard over again.
+/// How long a leader counts as reachable after its last heartbeat.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// The gap between two ticks above which this process counts as stalled.
@@ -99,8 +99,8 @@
     token: u64,
     /// Whether this instance is taking the shard over.
     taking_over: bool,
-    /// This instance does not take the shard over before this time; `None` if nothing delays it.
-    takeover_not_before: Option<Instant>,
+    /// When this instance may take the shard over.
+    takeover_delay: TakeoverDelay,
     /// The value of the leader's heartbeat row in the store, as last read; empty if there is none.
     store_heartbeat: Vec<u8>,
     /// When a read last returned a changed value of that row.
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -20,10 +20,6 @@
 /// The interval at which the store heartbeat of a silent leader is read.
 const STORE_HEARTBEAT_READ_INTERVAL: Duration = Duration::from_millis(400);
 
-/// The minimum time between the end of a takeover, successful or not, and the next one of the same
-/// shard.
-const TAKEOVER_RETRY_DELAY: Duration = Duration::from_millis(250);
-
 /// The minimum time for which an instance of another failure domain leads a shard before it
 /// resigns in favour of an instance of the shard's own domains.
 const MIN_FOREIGN_LEADERSHIP: Duration = Duration::from_secs(4);
@@ -76,7 +72,7 @@
             let Some(leadership) = self.leadership.get(&shard) else {
                 continue;
             };
-            if leadership.taking_over || leadership.takeover_not_before.is_some_and(|at| now < at) {
+            if leadership.taking_over || !leadership.takeover_delay.has_passed(now) {
                 continue;
             }
             let view = LeadershipView {
@@ -250,16 +246,19 @@
             return;
         };
         leadership.taking_over = false;
-        leadership.takeover_not_before = Some(now + TAKEOVER_RETRY_DELAY);
         let state = match result {
             Ok(state) => state,
             Err(e) => {
                 log::info!("lead: shard={shard} takeover failed: {e}.");
                 if let TakeoverError::Lost { holder, token } = e {
+                    leadership.takeover_delay.on_decided(now);
                     leadership.leader = Some((holder, 0));
                     leadership.token = token;
                     leadership.leader_since = None;
                     leadership.leader_updated_at = Some(now);
+                } else {
+                    leadership.takeover_delay.on_failure(now);
+                    self.send_heartbeats(now, true);
                 }
                 return;
             }
@@ -271,6 +270,7 @@
             state.workers_in_use.len(),
             state.interference.len(),
         );
+        leadership.takeover_delay.on_decided(now);
         leadership.leader = Some((name, self.incarnation));
         leadership.token = state.token;
         leadership.leader_updated_at = Some(now);
@@ -354,7 +354,7 @@
         if let Some(leadership) = self.leadership.get_mut(shard) {
             leadership.view = None;
             leadership.leader_updated_at = Some(now);
-            leadership.takeover_not_before = Some(now + LEADER_TIMEOUT);
+            leadership.takeover_delay.on_resigned(now);
         }
         self.metrics.led_shards.set(self.led_shards.len() as i64);
         self.send_heartbeats(now, true);
--- a/crates/scheduler/src/control/peers.rs
+++ b/crates/scheduler/src/control/peers.rs
@@ -14,10 +14,6 @@
 /// only every 5 s, a sixth of this time.
 const LOST_PEER_SILENCE: Duration = Duration::from_secs(30);
 
-/// How long this instance waits after a heartbeat from a peer that is taking a shard over, before
-/// it may take over that shard itself; reading all rows of a busy shard takes that long.
-const RIVAL_TAKEOVER_DELAY: Duration = Duration::from_millis(700);
-
 impl Control {
     /// Sends heartbeats to the peers for which one is due, or to all peers if `send_all` is true.
     pub(super) fn send_heartbeats(&mut self, now: Instant, send_all: bool) {
@@ -132,9 +128,7 @@
         for shard in heartbeat.taking_over {
             if let Some(leadership) = self.leadership.get_mut(&shard) {
                 // The instance that began its takeover first gets time to finish.
-                leadership.takeover_not_before = leadership
-                    .takeover_not_before
-                    .max(Some(now + RIVAL_TAKEOVER_DELAY));
+                leadership.takeover_delay.on_rival(now);
             }
         }
         for led_shard in heartbeat.led_shards {
