Delete the specification of a job once it has finished

Change: the transaction that stores the end of a job deletes its specification; the row of its progress stays for state queries, and a takeover restores finished jobs from that. A batch counts two entries for a finished job, so that a transaction keeps the store's limit of 100. Tests: scheduler::takeover::a_finished_job_without_specification_is_taken_over, shard::batch_of_finished_jobs_fits_into_a_transaction; new behaviour, so neither could fail before.

--- a/crates/core/src/sched/journal.rs
+++ b/crates/core/src/sched/journal.rs
@@ -76,20 +76,20 @@
         self.writing
     }
 
-    /// Returns the next write, with at most `max_rows` job rows, or `None` if there is nothing to
+    /// Returns the next write, with at most `max_entries` job rows, or `None` if there is nothing to
     /// write or the next write must wait.
     ///
     /// [`Journal::on_write_result`] must be called with the result of the write.
     pub fn next_write(
         &mut self,
         shard: &mut Shard,
-        max_rows: usize,
+        max_entries: usize,
         now: Instant,
     ) -> Option<Write> {
         if self.writing || self.not_before.is_some_and(|at| now < at) {
             return None;
         }
-        let batch = shard.take_batch(max_rows, now)?;
+        let batch = shard.take_batch(max_entries, now)?;
         self.seq += 1;
         self.writing = true;
         Some(Write {
--- a/crates/core/src/sched/shard/commits.rs
+++ b/crates/core/src/sched/shard/commits.rs
@@ -10,11 +10,13 @@
 const INTERFERENCE_WRITE_INTERVAL: Duration = Duration::from_secs(2);
 
 impl Shard {
-    /// Returns the next batch, with at most `max_rows` progress rows; `None` if none is due.
+    /// Returns the next batch, which needs at most `max_entries` entries of a transaction: one for
+    /// a progress row, and one more to delete the specification of a finished job. Returns `None`
+    /// if no batch is due.
     ///
     /// Finished jobs come first. The caller must have passed the result of the previous batch to
     /// [`on_batch_result`](Shard::on_batch_result); if the result is unknown, as not stored.
-    pub fn take_batch(&mut self, max_rows: usize, now: Instant) -> Option<Batch> {
+    pub fn take_batch(&mut self, max_entries: usize, now: Instant) -> Option<Batch> {
         let waited = self.dirty_since.map(|since| now.duration_since(since));
         let due = waited.is_some_and(|waited| self.urgent || waited >= self.params.commit_delay);
         let only_workers_in_use = self.workers_in_use_dirty && self.dirty.is_empty();
@@ -22,14 +24,18 @@
             return None;
         }
         let mut ids: Vec<_> = self.dirty.iter().copied().collect();
-        ids.sort_by_key(|id| {
-            let is_finished = self
-                .jobs
-                .get(id)
-                .is_some_and(|j| j.outcome != JobOutcome::Open);
-            (!is_finished, *id)
-        });
-        ids.truncate(max_rows);
+        let is_finished = |id: &JobId| {
+            let job = self.jobs.get(id);
+            job.is_some_and(|j| j.outcome != JobOutcome::Open)
+        };
+        ids.sort_by_key(|id| (!is_finished(id), *id));
+        let mut entries = 0;
+        let fits = |id: &&JobId| {
+            entries += if is_finished(id) { 2 } else { 1 };
+            entries <= max_entries
+        };
+        let count = ids.iter().take_while(fits).count();
+        ids.truncate(count);
         let mut batch = Batch::default();
         for id in ids {
             self.dirty.remove(&id);
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -146,6 +146,16 @@
     pub(super) outcomes: Vec<(JobId, JobOutcome)>,
 }
 
+impl Batch {
+    /// Returns the finished jobs among [`Batch::rows`], whose specifications are not needed any
+    /// more once the batch is stored.
+    pub fn finished_jobs(&self) -> impl Iterator<Item = JobId> {
+        let finished = self.outcomes.iter();
+        let finished = finished.filter(|(_, outcome)| *outcome != JobOutcome::Open);
+        finished.map(|(id, _)| *id)
+    }
+}
+
 /// The CPU that open jobs request of a service, in thousandths of its workers' capacity;
 /// `u32::MAX` if the service has no worker.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
@@ -462,6 +472,12 @@
         }
     }
 
+    /// Adds a job that finished under an earlier leader, at `finished_ms` in milliseconds of Unix
+    /// time, and whose specification is not stored any more.
+    pub fn add_finished_job(&mut self, id: JobId, outcome: JobOutcome, finished_ms: u64) {
+        self.finished.insert(id, (outcome, finished_ms));
+    }
+
     /// Cancels a job; a job that has not been added yet is cancelled when it is added.
     ///
     /// `unix_ms` is the current Unix time in milliseconds, at which the job finishes.
--- a/crates/core/tests/shard.rs
+++ b/crates/core/tests/shard.rs
@@ -541,6 +541,24 @@
     assert_eq!(row.outcome, JobOutcome::Cancelled);
 }
 
+/// Guards against transactions with more entries than the store accepts: a finished job needs one
+/// for its progress and one to delete its specification.
+#[test]
+fn batch_of_finished_jobs_fits_into_a_transaction() {
+    let mut fixture = Fixture::new(&[worker("w", 4_000)]);
+    for id in 1..=3 {
+        let spec = job(vec![step(1, 1_000)]);
+        fixture
+            .shard
+            .add_job(JobId(id), spec, JobOrigin::New, fixture.now());
+        fixture.shard.cancel(JobId(id), 30);
+    }
+    let batch = fixture.shard.take_batch(5, fixture.now());
+    let batch = batch.expect("finished jobs are stored");
+    assert_eq!(batch.rows.len(), 2);
+    assert_eq!(batch.finished_jobs().count(), 2);
+}
+
 #[test]
 fn job_cancelled_before_it_is_added_does_not_start() {
     let mut fixture = Fixture::new(&[worker("w", 4_000)]);
--- a/crates/scheduler/src/shard_leader.rs
+++ b/crates/scheduler/src/shard_leader.rs
@@ -29,9 +29,9 @@
     tokio::task::AbortHandle,
 };
 
-/// The maximum number of progress rows in one transaction; the store accepts 100 entries, of
-/// which the leader needs two itself.
-const MAX_ROWS_PER_TX: usize = 90;
+/// The maximum number of entries for jobs in one transaction; the store accepts 100 entries, of
+/// which the leader needs up to five for rows of its own.
+const MAX_ENTRIES_PER_TX: usize = 90;
 
 /// How long a worker may delay its report while no attempt ends.
 const REPORT_WAIT: Duration = Duration::from_millis(1_000);
@@ -118,6 +118,9 @@
             let accepted = now.checked_sub(Duration::from_millis(age)).unwrap_or(now);
             shard.add_job(id, spec, JobOrigin::Stored(progress), accepted);
         }
+        for (id, progress) in state.finished {
+            shard.add_finished_job(id, progress.outcome, progress.finished_ms);
+        }
         for id in state.cancelled {
             shard.cancel(id, 0);
         }
@@ -287,7 +290,7 @@
             mark,
         } = self
             .journal
-            .next_write(&mut self.shard, MAX_ROWS_PER_TX, now)?;
+            .next_write(&mut self.shard, MAX_ENTRIES_PER_TX, now)?;
         let head = keys::head(&self.name);
         // Encoding plain data can't fail, here and below.
         let mark = postcard::to_stdvec(&mark).unwrap_or_default();
@@ -302,6 +305,10 @@
         for (id, row) in &batch.rows {
             tx.puts.push((keys::progress(&self.name, *id), row.clone()));
         }
+        // A takeover then reads the specifications of open jobs only.
+        let finished = batch.finished_jobs();
+        tx.deletes
+            .extend(finished.map(|id| keys::job(&self.name, id)));
         if let Some(workers_in_use) = &batch.workers_in_use {
             let value = postcard::to_stdvec(workers_in_use).unwrap_or_default();
             tx.puts.push((keys::workers_in_use(&self.name), value));
@@ -360,7 +367,7 @@
     /// Returns a transaction that deletes the rows of some jobs that finished before `unix_ms`;
     /// `None` if there are none.
     pub fn expire_jobs(&mut self, unix_ms: u64) -> Option<Tx> {
-        let ids: Vec<JobId> = self.shard.expire_jobs(unix_ms, MAX_ROWS_PER_TX / 4);
+        let ids: Vec<JobId> = self.shard.expire_jobs(unix_ms, MAX_ENTRIES_PER_TX / 4);
         if ids.is_empty() {
             return None;
         }
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -9,7 +9,7 @@
         interference::PairEstimate,
         job::{JobId, JobSpec},
         leadership::LeaseRow,
-        progress::Progress,
+        progress::{JobOutcome, Progress},
     },
     marigoldbend_platform::{
         rows::{Range, Row, RowKey, Tx, TxOutcome},
@@ -53,6 +53,8 @@
     pub head_version: u64,
     /// The jobs with their progress.
     pub jobs: Vec<(JobId, JobSpec, Progress)>,
+    /// The progress of finished jobs whose specification is not stored any more.
+    pub finished: Vec<(JobId, Progress)>,
     /// The jobs with a cancellation row; some may belong to another shard by now.
     pub cancelled: Vec<JobId>,
     /// Name and address of each worker that the previous leader used.
@@ -119,6 +121,7 @@
         lease_version,
         head_version: 0,
         jobs: Vec::new(),
+        finished: Vec::new(),
         cancelled: Vec::new(),
         workers_in_use: Vec::new(),
         interference: Vec::new(),
@@ -161,6 +164,8 @@
             ),
         }
     }
+    let is_finished = |(_, progress): &(JobId, Progress)| progress.outcome != JobOutcome::Open;
+    state.finished = stored_progress.into_iter().filter(is_finished).collect();
     Ok(state)
 }
 
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -5,13 +5,19 @@
     http_body_util::Full,
     hyper::{Method, Request, Response, StatusCode, body::Incoming, service::service_fn},
     hyper_util::rt::TokioIo,
-    marigoldbend_core::{clock::SystemClock, sched::job::JobSpec},
+    marigoldbend_core::{
+        clock::SystemClock,
+        sched::{
+            job::JobSpec,
+            progress::{JobOutcome, Progress},
+        },
+    },
     marigoldbend_http::connection::Outgoing,
     marigoldbend_platform::{
         rows::{Page, Range, Result, Row, RowKey, Tx, TxOutcome, Wire},
         store::Store,
     },
-    marigoldbend_scheduler::takeover::take_over,
+    marigoldbend_scheduler::takeover::{TakeoverState, take_over},
     std::{
         convert::Infallible,
         net::SocketAddr,
@@ -36,6 +42,9 @@
 /// The first page that fails, if pages fail.
 const FAILING_FROM: u64 = 100;
 
+/// The response with the progress of one finished job.
+const FINISHED: &str = "finished";
+
 /// A minimal encoding: a request names the table, the first job and the maximum number of rows, and
 /// a response has the first job and the number of rows.
 const WIRE: Wire = Wire {
@@ -59,6 +68,23 @@
 
 fn page(body: &[u8]) -> Result<Page> {
     let text = String::from_utf8_lossy(body);
+    if text == FINISHED {
+        let progress = Progress {
+            outcome: JobOutcome::Completed,
+            finished_ms: 5,
+            ..Progress::default()
+        };
+        return Ok(Page {
+            rows: vec![Row {
+                name: RowKey::new("progress-all", "all", "ffffffffffffffff"),
+                value: progress.encode(),
+                version: 1,
+                deleted: false,
+            }],
+            more: false,
+            version: 1,
+        });
+    }
     let (first, rows) = text.split_once(' ').unwrap_or(("0", "0"));
     let first: u64 = first.parse().unwrap_or(0);
     let end = first + rows.parse::<u64>().unwrap_or(0);
@@ -83,6 +109,9 @@
     let fields: Vec<_> = req.uri().path()[1..].split('/').collect();
     let first: u64 = fields[1].parse().unwrap_or(0);
     let limit: u64 = fields[2].parse().unwrap_or(0);
+    if fields[0] == "progress-all" {
+        return Ok(Response::new(Full::new(Bytes::from(FINISHED))));
+    }
     if fields[0] != "jobs-all" {
         return Ok(Response::new(Full::new(Bytes::from("0 0"))));
     }
@@ -119,22 +148,31 @@
     address
 }
 
-async fn jobs_taken_over(failures: u32) -> Option<usize> {
+async fn takeover(failures: u32) -> TakeoverState {
     let address = start_store(failures).await;
     let store = Store::new(address, WIRE, Arc::new(SystemClock));
-    let state = take_over(&store, "all", "a1", 7).await.ok()?;
-    Some(state.jobs.len())
+    let state = take_over(&store, "all", "a1", 7).await;
+    state.expect("the takeover failed")
 }
 
 /// Guards against a takeover that fails whenever the rows of the shard take longer than the time
 /// limit of one call, which leaves the shard without a leader for good.
 #[tokio::test]
 async fn a_large_shard_is_taken_over_on_a_slow_link() {
-    assert_eq!(jobs_taken_over(0).await, Some(JOBS as usize));
+    assert_eq!(takeover(0).await.jobs.len() as u64, JOBS);
 }
 
 /// Guards against a takeover that starts anew after one rejected read.
 #[tokio::test]
 async fn a_takeover_survives_rejected_reads() {
-    assert_eq!(jobs_taken_over(2).await, Some(JOBS as usize));
+    assert_eq!(takeover(2).await.jobs.len() as u64, JOBS);
+}
+
+/// Guards against a finished job that is unknown to the next leader, since only its progress is
+/// stored.
+#[tokio::test]
+async fn a_finished_job_without_specification_is_taken_over() {
+    let state = takeover(0).await;
+    let outcomes: Vec<_> = state.finished.iter().map(|(_, p)| p.outcome).collect();
+    assert_eq!(outcomes, [JobOutcome::Completed]);
 }
