Refuse counts of waiting jobs whose age is unknown

Cause: without a reachable leader an instance answered from the heartbeat row of the last one, however old that was. Change: the row counts only while reads in close succession return different numbers (core::sched::heartbeat_age); else the call is refused with a time to come back. Clocks of machines are not compared, since the time of day may jump. Test: heartbeat_age::an_old_heartbeat_is_told_from_a_recent_one; the code before answered in all nine cases.

--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -1,13 +1,15 @@
 //! Serves the calls of the HTTP API for callers: submit a job, read its state, cancel it, and count
 //! the pending jobs of a queue.
 
+mod pending;
+
 use {
     crate::{
         control::{Control, GetJobState, unix_ms},
         keys,
         metrics::Metrics,
         settings::Settings,
-        takeover::{StoreHeartbeat, read_lease, read_row},
+        takeover::{read_lease, read_row},
         view::View,
     },
     arc_swap::ArcSwap,
@@ -21,6 +23,7 @@
     marigoldbend_core::{
         hash::HashMap,
         sched::{
+            heartbeat_age::HeartbeatAge,
             job::{JobId, JobSpec},
             progress::{JobOutcome, JobState, Progress},
             queues::Queue,
@@ -76,6 +79,8 @@
     metrics: Arc<Metrics>,
     links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
     job_cache: Mutex<JobCache>,
+    /// The reads of the leaders' heartbeats in the store, by shard.
+    heartbeat_ages: Mutex<HashMap<String, HeartbeatAge>>,
 }
 
 /// The jobs that this instance has stored or looked up most recently.
@@ -121,6 +126,7 @@
             metrics,
             links: Mutex::default(),
             job_cache: Mutex::default(),
+            heartbeat_ages: Mutex::default(),
         }
     }
 
@@ -375,42 +381,6 @@
         }
     }
 
-    async fn pending(&self, view: &View, queue: &str, respond_by: Instant) -> HttpResponse {
-        let mut total = 0;
-        for shard in &self.settings.shards {
-            if let Some(leader) = view.leaders.get(&shard.name) {
-                let pending = leader.pending.get(queue).copied().unwrap_or(0);
-                total += pending;
-                log::info!(
-                    "intake: call=pending queue={queue} shard={} pending={pending} leader={} token={} age_ms={}.",
-                    shard.name,
-                    leader.name,
-                    leader.token,
-                    leader.last_heard.elapsed().as_millis(),
-                );
-                continue;
-            }
-            // No heartbeat of a leader arrives here; its heartbeat in the store has the numbers.
-            let Ok(row) = self
-                .read_row(&keys::heartbeat(&shard.name), respond_by)
-                .await
-            else {
-                return unavailable("the number of pending jobs can't be read now");
-            };
-            let heartbeat = row.map(|value| postcard::from_bytes::<StoreHeartbeat>(&value));
-            let heartbeat = heartbeat.and_then(Result::ok).unwrap_or_default();
-            let counts = heartbeat.pending.iter().filter(|(name, _)| name == queue);
-            let pending = counts.map(|(_, pending)| pending).sum::<u32>();
-            total += pending;
-            log::info!(
-                "intake: call=pending queue={queue} shard={} pending={pending} leader=none number={}.",
-                shard.name,
-                heartbeat.number,
-            );
-        }
-        respond(StatusCode::OK, wire::write_pending(total))
-    }
-
     async fn state(&self, id: JobId, respond_by: Instant) -> HttpResponse {
         match self.find_state(id, respond_by).await {
             Ok(Some(state)) => respond(StatusCode::OK, wire::write_state(state)),
