Keep the queue of the control thread short

Cause: ticks every 50 ms, heartbeats, job rows and lists of workers were put into the queue without waiting for the ones before, so that a stall of 1 s left 20 ticks and some hundred heartbeats to handle first. An instance that leads asked itself for a job's state without a time limit. Change: these sources wait until their last event is handled; heartbeats pass reports in the queue as ticks do; the state is asked for with the limit that calls of peers have. Reports (one a worker) and replies to commands (two a worker) bound themselves.

--- a/crates/entry/src/scheduling.rs
+++ b/crates/entry/src/scheduling.rs
@@ -21,7 +21,9 @@
         platform::store::Store,
     },
     marigoldbend_scheduler::{
-        control::{Control, Event, GetJobState, HasResignedAll, TICK, send_event},
+        control::{
+            Control, Event, GetJobState, HasResignedAll, TICK, deliver_urgent_event, send_event,
+        },
         intake::Intake,
         metrics::{Metrics, MetricsError},
         settings::Settings as SchedulerSettings,
@@ -219,8 +221,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        // A tick sends heartbeats, which must not wait behind a burst of reports.
-        let _ = actor.send(Event::Tick).priority(1).detach().await;
+        deliver_urgent_event(&actor, Event::Tick).await;
     }
 }
 
@@ -230,7 +231,7 @@
     loop {
         match socket.recv_from(&mut buf).await {
             Ok((n, from)) => match Heartbeat::decode(&buf[..n]) {
-                Ok(heartbeat) => send_event(&actor, Event::Heartbeat(heartbeat)).await,
+                Ok(heartbeat) => deliver_urgent_event(&actor, Event::Heartbeat(heartbeat)).await,
                 Err(e) => log::warn!("peers: dropped a datagram from {from}: {e}."),
             },
             // A UDP socket reports errors of earlier sends here as well.
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -7,7 +7,10 @@
 mod publish;
 mod watches;
 
-pub use events::{Event, GetJobState, HasResignedAll, NextReportRequest, QueuedEvent, send_event};
+pub use events::{
+    Event, GetJobState, HasResignedAll, NextReportRequest, QueuedEvent, deliver_event,
+    deliver_urgent_event, send_event,
+};
 
 use {
     crate::{
@@ -403,14 +406,6 @@
     }
 }
 
-impl Handler<Event> for Control {
-    type Return = ();
-
-    async fn handle(&mut self, event: Event, _: &mut xtra::Context<Self>) {
-        self.handle_event(event);
-    }
-}
-
 impl Handler<QueuedEvent> for Control {
     type Return = ();
 
--- a/crates/scheduler/src/control/events.rs
+++ b/crates/scheduler/src/control/events.rs
@@ -90,7 +90,10 @@
     pub queued_at: Instant,
 }
 
-/// Sends an event to the control thread.
+/// The priority of ticks and heartbeats, which must not wait behind a burst of reports.
+const URGENT: u32 = 1;
+
+/// Sends an event to the control thread, and returns as soon as it is in the queue.
 pub async fn send_event(address: &Address<Control>, event: Event) {
     let queued_at = Instant::now();
     // Sending fails only when the process ends.
@@ -99,3 +102,20 @@
         .detach()
         .await;
 }
+
+/// Sends an event to the control thread, and returns once it has been handled. So a source that
+/// sends one event after the other has at most one in the queue.
+pub async fn deliver_event(address: &Address<Control>, event: Event) {
+    let queued_at = Instant::now();
+    // Sending fails only when the process ends.
+    let _ = address.send(QueuedEvent { event, queued_at }).await;
+}
+
+/// Does the same as [`deliver_event`] for a tick or a heartbeat, which passes other events in the
+/// queue.
+pub async fn deliver_urgent_event(address: &Address<Control>, event: Event) {
+    let queued_at = Instant::now();
+    let queued = QueuedEvent { event, queued_at };
+    // Sending fails only when the process ends.
+    let _ = address.send(queued).priority(URGENT).await;
+}
--- a/crates/scheduler/src/control/watches.rs
+++ b/crates/scheduler/src/control/watches.rs
@@ -33,7 +33,7 @@
                 let to = to.clone();
                 Box::pin(async move {
                     for event in events {
-                        send_event(&to, event).await;
+                        deliver_event(&to, event).await;
                     }
                 })
             },
@@ -51,7 +51,7 @@
             None,
             move |watch_event| {
                 let to = to.clone();
-                Box::pin(async move { send_event(&to, worker_event(watch_event)).await })
+                Box::pin(async move { deliver_event(&to, worker_event(watch_event)).await })
             },
         ));
         let store = self.store.clone();
@@ -79,7 +79,7 @@
             let (WatchEvent::All(rows) | WatchEvent::Changed(rows)) = watch_event;
             let event = Event::JobRows(shard.clone(), token, rows);
             let address = address.clone();
-            Box::pin(async move { send_event(&address, event).await })
+            Box::pin(async move { deliver_event(&address, event).await })
         };
         let watch_task =
             watch::watch_table(self.store.clone(), target, Some(after_version), callback);
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -47,7 +47,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
     xtra::Address,
 };
 
@@ -438,7 +438,8 @@
         let leader = view.leaders.get(shard)?;
         if leader.name == self.settings.name {
             let request = GetJobState(shard.to_owned(), id);
-            return self.control.send(request).await.ok().flatten();
+            let state = timeout(STATE_TIMEOUT, self.control.send(request)).await;
+            return state.ok()?.ok().flatten();
         }
         let link = {
             let mut links = self.links.lock();
