Keep a job known that is cancelled during a change of leaders

Cause: a job whose cancellation was read before the job, as a takeover does, got 0 as the time of its end. The next deletion of old jobs, up to 5 s later, removed the row that reserves its identifier, and a repeated submission was accepted as a new job. Change: the time of the cancellation is kept with it, and a takeover uses its own time. Test: shard::job_cancelled_before_it_is_added_stays_known (before: the job is deleted at once).

--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -357,8 +357,8 @@
     /// Whether the listed workers are mostly free, so that tasks of idle jobs may start despite
     /// interference.
     pub(super) mostly_free: bool,
-    /// Jobs that were cancelled before they were added.
-    pub(super) early_cancels: HashSet<JobId>,
+    /// Jobs that were cancelled before they were added, and when, in milliseconds of Unix time.
+    pub(super) early_cancels: HashMap<JobId, u64>,
     /// Jobs whose progress has changed since it was last part of a batch.
     pub(super) dirty: HashSet<JobId>,
     /// Since when a job has been dirty; `None` if none is.
@@ -406,7 +406,7 @@
             dispatch_interval: MIN_DISPATCH_INTERVAL,
             checked_at: None,
             mostly_free: false,
-            early_cancels: HashSet::default(),
+            early_cancels: HashMap::default(),
             dirty: HashSet::default(),
             dirty_since: None,
             urgent: false,
@@ -467,8 +467,8 @@
         };
         self.jobs.insert(id, job);
         self.changed = true;
-        if self.early_cancels.remove(&id) {
-            self.cancel(id, 0);
+        if let Some(unix_ms) = self.early_cancels.remove(&id) {
+            self.cancel(id, unix_ms);
         }
     }
 
@@ -491,7 +491,7 @@
             }
             Some(_) => {}
             None => {
-                self.early_cancels.insert(id);
+                self.early_cancels.insert(id, unix_ms);
             }
         }
     }
--- a/crates/core/tests/shard.rs
+++ b/crates/core/tests/shard.rs
@@ -572,6 +572,23 @@
     assert_eq!(fixture.starts(20), []);
 }
 
+/// Guards against a cancelled job whose rows are deleted at once, so that a repeated submission is
+/// accepted again.
+#[test]
+fn job_cancelled_before_it_is_added_stays_known() {
+    let mut fixture = Fixture::new(&[worker("w", 4_000)]);
+    fixture.shard.cancel(JOB, 30_000);
+    let spec = job(vec![step(1, 1_000)]);
+    fixture
+        .shard
+        .add_job(JOB, spec, JobOrigin::New, fixture.now());
+    let batch = fixture.shard.take_batch(10, fixture.now());
+    let batch = batch.expect("a finished job is stored");
+    fixture.shard.on_batch_result(&batch, true, fixture.now());
+    assert_eq!(fixture.shard.expire_jobs(30_000, 10), []);
+    assert_eq!(fixture.shard.expire_jobs(30_001, 10), [JOB]);
+}
+
 #[test]
 fn step_that_needs_approval_waits_for_it() {
     let mut fixture = Fixture::new(&[worker("a", 4_000), worker("b", 4_000)]);
--- a/crates/scheduler/src/shard_leader.rs
+++ b/crates/scheduler/src/shard_leader.rs
@@ -122,7 +122,7 @@
             shard.add_finished_job(id, progress.outcome, progress.finished_ms);
         }
         for id in state.cancelled {
-            shard.cancel(id, 0);
+            shard.cancel(id, unix_ms);
         }
         Self {
             name: settings.name.clone(),
