Take an unknown processor share as one core

Cause: a peer of the version before sends no share and counted as the smallest, so an instance with 0.07 of a core took the shard from a healthy leader that was not updated yet; a settings file without the key counts as one core. Change: an unknown share counts as one core in both places.

--- a/crates/core/src/sched/leadership.rs
+++ b/crates/core/src/sched/leadership.rs
@@ -41,8 +41,11 @@
 /// domain takes the shard over.
 pub const OTHER_DOMAIN_DELAY: Duration = Duration::from_millis(2_500);
 
-/// How long a leader is left alone before an instance with at least twice its processor time takes
-/// the shard over; each takeover makes every worker report anew.
+/// The processor share of one core.
+const ONE_CORE: u32 = 1_000;
+
+/// How long a leader is left alone before an instance of a larger size class takes the shard over;
+/// each takeover makes every worker report anew.
 pub const MIN_LEADERSHIP: Duration = Duration::from_secs(3);
 
 /// The minimum time between the end of a takeover and the next one of the same shard, unless it
@@ -293,9 +296,9 @@
 }
 
 /// Returns the power of two of a processor share, so that instances of similar size compare as
-/// equal.
+/// equal. An unknown share counts as one core, as in the settings.
 fn size_class(cpu_share: u32) -> u32 {
-    cpu_share.checked_ilog2().unwrap_or(0)
+    cpu_share.checked_ilog2().unwrap_or(ONE_CORE.ilog2())
 }
 
 /// Returns the rank of a candidate for a shard; the candidate with the lowest rank takes over
--- a/crates/core/tests/leadership.rs
+++ b/crates/core/tests/leadership.rs
@@ -4,7 +4,7 @@
     marigoldbend_core::{
         hash::HashMap,
         sched::leadership::{
-            LeadershipView, PeerView, TakeoverDelay, is_rejected_by_store, should_take_over,
+            LeadershipView, PeerView, TakeoverDelay, is_rejected_by_store, rank, should_take_over,
         },
     },
     std::time::{Duration, Instant},
@@ -139,6 +139,16 @@
     assert_eq!(is_rejected_by_store(store_reachable, &peers, now), expected);
 }
 
+/// Returns a name whose rank compares in this way with the ranks of all `others`.
+fn name_ranked(compares: impl Fn(u64, u64) -> bool, others: &[&str]) -> String {
+    let mut names = (0..).map(|i| format!("n{i}"));
+    let is_ranked = |name: &String| {
+        let own = rank("all", name);
+        others.iter().all(|other| compares(own, rank("all", other)))
+    };
+    names.find(is_ranked).expect("some name has the rank")
+}
+
 /// Who may lead: the processor share of this instance, of the present leader and of another
 /// candidate, in thousandths of a core.
 struct Sizes {
@@ -159,6 +169,11 @@
 #[test_case(Sizes { own: 500, leader: 500, other: 69 }, 60_000, None, false; "the leader is large")]
 #[test_case(Sizes { own: 500, leader: 400, other: 69 }, 60_000, None, false; "the leader is a little smaller")]
 #[test_case(Sizes { own: 500, ..SAME }, 1_000, None, false; "the leader is new")]
+#[test_case(Sizes { own: 500, ..SAME }, 3_100, None, true; "the leader is not new any more")]
+#[test_case(Sizes { own: 500, other: 500, ..SAME }, 3_100, None, false; "another large candidate has its turn first")]
+#[test_case(Sizes { own: 500, leader: 0, other: 69 }, 60_000, None, false; "the size of the leader is unknown")]
+#[test_case(Sizes { own: 255, leader: 128, other: 69 }, 60_000, None, false; "the leader is in the same size class")]
+#[test_case(Sizes { own: 256, leader: 255, other: 69 }, 60_000, None, true; "the leader is in the next smaller size class")]
 #[test_case(Sizes { own: 500, ..SAME }, 60_000, Some(500), false; "this instance was impaired")]
 fn small_leader_is_replaced_by_a_large_instance(
     sizes: Sizes,
@@ -182,8 +197,9 @@
         .map(|(name, cpu_share)| (name.to_owned(), peer(cpu_share)))
         .collect();
     let domains = ["z".to_owned()];
+    let own_name = name_ranked(|own, other| own > other, &["leader", "other"]);
     let view = LeadershipView {
-        own_name: "me",
+        own_name: &own_name,
         cpu_share: sizes.own,
         incarnation: 1,
         domain: "z",
@@ -222,9 +238,15 @@
         peers.insert("large".to_owned(), peer(100, 500));
     }
     let domains = ["z".to_owned()];
-    // The name ranks behind those of some peers of any size.
+    let names: Vec<_> = peers.keys().map(String::as_str).collect();
+    // By the name alone, this instance is the last or the first candidate.
+    let own_name = if expected {
+        name_ranked(|own, other| own > other, &names)
+    } else {
+        name_ranked(|own, other| own < other, &names)
+    };
     let view = LeadershipView {
-        own_name: "me",
+        own_name: &own_name,
         cpu_share: own,
         incarnation: 1,
         domain: "z",
