Read the rows before stopping a working leader

What callers would see: a small leader that works is stopped by a large instance that then can't read the shard, again and again. Cause: the lease row was written first; the takeover had no limit of its own, so that it kept others out for 4 s a page; a takeover that was overtaken, or ended during a shutdown, still opened links to all workers. Change: while a leader is heard, the rows are read once before the lease is taken; a takeover takes 8 s at most; an overtaken one is dropped; a rival without the store does not delay others; a page is halved after a failure; an open job without a specification is logged as an error. Test: scheduler::takeover::a_working_leader_is_not_stopped_by_an_instance_that_cannot_read; the code before wrote the lease row in its first call.

--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -38,7 +38,8 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// The maximum number of rows in one reply when a whole part is read. A row has a few kilobytes, so
-/// that a link of 10 Mbit/s needs a fifth of [`READ_TIMEOUT`] for a reply.
+/// that a link of 10 Mbit/s needs a fifth of [`READ_TIMEOUT`] for a reply; after a failure the
+/// number is halved.
 const PART_PAGE_ROWS: u32 = 50;
 
 /// How often a failed call is repeated when a whole part is read.
@@ -185,6 +186,7 @@
         let mut all = Page::default();
         let mut from = String::new();
         let mut failures = 0;
+        let mut limit = PART_PAGE_ROWS;
         let mut backoff = Backoff::new();
         loop {
             let range = Range {
@@ -192,7 +194,7 @@
                 part,
                 from: &from,
                 to: "",
-                limit: Some(PART_PAGE_ROWS),
+                limit: Some(limit),
             };
             match self.page(&range).await {
                 Ok(page) => {
@@ -204,6 +206,7 @@
                 }
                 Err(e) if failures < PART_PAGE_RETRIES => {
                     failures += 1;
+                    limit = (limit / 2).max(1);
                     log::info!(
                         "platform: reading table {table} from {from:?} failed, retrying: {e}."
                     );
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -223,13 +223,20 @@
             "lead: shard={shard} taking over cpu_share={}.",
             self.settings.cpu_share
         );
-        self.send_heartbeats(self.clock.now(), true);
+        let now = self.clock.now();
+        self.send_heartbeats(now, true);
+        let leadership = self.leadership.get(shard);
+        let working_leader = leadership.is_some_and(|l| {
+            let view = l.view.as_ref();
+            view.is_some_and(|view| now.duration_since(view.last_heard) < LEADER_TIMEOUT)
+        });
         let store = self.store.clone();
         let name = self.settings.name.clone();
         let incarnation = self.incarnation;
         let shard = shard.to_owned();
         tokio::spawn(async move {
-            let state = takeover::take_over(&store, &shard, &name, incarnation).await;
+            let state =
+                takeover::take_over(&store, &shard, (&name, incarnation), working_leader).await;
             send_event(&address, Event::TakenOver(shard, state)).await;
         });
     }
@@ -263,6 +270,15 @@
                 return;
             }
         };
+        if leadership.token > state.token || self.shutting_down {
+            log::info!(
+                "lead: shard={shard} takeover dropped token={} newest={} shutting_down={}.",
+                state.token,
+                leadership.token,
+                self.shutting_down
+            );
+            return;
+        }
         log::info!(
             "lead: shard={shard} taken over token={} jobs={} workers={} pairs={}.",
             state.token,
--- a/crates/scheduler/src/control/peers.rs
+++ b/crates/scheduler/src/control/peers.rs
@@ -125,7 +125,8 @@
         if previous.is_some_and(|p| p.incarnation != heartbeat.incarnation) {
             log::info!("peers: {} has restarted.", heartbeat.name);
         }
-        for shard in heartbeat.taking_over {
+        let rival_takeovers = heartbeat.taking_over.into_iter();
+        for shard in rival_takeovers.filter(|_| heartbeat.store_reachable) {
             if let Some(leadership) = self.leadership.get_mut(&shard) {
                 // The instance that began its takeover first gets time to finish.
                 leadership.takeover_delay.on_rival(now);
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -17,7 +17,8 @@
     },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     snafu::Snafu,
-    std::collections::BTreeMap,
+    std::{collections::BTreeMap, time::Duration},
+    tokio::time::timeout,
 };
 
 /// A result of a takeover.
@@ -40,8 +41,14 @@
         /// The fencing token of the other instance.
         token: u64,
     },
+    /// The takeover took longer than [`MAX_TAKEOVER_TIME`].
+    #[snafu(display("it took longer than {} s", MAX_TAKEOVER_TIME.as_secs()))]
+    TooSlow,
 }
 
+/// The maximum duration of a takeover; meanwhile no other instance tries.
+const MAX_TAKEOVER_TIME: Duration = Duration::from_secs(8);
+
 /// The stored state of a shard that a new leader starts from.
 #[derive(Debug)]
 pub struct TakeoverState {
@@ -103,16 +110,37 @@
 /// Makes this instance, given by its name and incarnation, the leader of a shard, unless another
 /// instance becomes leader first.
 ///
+/// If there is a `working_leader`, whom the write of the lease row stops, this instance first reads
+/// the rows to find out whether it can.
+///
 /// # Errors
 ///
-/// Returns an error if a call to the store failed or another instance wrote the lease row first.
+/// Returns an error if a call to the store failed, another instance wrote the lease row first, or
+/// the takeover took too long.
 pub async fn take_over(
     store: &Store,
     shard: &str,
-    name: &str,
-    incarnation: u64,
+    (name, incarnation): (&str, u64),
+    working_leader: bool,
+) -> Result<TakeoverState> {
+    let takeover = async {
+        if working_leader {
+            store.part(&keys::jobs_table(shard), shard).await?;
+            store.part(&keys::progress_table(shard), shard).await?;
+        }
+        let lease = take_lease(store, shard, name, incarnation).await?;
+        read_state(store, shard, lease).await
+    };
+    let result = timeout(MAX_TAKEOVER_TIME, takeover).await;
+    result.unwrap_or(Err(TakeoverError::TooSlow))
+}
+
+/// Reads the stored state of a shard for the leader with this token and lease row.
+async fn read_state(
+    store: &Store,
+    shard: &str,
+    (token, lease_version): (u64, u64),
 ) -> Result<TakeoverState> {
-    let (token, lease_version) = take_lease(store, shard, name, incarnation).await?;
     let jobs_table = keys::jobs_table(shard);
     let jobs = store.part(&jobs_table, shard).await?;
     let progress = store.part(&keys::progress_table(shard), shard).await?;
@@ -164,8 +192,13 @@
             ),
         }
     }
-    let is_finished = |(_, progress): &(JobId, Progress)| progress.outcome != JobOutcome::Open;
-    state.finished = stored_progress.into_iter().filter(is_finished).collect();
+    for (id, progress) in stored_progress {
+        if progress.outcome == JobOutcome::Open {
+            log::error!("lead: shard={shard} job={id} is open but has no specification.");
+        } else {
+            state.finished.push((id, progress));
+        }
+    }
     Ok(state)
 }
 
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -102,10 +102,22 @@
     })
 }
 
+/// What the store does and has done.
+#[derive(Default)]
+struct Calls {
+    /// How many reads in the middle of the jobs still fail.
+    failures: AtomicU32,
+    /// How many transactions it has applied.
+    transactions: AtomicU32,
+}
+
 async fn respond(
     req: Request<Incoming>,
-    failures: Arc<AtomicU32>,
+    calls: Arc<Calls>,
 ) -> std::result::Result<Response<Full<Bytes>>, Infallible> {
+    if req.method() == Method::POST {
+        calls.transactions.fetch_add(1, Ordering::Relaxed);
+    }
     let fields: Vec<_> = req.uri().path()[1..].split('/').collect();
     let first: u64 = fields[1].parse().unwrap_or(0);
     let limit: u64 = fields[2].parse().unwrap_or(0);
@@ -117,7 +129,10 @@
     }
     let count_down = |left: u32| left.checked_sub(1);
     let relaxed = Ordering::Relaxed;
-    let fails = || failures.fetch_update(relaxed, relaxed, count_down).is_ok();
+    let fails = || {
+        let left = calls.failures.fetch_update(relaxed, relaxed, count_down);
+        left.is_ok()
+    };
     if first >= FAILING_FROM && fails() {
         let mut response = Response::new(Full::default());
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
@@ -129,19 +144,18 @@
     Ok(Response::new(Full::new(Bytes::from(body))))
 }
 
-/// Starts a store that rejects the given number of reads in the middle of the jobs.
-async fn start_store(failures: u32) -> SocketAddr {
+/// Starts a store.
+async fn start_store(calls: Arc<Calls>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0")
         .await
         .expect("binding a port failed");
     let address = listener.local_addr().expect("the listener has no address");
-    let failures = Arc::new(AtomicU32::new(failures));
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             let io = TokioIo::new(stream);
             let http = hyper::server::conn::http1::Builder::new();
-            let failures = failures.clone();
-            let service = service_fn(move |req| respond(req, failures.clone()));
+            let calls = calls.clone();
+            let service = service_fn(move |req| respond(req, calls.clone()));
             tokio::spawn(http.serve_connection(io, service));
         }
     });
@@ -149,9 +163,13 @@
 }
 
 async fn takeover(failures: u32) -> TakeoverState {
-    let address = start_store(failures).await;
+    let calls = Arc::new(Calls {
+        failures: AtomicU32::new(failures),
+        ..Calls::default()
+    });
+    let address = start_store(calls).await;
     let store = Store::new(address, WIRE, Arc::new(SystemClock));
-    let state = take_over(&store, "all", "a1", 7).await;
+    let state = take_over(&store, "all", ("a1", 7), false).await;
     state.expect("the takeover failed")
 }
 
@@ -176,3 +194,17 @@
     let outcomes: Vec<_> = state.finished.iter().map(|(_, p)| p.outcome).collect();
     assert_eq!(outcomes, [JobOutcome::Completed]);
 }
+
+/// Guards against an instance that stops a working leader and then can't take over.
+#[tokio::test]
+async fn a_working_leader_is_not_stopped_by_an_instance_that_cannot_read() {
+    let calls = Arc::new(Calls {
+        failures: AtomicU32::new(u32::MAX),
+        ..Calls::default()
+    });
+    let address = start_store(calls.clone()).await;
+    let store = Store::new(address, WIRE, Arc::new(SystemClock));
+    let state = take_over(&store, "all", ("a1", 7), true).await;
+    assert!(state.is_err());
+    assert_eq!(calls.transactions.load(Ordering::Relaxed), 0);
+}
