Delete the rows of old jobs as fast as jobs finish

What callers would see: takeovers that take longer with each hour. Cause: 22 jobs were deleted every 5 s, 4.4/s, while about 30 jobs/s finish on the grown sites. A deletion that fails leaves its rows until the next takeover, as before.

--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -70,7 +70,7 @@
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(2);
 
 /// The interval at which the rows of finished jobs are deleted.
-const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Another instance, as discovered in the store or from its heartbeats.
 #[derive(Debug)]
--- a/crates/scheduler/src/shard_leader.rs
+++ b/crates/scheduler/src/shard_leader.rs
@@ -377,6 +377,7 @@
         };
         for id in ids {
             tx.deletes.push(keys::id(id));
+            // Earlier versions keep the specification of a finished job.
             tx.deletes.push(keys::job(&self.name, id));
             tx.deletes.push(keys::cancel(&self.name, id));
             tx.deletes.push(keys::progress(&self.name, id));
