Let configurations pass reports in the leader's queue

What callers would see: a configuration in force late at a leader that is behind. Cause: the configuration waited behind the reports of all workers. Evidence: found by the review, by reading. Change: it is delivered with the priority of ticks and heartbeats.

--- a/crates/scheduler/src/control/events.rs
+++ b/crates/scheduler/src/control/events.rs
@@ -90,7 +90,7 @@
     pub queued_at: Instant,
 }
 
-/// The priority of ticks and heartbeats, which must not wait behind a burst of reports.
+/// The priority of ticks, heartbeats and configurations, which must not wait behind a burst of reports.
 const URGENT: u32 = 1;
 
 /// Sends an event to the control thread, and returns as soon as it is in the queue.
@@ -111,8 +111,8 @@
     let _ = address.send(QueuedEvent { event, queued_at }).await;
 }
 
-/// Does the same as [`deliver_event`] for a tick or a heartbeat, which passes other events in the
-/// queue.
+/// Does the same as [`deliver_event`] for a tick, a heartbeat or a configuration, which passes other
+/// events in the queue.
 pub async fn deliver_urgent_event(address: &Address<Control>, event: Event) {
     let queued_at = Instant::now();
     let queued = QueuedEvent { event, queued_at };
--- a/crates/scheduler/src/control/watches.rs
+++ b/crates/scheduler/src/control/watches.rs
@@ -33,7 +33,7 @@
                 let to = to.clone();
                 Box::pin(async move {
                     for event in events {
-                        deliver_event(&to, event).await;
+                        deliver_urgent_event(&to, event).await;
                     }
                 })
             },
