Compare the links with the workers only after a change

update_links built a map of all workers after every event. The shard now records whether a worker or its address has changed, and the leader looks at its links only then. An address that is not valid is logged once a change.

--- a/crates/core/src/sched/shard/leases.rs
+++ b/crates/core/src/sched/shard/leases.rs
@@ -65,6 +65,7 @@
             log::info!("jobs: worker={id} removed: it is unlisted and its leases have expired.");
             self.workers.remove(&id);
             self.workers_in_use_dirty = true;
+            self.worker_addresses_changed = true;
         }
     }
 
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -359,6 +359,9 @@
     pub(super) storing: bool,
     /// Whether the list of workers in use has changed since it was last part of a batch.
     pub(super) workers_in_use_dirty: bool,
+    /// Whether workers were added or removed, or their addresses changed, since the last call of
+    /// [`Shard::take_worker_addresses_changed`].
+    pub(super) worker_addresses_changed: bool,
     /// When interference estimates were last part of a batch.
     pub(super) interference_stored_at: Instant,
     /// Commands for the next [`Shard::poll`] to return.
@@ -402,6 +405,7 @@
             urgent: false,
             storing: false,
             workers_in_use_dirty: true,
+            worker_addresses_changed: true,
             interference_stored_at: now,
             commands: Vec::new(),
             changed: true,
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -43,12 +43,14 @@
             let worker = Worker::new(info.clone(), now);
             self.workers.insert(info.id.clone(), worker);
             self.workers_in_use_dirty = true;
+            self.worker_addresses_changed = true;
             return;
         };
         worker.listed = true;
         worker.unlisted_at = None;
         if worker.info.address != info.address {
             self.workers_in_use_dirty = true;
+            self.worker_addresses_changed = true;
         }
         if worker.info.capacity != info.capacity {
             worker.free.cpu += info.capacity.cpu - worker.info.capacity.cpu;
@@ -89,6 +91,7 @@
         let mut worker = Worker::new(info, now);
         worker.listed = false;
         self.workers.insert(worker_id.to_owned(), worker);
+        self.worker_addresses_changed = true;
     }
 
     /// Records that the platform no longer lists a worker.
@@ -105,6 +108,12 @@
         workers.map(|w| (w.info.id.as_str(), w.info.address.as_str()))
     }
 
+    /// Returns whether the result of [`Shard::worker_addresses`] may have changed since the last
+    /// call; true at the first call.
+    pub fn take_worker_addresses_changed(&mut self) -> bool {
+        std::mem::take(&mut self.worker_addresses_changed)
+    }
+
     /// Returns the contents of a report request to a worker: the number of the newest run end that
     /// the worker may forget, and the new end of its leases, in milliseconds on its clock.
     ///
--- a/crates/scheduler/src/shard_leader.rs
+++ b/crates/scheduler/src/shard_leader.rs
@@ -372,6 +372,9 @@
     /// Opens links to new workers, and closes the links to workers that the shard does not contain
     /// any more or whose address has changed.
     fn update_links(&mut self) {
+        if !self.shard.take_worker_addresses_changed() {
+            return;
+        }
         let addresses: HashMap<_, _> = self.shard.worker_addresses().collect();
         self.links
             .retain(|id, link| addresses.get(id.as_str()) == Some(&link.address.as_str()));
