Rate the workers once for all tasks of a step in a dispatch

Each start scanned all workers and computed their interference again, and each dispatch ordered all open jobs, though most have all their tasks running. Tasks of one step differ only in their names, so the dispatch now keeps a ranking of the best workers for a step and rates only the worker again that got a task; jobs without a waiting task are left out of the order, unless they may move or need approvals. Occurrences are added at a check or a dispatch, no longer at every event.

The choices are the same.

--- a/crates/core/src/sched/placement.rs
+++ b/crates/core/src/sched/placement.rs
@@ -77,6 +77,12 @@
                 && self.headroom >= 0.0)
     }
 
+    /// Returns the score of the worker for a task of the step, `None` if the task does not fit; the
+    /// highest score wins, and of equal ones that of the worker with the greatest id.
+    pub fn rating(&self, step: &Step) -> Option<i64> {
+        self.fits(step).then(|| self.score(step))
+    }
+
     /// Returns the estimated unused CPU of the worker, in thousandths of a core.
     fn unused_cpu(&self) -> i64 {
         self.free.cpu + self.serving_cpu * (100 - SERVING_USE_PERCENT) / 100 - self.best_effort_cpu
@@ -124,10 +130,8 @@
     candidates: impl Iterator<Item = (K, Candidate<'a>)>,
     step: &Step,
 ) -> Option<K> {
-    let fitting = candidates.filter(|(_, c)| c.fits(step));
-    let best = fitting.max_by(|(_, a), (_, b)| {
-        let order = a.score(step).cmp(&b.score(step));
-        order.then_with(|| a.info.id.cmp(&b.info.id))
-    });
-    best.map(|(key, _)| key)
+    let fitting =
+        candidates.filter_map(|(key, c)| Some((c.rating(step)?, c.info.id.as_str(), key)));
+    let best = fitting.max_by_key(|(rating, id, _)| (*rating, *id));
+    best.map(|(_, _, key)| key)
 }
--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -4,6 +4,7 @@
 //! other modules adds the methods of [`Shard`] for one concern:
 //!
 //! - `approvals`: approvals that some queues require before a worker may run a task.
+//! - `candidates`: finds the best worker for a task.
 //! - `checks`: stops stuck runs and runs on draining workers.
 //! - `commits`: batches of rows to store, and the effects of the writes' results.
 //! - `dispatch`: [`Shard::poll`], which chooses workers for tasks and starts them.
@@ -17,6 +18,7 @@
 //! - `workers`: the list of workers, their reports, and their replies to commands.
 
 mod approvals;
+mod candidates;
 mod checks;
 mod commits;
 mod dispatch;
--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -1,11 +1,13 @@
 //! [`Shard::poll`], and the dispatch: the choice of a worker for each task that may start.
 
 use {
-    super::state::{Command, Job, RunPhase, Shard, Task, Worker},
+    super::{
+        candidates::Ranking,
+        state::{Command, Job, RunPhase, Shard, Task},
+    },
     crate::sched::{
-        interference::Image,
         job::{JobId, Step, TaskName},
-        placement::{Candidate, choose, reserved},
+        placement::reserved,
         progress::JobOutcome,
     },
     std::time::{Duration, Instant},
@@ -51,10 +53,8 @@
             self.stop_stuck(now);
             self.add_due_occurrences(unix_ms);
         }
-        if self.changed {
-            self.add_due_occurrences(unix_ms);
-        }
         if !self.resigning && self.next_dispatch_at() <= now {
+            self.add_due_occurrences(unix_ms);
             self.dispatched_at = Some(now);
             self.dispatch(now);
             self.changed = false;
@@ -174,7 +174,9 @@
     fn dispatch(&mut self, now: Instant) {
         let may_have_unknown_runs = self.may_have_unknown_runs(now);
         let may_dispatch_job = |job: &Job| {
-            job.outcome == JobOutcome::Open && !(job.inherited && may_have_unknown_runs)
+            job.outcome == JobOutcome::Open
+                && !(job.inherited && may_have_unknown_runs)
+                && job.needs_dispatch()
         };
         let jobs = self.jobs.iter().filter(|(_, job)| may_dispatch_job(job));
         let mut order: Vec<_> = jobs
@@ -192,7 +194,7 @@
                 )
             })
             .collect();
-        order.sort();
+        order.sort_unstable();
         self.held_back_workers.clear();
         self.unplaceable.clear();
         self.update_idle_jobs(now);
@@ -269,6 +271,7 @@
     /// Starts the startable tasks of a step in order, and stops at the first that fits on no
     /// worker.
     fn dispatch_step(&mut self, name: TaskName, service: &str, step: &Step, now: Instant) {
+        let mut ranking = Ranking::default();
         for index in 0..step.count {
             let name = TaskName { index, ..name };
             let job = self.jobs.get_mut(&name.job);
@@ -292,11 +295,15 @@
             {
                 return;
             }
-            let chosen =
-                self.find_worker(name, service, step, avoid_worker.as_deref(), forced, now);
-            let chosen = chosen.or_else(|| {
-                avoid_worker.and_then(|_| self.find_worker(name, service, step, None, forced, now))
-            });
+            let chosen = match &avoid_worker {
+                None => {
+                    let remaining = (step.count - index) as usize;
+                    self.find_ranked(&mut ranking, name, service, step, forced, remaining, now)
+                }
+                avoid_worker => self
+                    .find_worker(name, service, step, avoid_worker.as_deref(), forced, now)
+                    .or_else(|| self.find_worker(name, service, step, None, forced, now)),
+            };
             let Some(worker) = chosen else {
                 if step.long_running {
                     self.hold_back_worker(name, service, step, now);
@@ -311,6 +318,7 @@
                 );
             }
             self.start(&worker, name, now);
+            self.update_ranking(&mut ranking, &worker, name, service, step, now);
         }
     }
 
@@ -353,79 +361,6 @@
         }
     }
 
-    /// Returns whether a worker has the label that a step requires and is below the step's limit of
-    /// tasks per worker; free resources are not considered.
-    fn is_eligible(&self, worker: &Worker, name: TaskName, step: &Step) -> bool {
-        let labels = &worker.info.labels;
-        let has_label = step
-            .required_label
-            .as_ref()
-            .is_none_or(|required_label| labels.contains(required_label));
-        has_label && (step.max_per_worker == 0 || worker.sibling_runs(name) < step.max_per_worker)
-    }
-
-    /// Returns the id of the best worker for a task, other than `avoid_worker`; `None` if the task
-    /// fits on no worker.
-    ///
-    /// A `forced` task may be placed where it interferes with serving tasks.
-    pub(super) fn find_worker(
-        &self,
-        name: TaskName,
-        service: &str,
-        step: &Step,
-        avoid_worker: Option<&str>,
-        forced: bool,
-        now: Instant,
-    ) -> Option<String> {
-        let approvals = self.approvals.get(&(name.job, name.occurrence, name.step));
-        let has_approval = |w: &Worker| {
-            approvals.is_none_or(|a| {
-                let approval = a.by_worker.get(&w.info.id);
-                approval.is_some_and(|(_, started_ms)| *started_ms == w.info.started_ms)
-            })
-        };
-        let available_workers = self.workers.values().filter(|w| {
-            w.info.service == service
-                && w.accepts_work(now)
-                && Some(w.info.id.as_str()) != avoid_worker
-                && (step.best_effort || !self.held_back_workers.contains(&w.info.id))
-                && !w.runs.contains_key(&name)
-                && has_approval(w)
-        });
-        let image = self.interference.find_image(&step.image);
-        let is_serving = step.latency_target_ms > 0.0;
-        let candidates = available_workers.map(|w| {
-            let sibling_runs = if step.max_per_worker > 0 {
-                w.sibling_runs(name)
-            } else {
-                0
-            };
-            let (interference_cost, headroom) = if step.best_effort {
-                self.headroom_effect(w, image, step.request.cpu)
-            } else {
-                (0.0, 0.0)
-            };
-            let candidate = Candidate {
-                info: &w.info,
-                free: w.free,
-                best_effort_cpu: w.best_effort_cpu,
-                serving_cpu: w.serving_cpu,
-                serving_runs: w.serving_runs,
-                same_image_runs: if is_serving {
-                    w.same_image_runs(image)
-                } else {
-                    0
-                },
-                interference_cost,
-                headroom,
-                forced,
-                sibling_runs,
-            };
-            (w.info.id.as_str(), candidate)
-        });
-        choose(candidates, step).map(str::to_owned)
-    }
-
     /// Adds a run of a task's next attempt to a worker and queues the start command.
     fn start(&mut self, worker: &str, name: TaskName, now: Instant) {
         let min_attempt = self.min_attempt(name.job);
@@ -497,23 +432,6 @@
     }
 }
 
-impl Worker {
-    /// Returns how many runs of the task's step and occurrence the worker has.
-    fn sibling_runs(&self, name: TaskName) -> u32 {
-        let step_of = |t: &TaskName| (t.job, t.occurrence, t.step);
-        self.runs
-            .keys()
-            .filter(|t| step_of(t) == step_of(&name))
-            .count() as u32
-    }
-
-    /// Returns how many serving runs of an image the worker has.
-    fn same_image_runs(&self, image: Image) -> u32 {
-        let serving = self.runs.values().filter(|run| run.latency_target_ms > 0.0);
-        serving.filter(|run| run.image == image).count() as u32
-    }
-}
-
 impl Task {
     /// Returns whether the task is not done, has no run and may start at `now`.
     pub(super) fn is_startable(&self, now: Instant) -> bool {
--- a/crates/core/src/sched/shard/jobs.rs
+++ b/crates/core/src/sched/shard/jobs.rs
@@ -41,6 +41,19 @@
         tasks.get_mut(name.index as usize)
     }
 
+    /// Returns whether a dispatch may have an effect on the job: it has a task that waits for a run,
+    /// or no run at all, so that it may move, or its starts need approvals.
+    pub(super) fn needs_dispatch(&self) -> bool {
+        let tasks = || {
+            self.occurrences
+                .iter()
+                .flat_map(|o| o.tasks.iter().flatten())
+        };
+        self.spec.needs_approval
+            || tasks().any(|t| !t.done && t.workers.is_empty())
+            || !tasks().any(|t| !t.workers.is_empty())
+    }
+
     /// Returns the CPU that the job's open tasks request, in thousandths of a core: first that of
     /// tasks that reserve it, then that of best-effort tasks.
     pub(super) fn demand(&self) -> (i64, i64) {
