Apply the list of workers without a copy of it

Every instance copied its whole list of workers and compared it whenever entries arrived, to find out whether anything had changed. It now compares each entry as it is applied. Not measured alone.

--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -23,7 +23,7 @@
     arc_swap::ArcSwap,
     marigoldbend_core::{
         clock::Clock,
-        hash::HashMap,
+        hash::{HashMap, HashSet},
         sched::{
             job::{JobId, JobSpec, TaskName},
             leadership::{
--- a/crates/scheduler/src/control/publish.rs
+++ b/crates/scheduler/src/control/publish.rs
@@ -11,17 +11,24 @@
         entries: Vec<(String, Option<WorkerInfo>)>,
         now: Instant,
     ) {
-        let previous = self.workers.clone();
+        let mut changed = false;
         if is_full_list {
-            self.workers.clear();
+            let listed: HashSet<_> = entries.iter().map(|(id, _)| id.as_str()).collect();
+            let count = self.workers.len();
+            self.workers.retain(|id, _| listed.contains(id.as_str()));
+            changed = self.workers.len() != count;
         }
         for (id, entry) in entries {
             match entry {
-                Some(info) => drop(self.workers.insert(id, info)),
-                None => drop(self.workers.remove(&id)),
+                Some(info) if self.workers.get(&id) == Some(&info) => {}
+                Some(info) => {
+                    self.workers.insert(id, info);
+                    changed = true;
+                }
+                None => changed |= self.workers.remove(&id).is_some(),
             }
         }
-        if self.workers == previous {
+        if !changed {
             return;
         }
         let mut labels: HashMap<String, HashMap<String, Vec<String>>> = HashMap::default();
