--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -151,11 +151,6 @@
             && (self.storing || !self.dirty.is_empty())
     }
 
-    /// Returns when a worker's last report arrived; `None` before the first.
-    pub fn last_report_at(&self, worker_id: &str) -> Option<Instant> {
-        self.workers.get(worker_id)?.answered_at
-    }
-
     /// Returns whether a worker has both serving and best-effort runs.
     pub fn has_mixed_load(&self, worker_id: &str) -> bool {
         let worker = self.workers.get(worker_id);
--- a/crates/scheduler/src/shard_leader.rs
+++ b/crates/scheduler/src/shard_leader.rs
@@ -40,11 +40,10 @@
 const MIXED_LOAD_REPORT_WAIT: Duration = Duration::from_millis(500);
 
 /// How long a report request is postponed while ended attempts from the last report are not stored
-/// yet; it may be postponed several times. One report then contains all attempts that end in the
-/// meantime.
-const REPORT_DELAY: Duration = Duration::from_millis(100);
+/// yet; it may be postponed several times.
+const REPORT_DELAY: Duration = Duration::from_millis(30);
 
-/// The time since the last report after which the next request is not postponed any more.
+/// The time since the last report request after which the next one is not postponed any more.
 const MAX_REPORT_DELAY: Duration = Duration::from_millis(300);
 
 /// The maximum age that a job from an earlier leader is given, in milliseconds; older jobs count as
@@ -82,6 +81,8 @@
     pub wake_scheduled: bool,
     /// The links to the workers, by name.
     links: HashMap<String, WorkerLink>,
+    /// When a report was last requested, by worker.
+    report_requested_at: HashMap<String, Instant>,
     journal: Journal,
     callbacks: Callbacks,
     metrics: Arc<Metrics>,
@@ -133,6 +134,7 @@
             max_intake_ms: 0,
             wake_scheduled: false,
             links: HashMap::default(),
+            report_requested_at: HashMap::default(),
             journal: Journal::new(state.token, state.head_version),
             callbacks,
             metrics,
@@ -210,18 +212,18 @@
         if !has_link {
             return None;
         }
+        let since_last_request = self
+            .report_requested_at
+            .get(worker)
+            .map(|at| now.duration_since(*at));
         let has_unstored_ends = self.shard.has_unstored_ends(worker);
-        let is_recent = |at: Instant| now.duration_since(at) < MAX_REPORT_DELAY;
-        let may_wait = self.shard.last_report_at(worker).is_some_and(is_recent);
-        if has_unstored_ends && may_wait {
-            return Some(ReportRequest {
-                delay: REPORT_DELAY,
-                token: self.shard.worker_token(worker),
-                acked_end: 0,
-                until_ms: None,
-                wait: Duration::ZERO,
-            });
-        }
+        let delay = if has_unstored_ends && since_last_request.is_some_and(|t| t < MAX_REPORT_DELAY)
+        {
+            REPORT_DELAY
+        } else {
+            self.report_requested_at.insert(worker.to_owned(), now);
+            Duration::ZERO
+        };
         let wait = if has_unstored_ends {
             Duration::from_millis(50)
         } else if self.shard.has_mixed_load(worker) {
@@ -238,7 +240,7 @@
             Duration::ZERO
         };
         Some(ReportRequest {
-            delay: Duration::ZERO,
+            delay,
             token: self.shard.worker_token(worker),
             acked_end,
             until_ms,
