Add stand-ins for the store and the workers of jobs

Not covered: capacity that workers enforce, gangs, checkpoints, approvals, throttles (accepted without an effect), draining and restarted workers, limits of the call rates.

--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -24,9 +24,12 @@
 //! ```
 
 pub mod cluster;
+pub mod job_record;
+pub mod job_workers;
 pub mod load;
 pub mod platform;
 pub mod record;
 pub mod relay;
+pub mod rows;
 pub mod tasks;
 pub mod workers;
