Test jobs over processes, and small instances that lead

Change: crates/entry/tests/jobs starts real instances with the stand-ins for the store and the workers. path.rs: two queues over three instances, and the leader killed in the middle. overload.rs: 60 workers, 100 jobs/s of 10 tasks for 15 s, 2 instances without a limit and 4 that run 2 ms of every 100 ms (throttle_process, by SIGSTOP and SIGCONT), of which one leads first. Then all accepted jobs must be completed within 15 s, no run may have lapsed, and each answer about pending jobs must be half the true number at least. cpu_share is written into the settings if WRITE_CPU_SHARE is set.

--- /dev/null
+++ b/crates/entry/tests/jobs/common.rs
@@ -0,0 +1,466 @@
+//! A deployment of real instances that schedule jobs, its callers, and checks shared by the tests.
+
+use {
+    crate::throttle::{PERIOD, Throttle, throttle_process},
+    hyper::{
+        HeaderMap, Method, StatusCode,
+        header::{HOST, HeaderValue},
+    },
+    marigoldbend::{
+        core::sched::{
+            job::{JobId, Resources, Step},
+            progress::JobState,
+            queues::{Queue, Queues},
+        },
+        http::client::{JsonClient, Reply},
+        platform::rows::RowKey,
+    },
+    marigoldbend_wire::{
+        callers::{DEADLINE_HEADER, READY_PATH},
+        operator::CONFIG_KEY,
+        stand_in as wire,
+        store::OPERATOR_TABLE,
+    },
+    stand_ins::{
+        job_workers::{JobWorkers, JobWorkersConfig},
+        rows::RowStore,
+    },
+    std::{
+        fs::{self, File},
+        net::{Ipv4Addr, SocketAddr, TcpListener},
+        path::PathBuf,
+        process::{Child, Command, Stdio},
+        time::{Duration, Instant},
+    },
+    tempfile::TempDir,
+    tokio::{
+        sync::{Mutex, MutexGuard},
+        task::JoinSet,
+        time::{sleep, timeout_at},
+    },
+};
+
+/// The queues of the deployment.
+pub const QUEUES: [&str; 2] = ["urgent", "batch"];
+
+/// The service that runs the tasks of all queues.
+const SERVICE: &str = "render";
+
+/// The host name of the queues.
+const HOST_NAME: &str = "jobs.example";
+
+/// How long a caller waits for a response.
+const CALL_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// The maximum time from the start of an instance until it is ready.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// The maximum number of states of jobs that are read at once.
+const CONCURRENT_READS: usize = 64;
+
+/// The interval at which conditions are checked.
+const POLL_INTERVAL: Duration = Duration::from_millis(25);
+
+/// The duration of a transaction in the store.
+const TX_TIME: Duration = Duration::from_millis(3);
+
+/// The resources of a worker.
+const CAPACITY: Resources = Resources {
+    cpu: 4_000,
+    mem_mb: 8_000,
+    gpu: 0,
+};
+
+/// Held by each deployment, so that only one runs at a time.
+static DEPLOYMENT_LOCK: Mutex<()> = Mutex::const_new(());
+
+/// How much processor time an instance gets.
+#[derive(Clone, Copy, Debug)]
+pub enum Share {
+    /// Without a limit.
+    Unlimited,
+    /// This much of every [`PERIOD`], once it is throttled.
+    Quota(Duration),
+}
+
+/// The size of a deployment.
+pub struct DeploymentConfig {
+    /// The number of workers.
+    pub workers: usize,
+    /// Whether the settings of an instance tell its share of the processor.
+    pub write_cpu_share: bool,
+}
+
+/// One instance.
+pub struct Instance {
+    /// The name in its settings.
+    pub name: String,
+    /// The share of the processor that it gets.
+    pub share: Share,
+    callers: SocketAddr,
+    readiness: SocketAddr,
+    child: Child,
+    log: PathBuf,
+    throttle: Option<Throttle>,
+}
+
+impl Instance {
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        self.throttle = None;
+        // The errors are ignored because the process may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Applies the share of the processor.
+    pub fn throttle(&mut self) {
+        if let Share::Quota(quota) = self.share {
+            self.throttle = Some(throttle_process(&self.child, quota));
+        }
+    }
+
+    /// Returns the log so far.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Returns the processor time used so far.
+    pub fn cpu_time(&self) -> Duration {
+        const TICK: Duration = Duration::from_millis(10);
+        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id()));
+        let stat = stat.unwrap_or_default();
+        let fields = stat.rsplit_once(')').map_or("", |(_, fields)| fields);
+        // User time and system time, in ticks.
+        let ticks = fields.split_whitespace().skip(11).take(2);
+        TICK * ticks.filter_map(|t| t.parse::<u32>().ok()).sum()
+    }
+
+    /// Returns the fencing tokens of this instance's takeovers, with the time of each as logged.
+    pub fn takeovers(&self) -> Vec<(u64, String)> {
+        let log = self.log();
+        let lines = log.lines().filter(|line| line.contains(" taken over "));
+        let takeover = |line: &str| {
+            let token = line.split_once("token=")?.1.split_whitespace().next()?;
+            let time = line.split_whitespace().next()?;
+            Some((token.parse().ok()?, time.to_owned()))
+        };
+        lines.filter_map(takeover).collect()
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A running deployment.
+pub struct Deployment {
+    /// The stand-ins for the workers.
+    pub workers: JobWorkers,
+    /// The instances, in the order of their start.
+    pub instances: Vec<Instance>,
+    store: RowStore,
+    write_cpu_share: bool,
+    dir: TempDir,
+    _lock: MutexGuard<'static, ()>,
+}
+
+impl Drop for Deployment {
+    /// Prints the end of each instance's log when a test fails.
+    fn drop(&mut self) {
+        const TAIL_LINES: usize = 12;
+        if !std::thread::panicking() {
+            return;
+        }
+        for instance in &self.instances {
+            let log = instance.log();
+            let lines: Vec<_> = log.lines().filter(|l| !l.contains("intake:")).collect();
+            let tail = &lines[lines.len().saturating_sub(TAIL_LINES)..];
+            eprintln!("--- {}\n{}", instance.name, tail.join("\n"));
+        }
+    }
+}
+
+impl Deployment {
+    /// Starts the store and the workers, and writes a configuration with all [`QUEUES`].
+    pub async fn start(cfg: DeploymentConfig) -> Self {
+        let lock = DEPLOYMENT_LOCK.lock().await;
+        let store = RowStore::start(TX_TIME).await.expect("the store starts");
+        let workers = JobWorkersConfig {
+            count: cfg.workers,
+            service: SERVICE.to_owned(),
+            domains: vec!["z1".to_owned(), "z2".to_owned()],
+            capacity: CAPACITY,
+            heartbeat: Duration::from_secs(1),
+            max_lease: Duration::from_secs(6),
+        };
+        let workers = JobWorkers::start(&workers, &store).await;
+        let config = Queues {
+            version: 7,
+            queues: (1..).zip(QUEUES).map(queue).collect(),
+            body_limit: 64 << 10,
+        };
+        let config = wire::write_config(&config);
+        store.put(RowKey::new(OPERATOR_TABLE, "", CONFIG_KEY), config);
+        Self {
+            workers: workers.expect("the workers start"),
+            instances: Vec::new(),
+            store,
+            write_cpu_share: cfg.write_cpu_share,
+            dir: TempDir::new().expect("a temporary directory"),
+            _lock: lock,
+        }
+    }
+
+    /// Starts instances with these names and shares of the processor, and waits until all are
+    /// ready; the shares are not applied yet.
+    pub async fn start_instances(&mut self, instances: &[(&str, Share)]) {
+        let first = self.instances.len();
+        for (name, share) in instances {
+            self.launch(name, *share);
+        }
+        let client = JsonClient::new(CALL_TIMEOUT, None);
+        let are_ready = wait_until(START_TIMEOUT, async || {
+            for instance in &self.instances[first..] {
+                let url = format!("http://{}{READY_PATH}", instance.readiness);
+                if !client.get(&url).await.is_ok_and(|r| r.status.is_success()) {
+                    return false;
+                }
+            }
+            true
+        });
+        assert!(are_ready.await, "the instances are not ready in time");
+    }
+
+    fn launch(&mut self, name: &str, share: Share) {
+        let number = self.instances.len();
+        let ip = Ipv4Addr::new(127, 3, 1, u8::try_from(number + 1).expect("few instances"));
+        let [callers, readiness, peers] = free_addresses(ip);
+        let cpu_share = match share {
+            Share::Unlimited => 1.0,
+            Share::Quota(quota) => quota.as_secs_f64() / PERIOD.as_secs_f64(),
+        };
+        let cpu_share = if self.write_cpu_share {
+            format!("cpu_share = {cpu_share}\n")
+        } else {
+            String::new()
+        };
+        let domain = number % 2 + 1;
+        let store = self.store.address();
+        let settings = format!(
+            "[instance]\nname = {name}\nfailure_domain = z{domain}\n{cpu_share}\
+             [listen]\ncallers = {callers}\nreadiness = {readiness}\npeers = {peers}\n\
+             [scheduler]\nstore = {store}\nfailure_domains = z1,z2\ncontrol_mode = call\n\
+             max_lease_ms = 6000\ndrain_ms = 2000\ngrace_ms = 6000\nkeep_s = 120\n"
+        );
+        let path = self.dir.path().join(format!("{name}.ini"));
+        fs::write(&path, settings).expect("the settings are written");
+        let log = self.dir.path().join(format!("{name}.log"));
+        let child = Command::new(env!("CARGO_BIN_EXE_marigoldbend-entry"))
+            .arg(&path)
+            .stdin(Stdio::null())
+            .stdout(File::create(&log).expect("a log file"))
+            .spawn()
+            .expect("the process starts");
+        self.instances.push(Instance {
+            name: name.to_owned(),
+            share,
+            callers,
+            readiness,
+            child,
+            log,
+            throttle: None,
+        });
+    }
+
+    /// Returns the index of the instance with the newest takeover; `None` if there was none.
+    pub fn leader(&self) -> Option<usize> {
+        let token = |i: &usize| self.instances[*i].takeovers().last().map(|t| t.0);
+        let newest = (0..self.instances.len()).max_by_key(token)?;
+        token(&newest).map(|_| newest)
+    }
+
+    /// Waits until an instance leads, and returns its index.
+    pub async fn wait_for_leader(&self) -> usize {
+        let has_leader = wait_until(START_TIMEOUT, async || self.leader().is_some()).await;
+        assert!(has_leader, "no instance leads in time");
+        self.leader().expect("an instance leads")
+    }
+
+    /// Returns a caller that reaches the instances that run now.
+    pub fn caller(&self) -> Caller {
+        Caller {
+            client: JsonClient::new(CALL_TIMEOUT, None),
+            targets: self.instances.iter().map(|i| i.callers).collect(),
+        }
+    }
+
+    /// Checks that each job is done exactly once, as the workers recorded it.
+    pub fn check_done_once(&self, jobs: &[Job]) {
+        let record = &self.workers.record;
+        assert_eq!(record.violations(), Vec::<String>::new());
+        let done = record.done_tasks();
+        for job in jobs {
+            let tasks = done.get(&job.id).copied().unwrap_or_default();
+            assert_eq!(tasks, job.task_count, "tasks done of {job:?}");
+        }
+    }
+}
+
+fn queue((priority, name): (u8, &str)) -> Queue {
+    Queue {
+        name: name.to_owned(),
+        host: HOST_NAME.to_owned(),
+        prefix: format!("/{name}/"),
+        service: SERVICE.to_owned(),
+        priority,
+        max_attempts: 3,
+        slack_percent: 200,
+        extra_ms: 5_000,
+        needs_approval: false,
+    }
+}
+
+/// Returns addresses with different free ports.
+fn free_addresses<const N: usize>(ip: Ipv4Addr) -> [SocketAddr; N] {
+    // A port could be given twice if its listener were closed before the others are bound.
+    let listeners = [(); N].map(|()| TcpListener::bind((ip, 0)).expect("a free port"));
+    listeners.map(|listener| listener.local_addr().expect("a bound address"))
+}
+
+/// Waits until a condition holds; returns whether it does before the timeout.
+pub async fn wait_until(timeout: Duration, mut condition: impl AsyncFnMut() -> bool) -> bool {
+    let deadline = Instant::now() + timeout;
+    while Instant::now() < deadline {
+        if condition().await {
+            return true;
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+    false
+}
+
+/// A job of the tests: two steps, of which the second starts after the first.
+#[derive(Clone, Copy, Debug)]
+pub struct Job {
+    /// The identifier.
+    pub id: JobId,
+    /// The index of the queue in [`QUEUES`].
+    pub queue: usize,
+    /// The number of tasks.
+    pub task_count: usize,
+}
+
+/// The number of tasks in each step of a job.
+const STEP_TASKS: [u32; 2] = [6, 4];
+
+impl Job {
+    /// Creates the job with this number; its number determines the queue.
+    pub fn new(number: usize) -> Self {
+        Self {
+            id: JobId(0x5c0e_0000 + number as u64),
+            queue: number % QUEUES.len(),
+            task_count: STEP_TASKS.iter().sum::<u32>() as usize,
+        }
+    }
+}
+
+/// The body of a job each of whose tasks runs for `time` and requests `cpu` thousandths of a core.
+pub fn body(time: Duration, cpu: i64) -> bytes::Bytes {
+    let step = |(i, count): (usize, u32)| Step {
+        count,
+        request: Resources {
+            cpu,
+            mem_mb: 100,
+            gpu: 0,
+        },
+        estimate_ms: time.as_millis() as u32,
+        after: if i > 0 { vec![0] } else { Vec::new() },
+        ..Step::default()
+    };
+    let steps: Vec<Step> = STEP_TASKS.into_iter().enumerate().map(step).collect();
+    wire::write_job(&time.as_millis().to_string(), &steps)
+}
+
+/// A caller of all instances.
+#[derive(Clone)]
+pub struct Caller {
+    client: JsonClient,
+    /// The addresses of the instances.
+    targets: Vec<SocketAddr>,
+}
+
+impl Caller {
+    async fn call(
+        &self,
+        target: usize,
+        method: Method,
+        path: &str,
+        body: bytes::Bytes,
+    ) -> Option<Reply> {
+        let target = self.targets[target % self.targets.len()];
+        let mut headers = HeaderMap::new();
+        headers.insert(HOST, HeaderValue::from_static(HOST_NAME));
+        headers.insert(DEADLINE_HEADER, (CALL_TIMEOUT.as_millis() as u64).into());
+        let url = format!("http://{target}{path}");
+        self.client.send(method, &url, headers, body).await.ok()
+    }
+
+    /// Submits a job through the instance `first`, and after each failure through the next one,
+    /// `tries` times at most; returns whether it was accepted.
+    pub async fn submit(&self, first: usize, tries: usize, job: Job, body: &bytes::Bytes) -> bool {
+        let path = format!("/{}/{}", QUEUES[job.queue], job.id);
+        for target in first..first + tries {
+            let reply = self.call(target, Method::POST, &path, body.clone()).await;
+            if reply.is_some_and(|reply| reply.status == StatusCode::OK) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Reads the state of a job through an instance; `None` if there is no usable response.
+    pub async fn state(&self, target: usize, job: Job) -> Option<JobState> {
+        let path = format!("/{}/{}", QUEUES[job.queue], job.id);
+        let reply = self.call(target, Method::GET, &path, bytes::Bytes::new());
+        wire::read_state(&reply.await?.body)
+    }
+
+    /// Reads the number of pending jobs of a queue through an instance; `None` if there is no
+    /// usable response.
+    pub async fn pending(&self, target: usize, queue: usize) -> Option<u32> {
+        let path = format!("/{}/", QUEUES[queue]);
+        let reply = self.call(target, Method::GET, &path, bytes::Bytes::new());
+        wire::read_pending(&reply.await?.body)
+    }
+
+    /// Waits until all jobs are completed, as the instances answer in turn; returns those that are
+    /// not before the timeout.
+    pub async fn wait_for_completion(&self, jobs: &[Job], timeout: Duration) -> Vec<Job> {
+        let deadline = Instant::now() + timeout;
+        let mut open = jobs.to_vec();
+        let mut round = 0;
+        while !open.is_empty() && Instant::now() < deadline {
+            let mut calls = JoinSet::new();
+            for (i, job) in open.iter().copied().enumerate().take(CONCURRENT_READS) {
+                let caller = self.clone();
+                calls.spawn(async move { (job, caller.state(round + i, job).await) });
+            }
+            while let Ok(Some(Ok((job, state)))) =
+                timeout_at(deadline.into(), calls.join_next()).await
+            {
+                if state == Some(JobState::Completed) {
+                    open.retain(|other| other.id != job.id);
+                }
+            }
+            // A job that is not completed must not keep the others from being read.
+            let read = CONCURRENT_READS.min(open.len());
+            open.rotate_left(read);
+            round += 1;
+            sleep(POLL_INTERVAL).await;
+        }
+        open
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/jobs/main.rs
@@ -0,0 +1,9 @@
+//! Tests of jobs with real entry processes, and with stand-ins for the store, the workers and the
+//! callers of the users' platform.
+//!
+//! Only one deployment runs at a time, so that tests do not compete for the machine.
+
+mod common;
+mod overload;
+mod path;
+mod throttle;
--- a/stand-ins/src/job_workers.rs
+++ b/stand-ins/src/job_workers.rs
@@ -1,7 +1,8 @@
 //! The stand-ins for the workers of jobs, with leases and fencing tokens, and the record of what
 //! they ran.
 //!
-//! The text of a job's specification tells how long its tasks run; see [`run_time`].
+//! The text of a job's specification tells how long its tasks run: milliseconds for each step,
+//! separated by commas. Steps beyond the end of the list take the last of them.
 
 use {
     crate::{
