Give the jobs of the overload test their usual size

Cause: the first form of the test showed no answer about pending jobs that is far too low, which the users saw. Its jobs had 0.3 KB; the callers' have 2.5 to 5 KB, and their deployments have more workers.

Change: the text of a job has 3 KB (all tests of jobs/). overload.rs has 240 workers instead of 60, and its small instances run 4 ms of every 100 ms instead of 2. The checks are unchanged.

--- a/crates/entry/tests/jobs/common.rs
+++ b/crates/entry/tests/jobs/common.rs
@@ -353,6 +353,10 @@
     pub task_count: usize,
 }
 
+/// How often the text of a job repeats the time for which its tasks run, so that a job has a few
+/// kilobytes, as the callers' jobs have.
+const TEXT_TIMES: usize = 600;
+
 /// The number of tasks in each step of a job.
 const STEP_TASKS: [u32; 2] = [6, 4];
 
@@ -381,7 +385,8 @@
         ..Step::default()
     };
     let steps: Vec<Step> = STEP_TASKS.into_iter().enumerate().map(step).collect();
-    wire::write_job(&time.as_millis().to_string(), &steps)
+    let spec_text = vec![time.as_millis().to_string(); TEXT_TIMES].join(",");
+    wire::write_job(&spec_text, &steps)
 }
 
 /// A caller of all instances.
--- a/crates/entry/tests/jobs/overload.rs
+++ b/crates/entry/tests/jobs/overload.rs
@@ -17,7 +17,7 @@
 const WRITE_CPU_SHARE: bool = false;
 
 /// How much of every 100 ms a small instance runs.
-const SMALL_QUOTA: Duration = Duration::from_millis(2);
+const SMALL_QUOTA: Duration = Duration::from_millis(4);
 
 /// The number of small instances.
 const SMALL: usize = 4;
@@ -26,7 +26,7 @@
 const NAMES: [&str; 6] = ["b1", "b2", "b3", "b4", "b5", "b6"];
 
 /// The number of workers.
-const WORKERS: usize = 60;
+const WORKERS: usize = 240;
 
 /// The duration of the load.
 const LOAD_TIME: Duration = Duration::from_secs(15);
