--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -13,6 +13,7 @@
 //! - `jobs`: one job, with its occurrences, runs and stored progress.
 //! - `leases`: the expiry of leases, and the resending of commands.
 //! - `moves`: moves jobs to less loaded shards before they start.
+//! - `queries`: states of jobs, counts and loads, for callers and other instances.
 //! - `runs`: adds and removes runs on workers, and accounts for their resources.
 //! - `tails`: tail latencies of serving tasks, and the throttles that follow from them.
 //! - `workers`: the list of workers, their reports, and their replies to commands.
@@ -27,6 +28,7 @@
 mod jobs;
 mod leases;
 mod moves;
+mod queries;
 mod runs;
 mod state;
 mod tails;
