Show what waits by kind of work and by size, and the room for it

Change: the line and the metrics mgb_waiting, mgb_places and mgb_cpu tell long-running, short and best-effort work apart: CPU, jobs, those that are of no use any more, displaced tasks, the age of the oldest job, the largest request and how many tasks of it fit now.

--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -17,6 +17,7 @@
 //! - `moves`: moves jobs to less loaded shards before they start.
 //! - `queries`: states of jobs, counts and loads, for callers and other instances.
 //! - `runs`: adds and removes runs on workers, and accounts for their resources.
+//! - `summary`: what waits and what is free, for the log and the metrics.
 //! - `tails`: tail latencies of serving tasks, and the throttles that follow from them.
 //! - `workers`: the list of workers, their reports, and their replies to commands.
 
@@ -35,8 +36,10 @@
 mod queries;
 mod runs;
 mod state;
+mod summary;
 mod tails;
 mod workers;
 
 pub use losses::LossCounts;
 pub use state::{Batch, Command, JobOrigin, Params, ServiceLoad, Shard};
+pub use summary::{Summary, Waiting, WorkKind};
--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -64,58 +64,6 @@
         std::mem::take(&mut self.commands)
     }
 
-    /// Returns a line for the log about the workers' load and the waiting tasks; CPU is in
-    /// thousandths of a core.
-    pub fn summary(&self, now: Instant) -> String {
-        let mut capacity = 0;
-        let mut free = 0;
-        let mut serving = 0;
-        let mut best_effort = 0;
-        let mut used = 0.0;
-        for worker in self.workers.values().filter(|w| w.accepts_work(now)) {
-            capacity += worker.info.capacity.cpu;
-            free += worker.free.cpu;
-            serving += worker.serving_cpu;
-            best_effort += worker.best_effort_cpu;
-            let shares = worker.pressure.shares().iter();
-            used += shares.map(|(_, s)| s).sum::<f64>() * worker.info.capacity.cpu as f64;
-        }
-        let mut waiting = 0;
-        let mut waiting_best_effort = 0;
-        for job in self.jobs.values().filter(|j| j.outcome == JobOutcome::Open) {
-            for occurrence in &job.occurrences {
-                for (i, step) in job.spec.steps.iter().enumerate() {
-                    if step
-                        .after
-                        .iter()
-                        .any(|a| occurrence.remaining[usize::from(*a)] > 0)
-                    {
-                        continue;
-                    }
-                    let tasks = occurrence.tasks[i].iter();
-                    let waiting_tasks =
-                        tasks.filter(|t| !t.done && t.workers.is_empty()).count() as i64;
-                    if step.best_effort {
-                        waiting_best_effort += waiting_tasks * step.request.cpu;
-                    } else {
-                        waiting += waiting_tasks * step.request.cpu;
-                    }
-                }
-            }
-        }
-        format!(
-            "workers={} open={} jobs={} cpu={capacity} free={free} serving={serving} filling={best_effort} fill_used={:.0} waiting={waiting} waiting_fill={waiting_best_effort} unsure={}",
-            self.workers.len(),
-            self.workers
-                .values()
-                .filter(|w| w.accepts_work(now))
-                .count(),
-            self.jobs.len(),
-            used,
-            self.may_have_unknown_runs(now),
-        )
-    }
-
     /// Sets the time until the next dispatch to a multiple of the duration of the last one, within
     /// limits, so that dispatches take a small share of the leader's time.
     pub fn record_dispatch_duration(&mut self, duration: Duration) {
@@ -244,10 +192,7 @@
         let spec = job.spec.clone();
         let ready_steps = job.occurrences.iter().flat_map(|occurrence| {
             let steps = spec.steps.iter().enumerate();
-            let ready = steps.filter(|(i, step)| {
-                let is_done = |a: &u16| occurrence.remaining[usize::from(*a)] == 0;
-                occurrence.remaining[*i] > 0 && step.after.iter().all(is_done)
-            });
+            let ready = steps.filter(|(i, step)| occurrence.is_ready(*i, step));
             ready.map(|(i, _)| (occurrence.number, i as u16))
         });
         let ready_steps: Vec<_> = ready_steps.collect();
--- a/crates/core/src/sched/shard/jobs.rs
+++ b/crates/core/src/sched/shard/jobs.rs
@@ -3,7 +3,7 @@
 use {
     super::state::{Job, Occurrence, Task},
     crate::sched::{
-        job::{JobId, TaskName},
+        job::{JobId, Step, TaskName},
         progress::{Progress, TaskRecord},
     },
     std::time::Instant,
@@ -122,6 +122,15 @@
     }
 }
 
+impl Occurrence {
+    /// Returns whether a step, with the given index, has tasks left and depends on no unfinished
+    /// step.
+    pub(super) fn is_ready(&self, index: usize, step: &Step) -> bool {
+        let is_done = |a: &u16| self.remaining[usize::from(*a)] == 0;
+        self.remaining[index] > 0 && step.after.iter().all(is_done)
+    }
+}
+
 /// A late job is still of some use if it finishes within this multiple of its target duration.
 const LATE_FACTOR: u64 = 3;
 
--- a/crates/core/src/sched/shard/runs.rs
+++ b/crates/core/src/sched/shard/runs.rs
@@ -54,6 +54,9 @@
             worker.serving_runs -= 1;
             worker.serving_cpu -= run.reserved.cpu;
         }
+        if run.is_long_running {
+            worker.long_running_cpu -= run.reserved.cpu;
+        }
         if worker.serving_runs == 0 {
             worker.throttles.clear();
         }
@@ -98,12 +101,16 @@
             worker.serving_runs += 1;
             worker.serving_cpu += reserved.cpu;
         }
+        if step.long_running {
+            worker.long_running_cpu += reserved.cpu;
+        }
         let run = Run {
             attempt,
             phase,
             reserved,
             best_effort_cpu,
             latency_target_ms: step.latency_target_ms,
+            is_long_running: step.long_running,
             image: self.interference.image(&step.image),
             added_at: now,
             resend_at: now,
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -192,6 +192,8 @@
     pub best_effort_cpu: i64,
     /// The tail-latency target of a serving task, in milliseconds; zero for other tasks.
     pub latency_target_ms: f64,
+    /// Whether the task's step is long-running.
+    pub is_long_running: bool,
     pub image: Image,
     /// When the run was placed or was first seen in a report.
     pub added_at: Instant,
@@ -240,6 +242,8 @@
     pub best_effort_cpu: i64,
     /// The CPU reserved by serving runs, in thousandths of a core.
     pub serving_cpu: i64,
+    /// The CPU reserved by long-running runs, in thousandths of a core.
+    pub long_running_cpu: i64,
     /// How many of `runs` are of serving tasks, which have a tail-latency target.
     pub serving_runs: u32,
     /// The number of the newest run end that the current incarnation reported; zero if none.
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -516,6 +516,7 @@
             free,
             best_effort_cpu: 0,
             serving_cpu: 0,
+            long_running_cpu: 0,
             serving_runs: 0,
             last_reported_end: 0,
             last_acked_end: 0,
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -239,14 +239,17 @@
             let wait_ms = std::mem::take(&mut self.max_event_wait).as_millis();
             let busy = std::mem::take(&mut self.busy);
             let busy_percent = busy.as_millis() * 100 / interval.as_millis().max(1);
+            let mut summaries = Vec::new();
             for leader in self.led_shards.values_mut() {
                 let intake_ms = std::mem::take(&mut leader.max_intake_ms);
+                let summary = leader.shard.summary(now);
                 log::info!(
-                    "lead: shard={} {} event_wait_ms={wait_ms} busy_percent={busy_percent} intake_ms={intake_ms}.",
+                    "lead: shard={} {summary} event_wait_ms={wait_ms} busy_percent={busy_percent} intake_ms={intake_ms}.",
                     leader.name,
-                    leader.shard.summary(now)
                 );
+                summaries.push(summary);
             }
+            self.metrics.set_summaries(&summaries);
         }
         if now.duration_since(self.last_expiry) >= EXPIRY_INTERVAL {
             self.last_expiry = now;
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and latencies for operators, in the Prometheus text format.
 
 use {
+    marigoldbend_core::sched::shard::{Summary, Waiting, WorkKind},
     marigoldbend_platform::store::Store,
     prometheus::{
         Encoder, Gauge, Histogram, HistogramOpts, HistogramVec, IntCounterVec, IntGauge,
@@ -40,6 +41,13 @@
     pub reports: IntCounterVec,
     /// Losses of runs in led shards: runs, crashes under tasks, and tasks that were given up.
     pub losses: IntCounterVec,
+    /// Waiting work in led shards, by kind of work and unit: jobs, those that are too late, tasks,
+    /// those that ran before, thousandths of a core, and the age of the oldest job in milliseconds.
+    pub waiting: IntGaugeVec,
+    /// How many tasks with the largest waiting request of a kind fit now in led shards, by kind.
+    pub places: IntGaugeVec,
+    /// CPU of the workers of led shards, by use, in thousandths of a core.
+    pub cpu: IntGaugeVec,
     /// Shards that this instance leads.
     pub led_shards: IntGauge,
     /// The version of the configuration in force; 0 before the first.
@@ -82,6 +90,18 @@
         );
         let event_wait = Histogram::with_opts(opts.buckets(BUCKETS.to_vec()))?;
         registry.register(Box::new(event_wait.clone()))?;
+        let gauges = |name: &str, help: &str, labels: &[&str]| -> Result<IntGaugeVec> {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(gauges.clone()))?;
+            Ok(gauges)
+        };
+        let waiting = gauges("mgb_waiting", "Work that waits.", &["kind", "unit"])?;
+        let places = gauges(
+            "mgb_places",
+            "Free places for the largest request that waits.",
+            &["kind"],
+        )?;
+        let cpu = gauges("mgb_cpu", "CPU of the workers, in m cores.", &["use"])?;
         let led_shards = IntGauge::new("mgb_leads", "Shards led by this instance.")?;
         registry.register(Box::new(led_shards.clone()))?;
         let config_version = IntGauge::new(
@@ -94,11 +114,7 @@
             "Time since the store certainly had no newer configuration.",
         )?;
         registry.register(Box::new(config_age.clone()))?;
-        let store_calls = IntGaugeVec::new(
-            Opts::new("mgb_store_calls", "Calls to the store."),
-            &["kind"],
-        )?;
-        registry.register(Box::new(store_calls.clone()))?;
+        let store_calls = gauges("mgb_store_calls", "Calls to the store.", &["kind"])?;
         let log_dropped = IntGauge::new(
             "mgb_log_lines_dropped",
             "Log lines dropped because the output was too slow.",
@@ -113,6 +129,9 @@
             event_wait,
             reports,
             losses,
+            waiting,
+            places,
+            cpu,
             led_shards,
             config_version,
             config_age,
@@ -121,6 +140,40 @@
         })
     }
 
+    /// Sets the gauges of the led shards; `summaries` has one element for each.
+    pub fn set_summaries(&self, summaries: &[Summary]) {
+        for (i, kind) in WorkKind::ALL.iter().enumerate() {
+            let waiting = summaries.iter().map(|s| &s.waiting[i]);
+            let sum = |value: fn(&Waiting) -> i64| waiting.clone().map(value).sum::<i64>();
+            let oldest_ms = waiting.clone().map(|w| w.oldest.as_millis()).max();
+            let values = [
+                ("jobs", sum(|w| w.jobs.into())),
+                ("too_late_jobs", sum(|w| w.too_late_jobs.into())),
+                ("tasks", sum(|w| w.tasks.into())),
+                ("displaced_tasks", sum(|w| w.displaced_tasks.into())),
+                ("cpu", sum(|w| w.cpu)),
+                ("oldest_ms", oldest_ms.unwrap_or(0) as i64),
+            ];
+            for (unit, value) in values {
+                self.waiting
+                    .with_label_values(&[kind.name(), unit])
+                    .set(value);
+            }
+            let places = summaries.iter().map(|s| s.places[i]).sum();
+            self.places.with_label_values(&[kind.name()]).set(places);
+        }
+        let sum = |value: fn(&Summary) -> i64| summaries.iter().map(value).sum::<i64>();
+        let values = [
+            ("capacity", sum(|s| s.capacity_cpu)),
+            ("free", sum(|s| s.free_cpu)),
+            ("long", sum(|s| s.long_running_cpu)),
+            ("fill", sum(|s| s.best_effort_used as i64)),
+        ];
+        for (name, value) in values {
+            self.cpu.with_label_values(&[name]).set(value);
+        }
+    }
+
     /// Writes the metrics as text.
     ///
     /// # Errors
