--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -12,6 +12,10 @@
 /// The maximum number of tasks of a step.
 pub const MAX_TASKS: u32 = 4_096;
 
+/// The maximum amount of a resource, in the units of [`Resources`]: a million cores or gigabytes.
+/// Sums over all workers or tasks then stay far below the limits of the integers.
+pub const MAX_RESOURCE: i64 = 1_000_000_000;
+
 /// The result of parsing a name or checking a job.
 pub type Result<T, E = JobError> = std::result::Result<T, E>;
 
@@ -117,6 +121,24 @@
 }
 
 impl Resources {
+    /// Checks that no amount is negative or above [`MAX_RESOURCE`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the first invalid field.
+    pub fn check(&self) -> Result<()> {
+        let amounts = [
+            ("cpu", self.cpu),
+            ("mem_mb", self.mem_mb),
+            ("gpu", self.gpu),
+        ];
+        let is_invalid = |(_, amount): &(&str, i64)| !(0..=MAX_RESOURCE).contains(amount);
+        match amounts.into_iter().find(is_invalid) {
+            Some((field, _)) => Err(invalid(field, "expected 0 to 1000000000")),
+            None => Ok(()),
+        }
+    }
+
     /// Returns whether each resource is at least as large as in `other`.
     pub fn covers(&self, other: &Self) -> bool {
         self.cpu >= other.cpu && self.mem_mb >= other.mem_mb && self.gpu >= other.gpu
@@ -238,7 +260,8 @@
     /// path times `slack_percent`, plus `extra_ms`.
     pub fn target_duration_ms(&self) -> u64 {
         let critical_path_ms = self.critical_path_ms(&[]);
-        critical_path_ms * u64::from(self.slack_percent) / 100 + u64::from(self.extra_ms)
+        critical_path_ms.saturating_mul(u64::from(self.slack_percent)) / 100
+            + u64::from(self.extra_ms)
     }
 
     /// Returns the number of occurrences of the job, at least one.
@@ -269,6 +292,9 @@
             if step.count > MAX_TASKS {
                 return Err(invalid(field("count"), "expected at most 4096"));
             }
+            if let Err(e) = step.request.check() {
+                return Err(invalid(field(&e.field), e.problem));
+            }
             if step.after.iter().any(|&a| usize::from(a) >= i) {
                 return Err(invalid(
                     field("after"),
--- a/crates/core/src/sched/shard/jobs.rs
+++ b/crates/core/src/sched/shard/jobs.rs
@@ -154,11 +154,13 @@
             let steps = occurrence.remaining.iter().zip(&self.spec.steps);
             let work = steps.map(|(remaining, step)| {
                 let cpu = u64::try_from(step.request.cpu).unwrap_or(0);
-                u64::from(*remaining) * u64::from(step.estimate_ms) * cpu
+                let task_work = u64::from(step.estimate_ms).saturating_mul(cpu);
+                task_work.saturating_mul(u64::from(*remaining))
             });
-            work.sum::<u64>()
+            work.fold(0, u64::saturating_add)
         };
-        self.occurrences.iter().map(work_of).sum()
+        let works = self.occurrences.iter().map(work_of);
+        works.fold(0, u64::saturating_add)
     }
 
     /// Returns how late the job will finish according to the caller's estimates; a scheduled job
@@ -176,7 +178,7 @@
         let target_duration_ms = self.spec.target_duration_ms();
         if elapsed_ms + remaining_ms <= target_duration_ms {
             Lateness::InTime
-        } else if elapsed_ms + remaining_ms <= target_duration_ms * LATE_FACTOR {
+        } else if elapsed_ms + remaining_ms <= target_duration_ms.saturating_mul(LATE_FACTOR) {
             Lateness::Late
         } else {
             Lateness::TooLate
--- a/crates/core/src/sched/shard/queries.rs
+++ b/crates/core/src/sched/shard/queries.rs
@@ -44,13 +44,13 @@
         for job in self.jobs.values().filter(|j| j.outcome == JobOutcome::Open) {
             let sum = sums.entry(&job.spec.service).or_default();
             let (reserved, best_effort) = job.demand();
-            sum.1 += reserved;
-            sum.2 += best_effort;
+            sum.1 = sum.1.saturating_add(reserved);
+            sum.2 = sum.2.saturating_add(best_effort);
         }
         let load = |(capacity, reserved, best_effort): (i64, i64, i64)| {
             let share = |requested: i64| match capacity {
                 0 => u32::MAX,
-                _ => u32::try_from(requested * 1_000 / capacity).unwrap_or(u32::MAX),
+                _ => u32::try_from(requested.saturating_mul(1_000) / capacity).unwrap_or(u32::MAX),
             };
             ServiceLoad {
                 reserved: share(reserved),
--- a/crates/scheduler/src/control/watches.rs
+++ b/crates/scheduler/src/control/watches.rs
@@ -43,13 +43,14 @@
             catch_up: CatchUp::Changes,
         };
         let to = address.clone();
+        let mut invalid_entries = HashMap::default();
         tokio::spawn(watch::watch_table(
             self.store.clone(),
             worker_list,
             None,
             move |update| {
                 let to = to.clone();
-                let event = worker_event(update.event);
+                let event = worker_event(update.event, &mut invalid_entries);
                 Box::pin(async move {
                     if let Some(event) = event {
                         deliver_event(&to, event).await;
@@ -159,25 +160,36 @@
 }
 
 /// Returns the event for an update of the list of workers; `None` if nothing has changed.
-fn worker_event(watch_event: WatchEvent) -> Option<Event> {
+///
+/// `invalid_entries` has the problem of each entry that was not valid when it was last read; only
+/// another problem is logged.
+fn worker_event(
+    watch_event: WatchEvent,
+    invalid_entries: &mut HashMap<String, String>,
+) -> Option<Event> {
     let is_full_list = matches!(watch_event, WatchEvent::All(_));
     let (WatchEvent::All(rows) | WatchEvent::Changed(rows)) = watch_event;
     if rows.is_empty() && !is_full_list {
         return None;
     }
-    let entry = |row: &Row| {
-        let id = row.name.key.clone();
-        if row.deleted {
-            return (id, None);
+    let mut entries = Vec::with_capacity(rows.len());
+    for row in &rows {
+        let id = &row.name.key;
+        let info = (!row.deleted).then(|| worker_wire::read_entry(id, &row.value));
+        match &info {
+            Some(Err(e)) => {
+                let problem = e.to_string();
+                if invalid_entries.get(id) != Some(&problem) {
+                    log::warn!("list: worker={id} has an invalid entry and is not used: {e}.");
+                    invalid_entries.insert(id.clone(), problem);
+                }
+            }
+            Some(Ok(_)) | None => drop(invalid_entries.remove(id)),
         }
-        let info = worker_wire::read_entry(&id, &row.value);
-        let info = info.inspect_err(|e| {
-            log::warn!("list: worker={id} has an invalid entry and is not used: {e}.")
-        });
-        (id, info.ok())
-    };
+        entries.push((id.clone(), info.and_then(Result::ok)));
+    }
     Some(Event::Workers {
         is_full_list,
-        entries: rows.iter().map(entry).collect(),
+        entries,
     })
 }
