Serve short work up to its fair share beside long-running work

Long-running jobs that had been running for a while counted as too late, so a task of theirs that was stopped on an emptied worker waited behind each new job.

Change, in the new module `waiting` (each rule there names the load it answers): - Long-running and short work share a priority by max-min fairness: the kind that has reserved less CPU of its service comes first. - A long-running task that ran before comes first; else the oldest job does. - Short jobs: in time, late, too late; the least remaining work first. A size that is served less than 0.7 times as often as its queue is brought forward. - Only the first job that doesn't fit holds back workers (at most one in sixteen, 2 s without a start); long-running ones only if their kind comes first. - A task whose request fitted nowhere in this dispatch is not tried again by a job with the same request, also where it reserves CPU.

--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -15,5 +15,6 @@
 pub mod progress;
 pub mod queues;
 pub mod shard;
+pub mod size_fairness;
 pub mod throttle;
 pub mod worker;
--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -19,6 +19,7 @@
 //! - `runs`: adds and removes runs on workers, and accounts for their resources.
 //! - `summary`: what waits and what is free, for the log and the metrics.
 //! - `tails`: tail latencies of serving tasks, and the throttles that follow from them.
+//! - `waiting`: which waiting job gets resources first.
 //! - `workers`: the list of workers, their reports, and their replies to commands.
 
 mod approvals;
@@ -38,6 +39,7 @@
 mod state;
 mod summary;
 mod tails;
+mod waiting;
 mod workers;
 
 pub use losses::LossCounts;
--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -3,11 +3,10 @@
 use {
     super::{
         candidates::Ranking,
-        state::{Command, Job, RunPhase, Shard, Task},
+        state::{Command, RunPhase, Shard, Task},
     },
     crate::sched::{
         job::{JobId, Step, TaskName},
-        placement::reserved,
         progress::JobOutcome,
     },
     std::time::{Duration, Instant},
@@ -114,41 +113,14 @@
         }
     }
 
-    /// Dispatches the open jobs, the most urgent priority first.
-    ///
-    /// Within a priority, jobs with a long-running step come first, then those that are least late,
-    /// then those with the least remaining work, then those accepted first.
-    ///
-    /// Inherited jobs, which an earlier leader may have started, wait while a worker that has sent
-    /// no report may still have runs of that leader.
+    /// Dispatches the open jobs in the order that the module `waiting` sets.
     fn dispatch(&mut self, now: Instant) {
-        let may_have_unknown_runs = self.may_have_unknown_runs(now);
-        let may_dispatch_job = |job: &Job| {
-            job.outcome == JobOutcome::Open
-                && !(job.inherited && may_have_unknown_runs)
-                && job.needs_dispatch()
-        };
-        let jobs = self.jobs.iter().filter(|(_, job)| may_dispatch_job(job));
-        let mut order: Vec<_> = jobs
-            .map(|(id, job)| {
-                let long_running = job.spec.steps.iter().any(|step| step.long_running);
-                let lateness = job.lateness(now);
-                let work = job.remaining_work();
-                (
-                    job.spec.priority,
-                    !long_running,
-                    lateness,
-                    work,
-                    job.accepted_at,
-                    *id,
-                )
-            })
-            .collect();
-        order.sort_unstable();
+        let order = self.dispatch_order(now);
         self.held_back_workers.clear();
+        self.held_back_for = None;
         self.unplaceable.clear();
         self.update_idle_jobs(now);
-        for (.., id) in order {
+        for id in order {
             self.dispatch_job(id, now);
         }
     }
@@ -219,6 +191,7 @@
     /// worker.
     fn dispatch_step(&mut self, name: TaskName, service: &str, step: &Step, now: Instant) {
         let mut ranking = Ranking::default();
+        let placement_key = PlacementKey::new(service, step);
         for index in 0..step.count {
             let name = TaskName { index, ..name };
             let job = self.jobs.get_mut(&name.job);
@@ -236,16 +209,14 @@
                 continue;
             }
             let forced = self.may_start_despite_interference(name.job, step, now);
-            let placement_key = (step.image.clone(), step.required_label.clone());
-            // In this dispatch, a task with the same image and label that requests no more than
-            // this one has found no worker.
-            if step.best_effort
-                && !forced
+            // In this dispatch, such a task that requests no more than this one has found no worker.
+            if !forced
                 && self
                     .unplaceable
                     .get(&placement_key)
                     .is_some_and(|r| step.request.covers(r))
             {
+                self.hold_back_workers(name, service, step, now);
                 return;
             }
             let chosen = match &avoid_worker {
@@ -259,9 +230,15 @@
                 }
             };
             let Some(worker) = chosen else {
-                if step.long_running {
-                    self.hold_back_worker(name, service, step, now);
-                } else if step.best_effort && !forced {
+                self.hold_back_workers(name, service, step, now);
+                // Other tasks may use workers that this one may not.
+                let is_limited = step.max_per_worker > 0
+                    || avoid_worker.is_some()
+                    || is_suspected
+                    || self
+                        .approvals
+                        .contains_key(&(name.job, name.occurrence, name.step));
+                if !forced && !is_limited {
                     self.unplaceable.insert(placement_key, step.request);
                 }
                 return;
@@ -294,32 +271,6 @@
             && idle_since.is_some_and(|at| now.duration_since(at) >= IDLE_JOB_LIMIT)
     }
 
-    /// Holds back a worker on which a long-running task will fit once the worker's shorter runs
-    /// have ended: in the rest of this dispatch, only best-effort tasks start there.
-    fn hold_back_worker(&mut self, name: TaskName, service: &str, step: &Step, now: Instant) {
-        let request = reserved(step);
-        let candidates = self.workers.values().filter_map(|w| {
-            if w.info.service != service || !w.accepts_work(now) || w.runs.contains_key(&name) {
-                return None;
-            }
-            if self.held_back_workers.contains(&w.info.id) {
-                return None;
-            }
-            let mut free = w.free;
-            for (task, run) in &w.runs {
-                if !self.is_long_running(*task) {
-                    free.add(&run.reserved);
-                }
-            }
-            let fits = free.covers(&request) && self.is_eligible(w, name, step);
-            fits.then_some((w.free.cpu, &w.info.id))
-        });
-        if let Some((_, id)) = candidates.max() {
-            let id = id.clone();
-            self.held_back_workers.insert(id);
-        }
-    }
-
     /// Adds a run of a task's next attempt to a worker and queues the start command.
     pub(super) fn start(&mut self, worker: &str, name: TaskName, now: Instant) {
         let min_attempt = self.min_attempt(name.job);
@@ -331,6 +282,7 @@
         self.add_run(worker, name, attempt, RunPhase::Sent, now);
         if let Some(job) = self.jobs.get_mut(&name.job) {
             job.idle_since = None;
+            job.held_since = None;
         }
         self.queue_start(worker, name, now);
     }
@@ -391,6 +343,25 @@
     }
 }
 
+/// What tasks have in common that fit on the same workers if they request the same resources.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) struct PlacementKey {
+    service: String,
+    /// The image of a best-effort task; `None` for tasks that reserve CPU.
+    best_effort_image: Option<String>,
+    required_label: Option<String>,
+}
+
+impl PlacementKey {
+    fn new(service: &str, step: &Step) -> Self {
+        Self {
+            service: service.to_owned(),
+            best_effort_image: step.best_effort.then(|| step.image.clone()),
+            required_label: step.required_label.clone(),
+        }
+    }
+}
+
 impl Task {
     /// Returns whether the task is not done, has no run and may start at `now`.
     pub(super) fn is_startable(&self, now: Instant) -> bool {
--- a/crates/core/src/sched/shard/ends.rs
+++ b/crates/core/src/sched/shard/ends.rs
@@ -171,6 +171,7 @@
         }
         self.mark_dirty(name.job, false, now);
         if is_finished {
+            self.count_served_job(name.job);
             self.end_job(name.job, JobOutcome::Completed, unix_ms);
         }
     }
--- a/crates/core/src/sched/shard/jobs.rs
+++ b/crates/core/src/sched/shard/jobs.rs
@@ -150,19 +150,22 @@
     /// Returns the remaining work of the added occurrences according to the caller's estimates, in
     /// thousandths of a core times milliseconds.
     pub(super) fn remaining_work(&self) -> u64 {
-        let work_of = |occurrence: &Occurrence| {
-            let steps = occurrence.remaining.iter().zip(&self.spec.steps);
-            let work = steps.map(|(remaining, step)| {
-                let cpu = u64::try_from(step.request.cpu).unwrap_or(0);
-                let task_work = u64::from(step.estimate_ms).saturating_mul(cpu);
-                task_work.saturating_mul(u64::from(*remaining))
-            });
-            work.fold(0, u64::saturating_add)
-        };
+        let work_of = |occurrence: &Occurrence| self.work_of(occurrence.remaining.iter().copied());
         let works = self.occurrences.iter().map(work_of);
         works.fold(0, u64::saturating_add)
     }
 
+    /// Returns the work of `counts` tasks of each step according to the caller's estimates, in
+    /// thousandths of a core times milliseconds.
+    pub(super) fn work_of(&self, counts: impl Iterator<Item = u32>) -> u64 {
+        let work = counts.zip(&self.spec.steps).map(|(count, step)| {
+            let cpu = u64::try_from(step.request.cpu).unwrap_or(0);
+            let task_work = u64::from(step.estimate_ms).saturating_mul(cpu);
+            task_work.saturating_mul(u64::from(count))
+        });
+        work.fold(0, u64::saturating_add)
+    }
+
     /// Returns how late the job will finish according to the caller's estimates; a scheduled job
     /// always counts as in time.
     pub(super) fn lateness(&self, now: Instant) -> Lateness {
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -5,7 +5,7 @@
 
 use {
     super::{
-        dispatch::MIN_DISPATCH_INTERVAL,
+        dispatch::{MIN_DISPATCH_INTERVAL, PlacementKey},
         losses::{Losses, Processes},
     },
     crate::{
@@ -14,6 +14,7 @@
             interference::{Image, Interference, PairEstimate, Pressure},
             job::{JobId, JobSpec, Resources, TaskName},
             progress::{JobOutcome, LossRecord, Progress, TaskRecord},
+            size_fairness::SizeFairness,
             throttle::Throttle,
             worker::{LeaseClock, WorkerInfo},
         },
@@ -344,6 +345,10 @@
     pub moving: bool,
     /// Since when the job has been idle; `None` while it has a run.
     pub idle_since: Option<Instant>,
+    /// When the job first held back workers after its last start; `None` if it has not since.
+    pub held_since: Option<Instant>,
+    /// Whether [`Shard::size_fairness`] has counted the job.
+    pub is_counted: bool,
     /// The earliest time of the next move; `None` unless a move has failed.
     pub move_retry_at: Option<Instant>,
 }
@@ -377,11 +382,14 @@
     pub(super) interference: Interference,
     /// Approvals by job, occurrence and step.
     pub(super) approvals: HashMap<(JobId, u32, u16), Approvals>,
-    /// The ids of workers that this dispatch holds back for long-running tasks.
+    /// The ids of workers that this dispatch holds back; see the module `waiting`.
     pub(super) held_back_workers: HashSet<String>,
-    /// The best-effort tasks that found no worker in this dispatch: the requested resources, by
-    /// image and required label.
-    pub(super) unplaceable: HashMap<(String, Option<String>), Resources>,
+    /// The job for which this dispatch holds back workers; `None` if there is none.
+    pub(super) held_back_for: Option<JobId>,
+    /// How often the short jobs of each queue are served, by their size.
+    pub(super) size_fairness: HashMap<String, SizeFairness>,
+    /// The resources requested by tasks that found no worker in this dispatch.
+    pub(super) unplaceable: HashMap<PlacementKey, Resources>,
     /// The time of the last dispatch; `None` before the first.
     pub(super) dispatched_at: Option<Instant>,
     /// The minimum time between two dispatches, set from the duration of the last one.
@@ -439,6 +447,8 @@
             interference: Interference::default(),
             approvals: HashMap::default(),
             held_back_workers: HashSet::default(),
+            held_back_for: None,
+            size_fairness: HashMap::default(),
             unplaceable: HashMap::default(),
             dispatched_at: None,
             dispatch_interval: MIN_DISPATCH_INTERVAL,
@@ -504,9 +514,15 @@
             accepted_at: accepted,
             moving: false,
             idle_since: None,
+            held_since: None,
+            is_counted: false,
             move_retry_at: None,
         };
         self.processes.add_losses(id, &job.stored_losses);
+        if !job.is_long_running() {
+            let fairness = self.size_fairness.entry(job.spec.queue.clone());
+            fairness.or_default().add_job(job.total_work());
+        }
         self.jobs.insert(id, job);
         self.changed = true;
         if let Some(unix_ms) = self.early_cancels.remove(&id) {
