--- a/crates/core/src/sched/shard/waiting.rs
+++ b/crates/core/src/sched/shard/waiting.rs
@@ -7,11 +7,12 @@
 //!   free again within seconds. So of these two kinds the one that has reserved less CPU of its
 //!   service comes first (max-min fairness): short work is served up to half of the workers, and
 //!   long-running work always gets the other half.
-//! - *Workers are drained, or crash, while the rest are full.* Long-running tasks that have run
-//!   before come before those that never did; apart from that, the oldest job comes first.
-//! - *Short work alone exceeds the workers.* Jobs that can be in time come first, and jobs that have
-//!   started stay with them until they are too late, since what they have done would be wasted. Of
-//!   these the one with the least remaining work comes first, which serves the most jobs.
+//! - *Workers are drained, or tasks fail, while the rest are full.* Long-running tasks that have run
+//!   before come before all other work, since their room is gone if anything else takes it. Of other
+//!   long-running jobs the oldest comes first.
+//! - *Short work alone exceeds the workers.* Jobs that can be in time come first, then late ones, then
+//!   those of no use any more. Of these the one with the least remaining work comes first, which
+//!   serves the most jobs.
 //! - *Large jobs are starved by that.* While they are, their oldest job comes first; see
 //!   [`size_fairness`](crate::sched::size_fairness).
 //! - *Room is free in pieces that are too small.* The first job in this order that fits nowhere holds
@@ -35,8 +36,8 @@
     std::time::{Duration, Instant},
 };
 
-/// How long a job of which no task starts may hold back workers. The platform reports a violation if a long-running task
-/// waits beside free resources for 3 s.
+/// How long a job of which no task starts may hold back workers. The platform reports a violation if
+/// a long-running task waits beside free resources for 3 s.
 const MAX_HOLD: Duration = Duration::from_secs(2);
 
 /// One in this many workers may be held back at a time.
@@ -58,7 +59,7 @@
     is_second_kind: bool,
     /// Whether the job is not brought forward because jobs of its size are starved.
     is_not_brought_forward: bool,
-    /// Zero for long-running jobs.
+    /// Always in time for long-running jobs.
     lateness: Lateness,
     /// Zero for long-running jobs.
     remaining_work: u64,
@@ -207,6 +208,7 @@
         }
     }
 
+    /// Returns whether long-running work of a service has reserved less CPU than short work.
     fn long_running_first(&self, service: &str) -> bool {
         let reserved = self.reserved_cpu();
         let reserved = reserved.get(service);
