Read past odd rows among the workers only

Cause: read past rows that can't be read in every table. That is worse than the read that fails, which it replaced there.

Change: the table is passed to the parser. Rows of the workers' table, which has other writers, cost only themselves; elsewhere, and in replies to transactions, the reply is invalid as before.

--- a/crates/core/src/sched/shard/waiting.rs
+++ b/crates/core/src/sched/shard/waiting.rs
@@ -7,9 +7,9 @@
 //!   free again within seconds. So of these two kinds the one that has reserved less CPU of its
 //!   service comes first (max-min fairness): short work is served up to half of the workers, and
 //!   long-running work always gets the other half.
-//! - *Workers are drained, or tasks fail, while the rest are full.* Long-running tasks that have run
-//!   before come before all other work, since their room is gone if anything else takes it. Of other
-//!   long-running jobs the oldest comes first.
+//! - *Workers are drained, or tasks fail, while the rest are full.* Jobs of which a long-running task
+//!   waits that has run before come before all others, since its room is gone if anything else takes
+//!   it. Of other long-running jobs the oldest comes first.
 //! - *Short work alone exceeds the workers.* Jobs that can be in time come first, then late ones, then
 //!   those of no use any more. Of these the one with the least remaining work comes first, which
 //!   serves the most jobs.
--- a/crates/platform/src/rows.rs
+++ b/crates/platform/src/rows.rs
@@ -119,6 +119,7 @@
     pub feed: fn(&str, u64, Duration) -> Outgoing,
     /// Parses the reply to a transaction.
     pub outcome: fn(StatusCode, &[u8]) -> Result<TxOutcome>,
-    /// Parses the reply to a request for a range of rows or for changes.
-    pub page: fn(&[u8]) -> Result<Page>,
+    /// Parses the reply to a request for a range of rows or for changes of a table. In a table that
+    /// others write, a row that can't be read costs only itself; elsewhere the reply is invalid.
+    pub page: fn(&str, &[u8]) -> Result<Page>,
 }
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -235,7 +235,7 @@
         self.counters.reads.fetch_add(1, Ordering::Relaxed);
         let reply = self.call((self.wire.range)(range), read_limits(Duration::ZERO));
         let reply = reply.await?;
-        Ok((self.wire.page)(&reply.body)?)
+        Ok((self.wire.page)(range.table, &reply.body)?)
     }
 
     /// Waits up to `wait` for changes of a table after the version `after`.
@@ -248,7 +248,7 @@
         self.counters.reads.fetch_add(1, Ordering::Relaxed);
         let out = (self.wire.feed)(table, after, wait);
         let reply = self.call(out, read_limits(wait)).await?;
-        Ok((self.wire.page)(&reply.body)?)
+        Ok((self.wire.page)(table, &reply.body)?)
     }
 
     /// Returns the moving average of how long writes take; `None` without recent writes.
--- a/crates/platform/tests/store.rs
+++ b/crates/platform/tests/store.rs
@@ -34,7 +34,7 @@
     page,
 };
 
-fn page(body: &[u8]) -> Result<Page> {
+fn page(_: &str, body: &[u8]) -> Result<Page> {
     let text = String::from_utf8_lossy(body);
     let row = |key: &str| Row {
         name: RowKey::new("t", "", key),
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -66,7 +66,7 @@
     Outgoing::new(Method::GET, format!("/{}/{first}/{limit}", range.table), "")
 }
 
-fn page(body: &[u8]) -> Result<Page> {
+fn page(_: &str, body: &[u8]) -> Result<Page> {
     let text = String::from_utf8_lossy(body);
     if text == FINISHED {
         let progress = Progress {
--- a/crates/scheduler/tests/watch.rs
+++ b/crates/scheduler/tests/watch.rs
@@ -35,7 +35,7 @@
     page,
 };
 
-fn page(body: &[u8]) -> Result<Page> {
+fn page(_: &str, body: &[u8]) -> Result<Page> {
     let text = String::from_utf8_lossy(body);
     let (rows, version) = text.split_once(' ').unwrap_or(("0", "0"));
     let row = |i: u64| Row {
@@ -123,7 +123,7 @@
     page: script_page,
 };
 
-fn script_page(body: &[u8]) -> Result<Page> {
+fn script_page(_: &str, body: &[u8]) -> Result<Page> {
     let text = String::from_utf8_lossy(body);
     let fields: Vec<u64> = text.split(' ').filter_map(|f| f.parse().ok()).collect();
     let [rows, kilobytes, last, version] = fields[..] else {
