Show that an outage of the whole store ends long-running tasks

The stand-in for the store now has endpoints, each of which can be out on its own: calls are refused, are never answered, or their connections are reset. An outage also ends the calls that wait for changes, so that all instances meet it within milliseconds, while the peers' last heartbeats still say that the store is reachable. Each instance of the tests uses an endpoint of its own.

The tasks bear no flag as long-running, since the stand-in for callers renders none; leases do not depend on it.

--- a/crates/entry/tests/jobs/common.rs
+++ b/crates/entry/tests/jobs/common.rs
@@ -23,7 +23,7 @@
     },
     stand_ins::{
         job_workers::{JobWorkers, JobWorkersConfig},
-        rows::{Faults, RowStore},
+        rows::{Endpoint, Faults, Outage, RowStore},
         slow_link::SlowLink,
     },
     std::{
@@ -60,7 +60,7 @@
 const CONCURRENT_READS: usize = 64;
 
 /// The interval at which conditions are checked.
-const POLL_INTERVAL: Duration = Duration::from_millis(25);
+pub const POLL_INTERVAL: Duration = Duration::from_millis(25);
 
 /// The duration of a transaction in the store.
 const TX_TIME: Duration = Duration::from_millis(3);
@@ -92,12 +92,19 @@
     pub share: Share,
     callers: SocketAddr,
     readiness: SocketAddr,
+    /// Where it reaches the store, unless a slow link is between them.
+    store: Endpoint,
     child: Child,
     log: PathBuf,
     throttle: Option<Throttle>,
 }
 
 impl Instance {
+    /// Starts an outage of the store for this instance, or ends it with `None`.
+    pub fn set_store_outage(&self, outage: Option<Outage>) {
+        self.store.set_outage(outage);
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         self.throttle = None;
@@ -162,8 +169,8 @@
     /// The instances, in the order of their start.
     pub instances: Vec<Instance>,
     store: RowStore,
-    /// The address at which the instances that are started reach the store.
-    store_address: SocketAddr,
+    /// The link between the store and the instances that are started; `None` for no link.
+    slow_link: Option<SlowLink>,
     dir: TempDir,
     _lock: MutexGuard<'static, ()>,
 }
@@ -201,7 +208,7 @@
         let deployment = Self {
             workers: workers.expect("the workers start"),
             instances: Vec::new(),
-            store_address: store.address(),
+            slow_link: None,
             store,
             dir: TempDir::new().expect("a temporary directory"),
             _lock: lock,
@@ -231,10 +238,17 @@
         self.store.set_faults(faults);
     }
 
+    /// Starts an outage of the store for all instances, or ends it with `None`.
+    pub fn set_store_outage(&self, outage: Option<Outage>) {
+        for instance in &self.instances {
+            instance.set_store_outage(outage);
+        }
+    }
+
     /// Puts a link of this bandwidth between the store and the instances that are started later.
     pub async fn slow_down_store(&mut self, bytes_per_s: u32) {
         let link = SlowLink::start(self.store.address(), bytes_per_s).await;
-        self.store_address = link.expect("the link starts").address();
+        self.slow_link = Some(link.expect("the link starts"));
     }
 
     /// Starts instances with these names and shares of the processor, and waits until all are
@@ -242,7 +256,7 @@
     pub async fn start_instances(&mut self, instances: &[(&str, Share)]) {
         let first = self.instances.len();
         for (name, share) in instances {
-            self.launch(name, *share);
+            self.launch(name, *share).await;
         }
         let are_ready = wait_until(START_TIMEOUT, async || {
             for instance in &self.instances[first..] {
@@ -255,7 +269,7 @@
         assert!(are_ready.await, "the instances are not ready in time");
     }
 
-    fn launch(&mut self, name: &str, share: Share) {
+    async fn launch(&mut self, name: &str, share: Share) {
         let number = self.instances.len();
         let ip = Ipv4Addr::new(127, 3, 1, u8::try_from(number + 1).expect("few instances"));
         let [callers, readiness, peers] = free_addresses(ip);
@@ -264,11 +278,13 @@
             Share::Quota(quota) => quota.as_secs_f64() / PERIOD.as_secs_f64(),
         };
         let domain = number % 2 + 1;
-        let store = self.store_address;
+        let store = self.store.open_endpoint().await.expect("a free port");
+        let link = self.slow_link.as_ref();
+        let store_address = link.map_or(store.address(), SlowLink::address);
         let settings = format!(
             "[instance]\nname = {name}\nfailure_domain = z{domain}\ncpu_share = {cpu_share}\n\
              [listen]\ncallers = {callers}\nreadiness = {readiness}\npeers = {peers}\n\
-             [scheduler]\nstore = {store}\nfailure_domains = z1,z2\ncontrol_mode = call\n\
+             [scheduler]\nstore = {store_address}\nfailure_domains = z1,z2\ncontrol_mode = call\n\
              max_lease_ms = 6000\ndrain_ms = 2000\ngrace_ms = 6000\nkeep_s = 120\n"
         );
         let path = self.dir.path().join(format!("{name}.ini"));
@@ -285,6 +301,7 @@
             share,
             callers,
             readiness,
+            store,
             child,
             log,
             throttle: None,
--- a/crates/entry/tests/jobs/main.rs
+++ b/crates/entry/tests/jobs/main.rs
@@ -5,6 +5,7 @@
 
 mod common;
 mod config;
+mod outages;
 mod overload;
 mod path;
 mod throttle;
--- a/stand-ins/src/rows.rs
+++ b/stand-ins/src/rows.rs
@@ -4,16 +4,18 @@
 use {
     bytes::Bytes,
     http_body_util::Full,
-    hyper::{Request, Response, StatusCode, body::Incoming},
-    marigoldbend_http::{
-        body::{HttpResponse, read_whole},
-        server::{Limits, serve},
+    hyper::{Request, Response, StatusCode, body::Incoming, service::service_fn},
+    hyper_util::{
+        rt::{TokioExecutor, TokioIo},
+        server::conn::auto,
     },
+    marigoldbend_http::body::{HttpResponse, read_whole},
     marigoldbend_platform::rows::{Page, Row, RowKey, Tx, TxOutcome},
     marigoldbend_wire::stand_in::{self as wire, StoreCall},
     parking_lot::Mutex,
     std::{
         collections::{BTreeMap, HashMap},
+        convert::Infallible,
         future::pending,
         io,
         net::SocketAddr,
@@ -21,7 +23,7 @@
         time::Duration,
     },
     tokio::{
-        net::TcpListener,
+        net::{TcpListener, TcpStream},
         sync::watch,
         time::{sleep, timeout},
     },
@@ -45,6 +47,45 @@
     pub lose_reply_every: u64,
 }
 
+/// How all calls fail at once, those that wait for changes included.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outage {
+    /// Every call is refused with status 503.
+    Busy,
+    /// Every connection is reset.
+    Reset,
+    /// No call is answered, also after the outage.
+    Silent,
+}
+
+/// An address of the store, whose outages concern nobody who uses another one.
+#[derive(Clone)]
+pub struct Endpoint {
+    address: SocketAddr,
+    outage: watch::Sender<Option<Outage>>,
+}
+
+impl Endpoint {
+    async fn bind() -> io::Result<(TcpListener, Self)> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let endpoint = Self {
+            address: listener.local_addr()?,
+            outage: watch::Sender::default(),
+        };
+        Ok((listener, endpoint))
+    }
+
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Starts an outage, or ends it with `None`.
+    pub fn set_outage(&self, outage: Option<Outage>) {
+        self.outage.send_replace(outage);
+    }
+}
+
 #[derive(Default)]
 struct State {
     rows: BTreeMap<(String, String, String), Row>,
@@ -73,27 +114,28 @@
     ///
     /// Returns an error if no port can be bound.
     pub async fn start(tx_time: Duration) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let (stop, stopped) = watch::channel(false);
+        let (listener, endpoint) = Endpoint::bind().await?;
         let store = Self {
             state: Arc::default(),
             newest: watch::Sender::new(0),
             tx_time,
-            address: listener.local_addr()?,
+            address: endpoint.address,
         };
-        let for_handler = store.clone();
-        let handler = move |_, req| {
-            let store = for_handler.clone();
-            async move { store.handle(req).await }
-        };
-        tokio::spawn(async move {
-            serve(listener, Limits::default(), handler, stopped).await;
-            // The sender must outlive the server, which stops when the sender is dropped.
-            drop(stop);
-        });
+        tokio::spawn(store.clone().accept_connections(listener, endpoint));
         Ok(store)
     }
 
+    /// Opens one more address of the store, at a free port of the loopback address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no port can be bound.
+    pub async fn open_endpoint(&self) -> io::Result<Endpoint> {
+        let (listener, endpoint) = Endpoint::bind().await?;
+        tokio::spawn(self.clone().accept_connections(listener, endpoint.clone()));
+        Ok(endpoint)
+    }
+
     /// Returns the address of the store.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -121,6 +163,53 @@
         self.state.lock().rows.get(&map_key(name)).cloned()
     }
 
+    async fn accept_connections(self, listener: TcpListener, endpoint: Endpoint) {
+        loop {
+            if let Ok((stream, _)) = listener.accept().await {
+                // Without this option, small responses wait for the acknowledgement of earlier ones.
+                let _ = stream.set_nodelay(true);
+                tokio::spawn(self.clone().serve_connection(stream, endpoint.clone()));
+            }
+        }
+    }
+
+    async fn serve_connection(self, stream: TcpStream, endpoint: Endpoint) {
+        // A connection that is dropped is reset then. An error could only mean that it has ended.
+        let _ = stream.set_zero_linger();
+        let is_reset = |outage: &Option<Outage>| *outage == Some(Outage::Reset);
+        let mut outage = endpoint.outage.subscribe();
+        let service = service_fn(|req| {
+            let (store, outage) = (self.clone(), endpoint.outage.subscribe());
+            async move { Ok::<_, Infallible>(store.handle_unless_out(req, outage).await) }
+        });
+        let builder = auto::Builder::new(TokioExecutor::new());
+        tokio::select! {
+            _ = outage.wait_for(is_reset) => {}
+            // The error is ignored because the client sees its connection end.
+            _ = builder.serve_connection(TokioIo::new(stream), service) => {}
+        }
+    }
+
+    /// Handles a call; an outage ends it, unless it has taken effect.
+    async fn handle_unless_out(
+        &self,
+        req: Request<Incoming>,
+        mut outage: watch::Receiver<Option<Outage>>,
+    ) -> HttpResponse {
+        let outage = async {
+            let started = outage.wait_for(Option::is_some).await;
+            started.ok().and_then(|outage| *outage)
+        };
+        tokio::select! {
+            biased;
+            outage = outage => match outage {
+                Some(Outage::Busy) => respond(StatusCode::SERVICE_UNAVAILABLE, Bytes::new()),
+                _ => pending().await,
+            },
+            response = self.handle(req) => response,
+        }
+    }
+
     async fn handle(&self, req: Request<Incoming>) -> HttpResponse {
         let faults = self.state.lock().faults;
         if faults.down {
--- a/stand-ins/tests/rows.rs
+++ b/stand-ins/tests/rows.rs
@@ -7,8 +7,9 @@
         store::{Store, StoreError},
     },
     marigoldbend_wire::store::WIRE,
-    stand_ins::rows::{Faults, RowStore},
+    stand_ins::rows::{Faults, Outage, RowStore},
     std::{sync::Arc, time::Duration},
+    tokio::time::sleep,
 };
 
 async fn start() -> (RowStore, Arc<Store>) {
@@ -109,3 +110,32 @@
     let row = rows.row(&RowKey::new("t", "p q", "a"));
     assert_eq!(row.map(|row| row.version), Some(1));
 }
+
+#[tokio::test]
+async fn an_outage_of_an_endpoint_ends_calls_that_wait() {
+    let (rows, other_client) = start().await;
+    rows.put(RowKey::new("t", "", "a"), Vec::new());
+    let wait = Duration::from_millis(300);
+    for (outage, error) in [
+        (Outage::Busy, StoreError::NotApplied),
+        (Outage::Reset, StoreError::Unknown),
+        (Outage::Silent, StoreError::Unknown),
+    ] {
+        let endpoint = rows.open_endpoint().await.expect("a free port");
+        let client = Store::new(endpoint.address(), WIRE, Arc::new(SystemClock));
+        let after = rows
+            .row(&RowKey::new("t", "", "a"))
+            .map_or(0, |row| row.version);
+        let (waiting, ()) = tokio::join!(client.feed("t", after, wait), async {
+            // The outage ends the call only if the call has arrived by then.
+            sleep(wait / 3).await;
+            endpoint.set_outage(Some(outage));
+        });
+        assert_eq!(waiting.err(), Some(error), "{outage:?}");
+        let others = other_client.feed("t", 0, Duration::ZERO).await;
+        assert!(others.is_ok(), "{outage:?}: {others:?}");
+        endpoint.set_outage(None);
+        let page = client.feed("t", 0, Duration::ZERO).await;
+        assert!(page.is_ok(), "{outage:?}: {page:?}");
+    }
+}
