Tell a store that serves nobody from one that rejects this instance

Cause: an instance counted as rejected as soon as its own calls had failed for 0.9 s and any heartbeat of the last 2.5 s said that its sender reaches the store.

Change: heartbeats carry the age of the sender's newest call that succeeded, counted from when it was sent, so that it needs no margin for replies in flight and a long poll counts from its start. Rejected means: a call of this instance failed, a call that a peer sent later succeeded, a call that this instance sent after that failed. The first failure counts from its end, since the store may have served peers until then: a silent store shows a failure only after the time limit. 0.45 s are added for heartbeats that are handled late; a longer delay of this process is noticed as a stall, and then evidence counts from the stall. The last call of the three covers the end of an outage, when peers may be served first. While calls fail, the leader writes its heartbeat row every 0.2 s, so that it notices both soon. Peers that are shutting down or silent are no evidence, as before, and neither are senders of earlier versions, whose heartbeats have no age. One log line gives the three ages and the peer.

The price is that a real rejection is noticed 0.7 to 2.5 s later than by the old rule; submissions to such an instance wait or fail meanwhile.

--- a/crates/core/src/sched/leadership.rs
+++ b/crates/core/src/sched/leadership.rs
@@ -34,6 +34,10 @@
 /// How long after its last heartbeat a peer counts among those that this instance should hear.
 const EXPECTED_PEER_WINDOW: Duration = Duration::from_secs(10);
 
+/// How long before its handling a heartbeat may have been sent. If this process was delayed for longer, it
+/// notices that it has stalled.
+pub const MAX_HEARTBEAT_DELAY: Duration = Duration::from_millis(450);
+
 /// How long after a peer's heartbeat its report that it reaches the store stays valid.
 const STORE_REPORT_TTL: Duration = Duration::from_millis(2_500);
 
@@ -126,12 +130,29 @@
     pub last_heard: Instant,
     /// Whether the peer reaches the store.
     pub store_reachable: bool,
+    /// A time after which the store served the peer, too late by at most [`MAX_HEARTBEAT_DELAY`]
+    /// unless this instance has stalled; `None` if unknown.
+    pub served_at: Option<Instant>,
     /// Whether the peer is shutting down.
     pub shutting_down: bool,
     /// The processor time that the peer may use, in thousandths of a core; zero if unknown.
     pub cpu_share: u32,
 }
 
+/// The state of an instance's calls to the store.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct StoreHealth {
+    /// Whether the store counts as reachable.
+    pub reachable: bool,
+    /// When the newest call that succeeded was sent; `None` if none has succeeded.
+    pub served_at: Option<Instant>,
+    /// When the first call after the last success failed; `None` after a success.
+    pub failing_since: Option<Instant>,
+    /// When the newest call that has failed since the last success was sent; `None` after a
+    /// success.
+    pub failed_call_sent: Option<Instant>,
+}
+
 /// The input of the decision whether to take a shard over.
 #[derive(Debug)]
 pub struct LeadershipView<'a> {
@@ -202,17 +223,74 @@
     (heard + 1) * 2 < expected + 1
 }
 
-/// Returns whether the store rejects this instance: a peer reaches the store, but this instance
-/// does not.
-pub fn is_rejected_by_store(
-    store_reachable: bool,
-    peers: &HashMap<String, PeerView>,
-    now: Instant,
-) -> bool {
-    let reaches_store = |p: &PeerView| {
-        now.duration_since(p.last_heard) < STORE_REPORT_TTL && p.store_reachable && !p.shutting_down
-    };
-    !store_reachable && peers.values().any(reaches_store)
+/// A call of a peer that the store served while it failed those of this instance.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServedPeer {
+    /// The peer.
+    pub name: String,
+    /// A time after which the store served the peer, as [`PeerView::served_at`].
+    pub served_at: Instant,
+}
+
+/// Distinguishes a store that rejects this instance from one that serves nobody.
+///
+/// What peers report is older than what this instance sees itself. When the store stops serving
+/// everybody, or serves everybody again, the reports of peers that reach it prove nothing. So the
+/// order of three calls counts: one of this instance that has failed, then one of a peer that was
+/// sent later and succeeded, then one of this instance that was sent after that and has failed.
+#[derive(Debug, Default)]
+pub struct RejectionCheck {
+    /// The first call of a peer that was sent after the calls of this instance began to fail.
+    served_peer: Option<ServedPeer>,
+    is_rejected: bool,
+}
+
+impl RejectionCheck {
+    /// Updates the check with the present state of this instance's calls and of its peers.
+    /// `stalled_at` is when this instance last stalled; heartbeats that were sent before were
+    /// received late.
+    pub fn update(
+        &mut self,
+        store: &StoreHealth,
+        peers: &HashMap<String, PeerView>,
+        stalled_at: Option<Instant>,
+        now: Instant,
+    ) {
+        self.is_rejected = false;
+        let Some(failing_since) = store.failing_since else {
+            self.served_peer = None;
+            return;
+        };
+        let first_evidence = stalled_at.max(Some(failing_since)).unwrap_or(failing_since);
+        let first_evidence = first_evidence + MAX_HEARTBEAT_DELAY;
+        let can_lead = |p: &PeerView| {
+            now.duration_since(p.last_heard) < STORE_REPORT_TTL
+                && p.store_reachable
+                && !p.shutting_down
+        };
+        let is_evidence = |served: &ServedPeer| served.served_at > first_evidence;
+        self.served_peer = self.served_peer.take().filter(is_evidence).or_else(|| {
+            let served = peers.iter().filter(|(_, p)| can_lead(p));
+            let served = served.filter_map(|(name, p)| {
+                Some(ServedPeer {
+                    name: name.clone(),
+                    served_at: p.served_at?,
+                })
+            });
+            served.filter(is_evidence).min_by_key(|s| s.served_at)
+        });
+        let has_failed_since = self
+            .served_peer
+            .as_ref()
+            .is_some_and(|served| store.failed_call_sent > Some(served.served_at));
+        self.is_rejected = !store.reachable && has_failed_since && peers.values().any(can_lead);
+    }
+
+    /// Returns the peer that shows that the store rejects only this instance, or a part of the
+    /// instances; `None` if it reaches the store, or nothing shows that the store serves a peer.
+    pub fn rejected_unlike(&self) -> Option<&ServedPeer> {
+        self.served_peer.as_ref().filter(|_| self.is_rejected)
+    }
 }
 
 /// Returns whether this instance should try to take the shard over now.
--- a/crates/core/tests/leadership.rs
+++ b/crates/core/tests/leadership.rs
@@ -4,7 +4,8 @@
     marigoldbend_core::{
         hash::HashMap,
         sched::leadership::{
-            LeadershipView, PeerView, TakeoverDelay, is_rejected_by_store, rank, should_take_over,
+            LeadershipView, PeerView, RejectionCheck, StoreHealth, TakeoverDelay, rank,
+            should_take_over,
         },
     },
     std::time::{Duration, Instant},
@@ -59,6 +60,7 @@
             case.last_heard
         }),
         store_reachable: true,
+        served_at: None,
         shutting_down: false,
         cpu_share: 1_000,
     };
@@ -113,6 +115,9 @@
 /// shutting down.
 type PeerState = (u64, bool, bool);
 
+/// How many milliseconds ago the calls of this instance began to fail.
+const FAILING_MS: u64 = 5_000;
+
 #[test_case(false, &[(100, true, false)], true; "a peer reaches the store")]
 #[test_case(true, &[(100, true, false)], false; "this instance reaches the store")]
 #[test_case(false, &[(100, false, false)], false; "no peer reaches the store")]
@@ -126,17 +131,80 @@
     expected: bool,
 ) {
     let now = Instant::now() + Duration::from_secs(60);
+    let ms_ago = |ms| now - Duration::from_millis(ms);
     let view = |(last_heard, store_reachable, shutting_down): &PeerState| PeerView {
         domain: "z".to_owned(),
         incarnation: 5,
         last_heard: now - Duration::from_millis(*last_heard),
         store_reachable: *store_reachable,
+        served_at: Some(ms_ago(1_000)),
         shutting_down: *shutting_down,
         cpu_share: 1_000,
     };
     let named = |(i, peer)| (format!("p{i}"), view(peer));
     let peers: HashMap<_, _> = peers.iter().enumerate().map(named).collect();
-    assert_eq!(is_rejected_by_store(store_reachable, &peers, now), expected);
+    let store = StoreHealth {
+        reachable: store_reachable,
+        failing_since: (!store_reachable).then(|| ms_ago(FAILING_MS)),
+        failed_call_sent: (!store_reachable).then(|| ms_ago(100)),
+        ..StoreHealth::default()
+    };
+    let mut check = RejectionCheck::default();
+    check.update(&store, &peers, None, now);
+    assert_eq!(check.rejected_unlike().is_some(), expected);
+}
+
+/// The times of calls, in milliseconds before the decision.
+struct Calls {
+    /// When the newest call of the peer that succeeded was sent.
+    served: Option<u64>,
+    /// When the newest call of this instance that failed was sent.
+    failed: u64,
+    stalled: Option<u64>,
+    reachable: bool,
+}
+
+const REJECTED: Calls = Calls {
+    served: Some(1_000),
+    failed: 100,
+    stalled: None,
+    reachable: false,
+};
+
+#[test_case(REJECTED, true; "a peer was served between two failures")]
+#[test_case(Calls { served: Some(6_000), ..REJECTED }, false; "the peer was served before the failures began")]
+#[test_case(Calls { served: Some(4_700), ..REJECTED }, false; "the peer was served at most a late heartbeat after the first failure")]
+#[test_case(Calls { served: Some(4_500), ..REJECTED }, true; "the peer was served right after the first failure")]
+#[test_case(Calls { served: None, ..REJECTED }, false; "the peer does not tell when it was served")]
+#[test_case(Calls { failed: 1_200, ..REJECTED }, false; "this instance has not tried since")]
+#[test_case(Calls { stalled: Some(1_200), ..REJECTED }, false; "the heartbeat may have been received late because of a stall")]
+#[test_case(Calls { stalled: Some(2_000), ..REJECTED }, true; "this instance stalled before the peer was served")]
+#[test_case(Calls { reachable: true, ..REJECTED }, false; "the calls have failed for a short time")]
+fn rejection_needs_a_call_of_a_peer_that_was_served_between_two_failures(
+    calls: Calls,
+    expected: bool,
+) {
+    let now = Instant::now() + Duration::from_secs(60);
+    let ms_ago = |ms| now - Duration::from_millis(ms);
+    let peer = PeerView {
+        domain: "z".to_owned(),
+        incarnation: 5,
+        last_heard: ms_ago(100),
+        store_reachable: true,
+        served_at: calls.served.map(ms_ago),
+        shutting_down: false,
+        cpu_share: 1_000,
+    };
+    let peers = HashMap::from_iter([("p".to_owned(), peer)]);
+    let store = StoreHealth {
+        reachable: calls.reachable,
+        failing_since: Some(ms_ago(FAILING_MS)),
+        failed_call_sent: Some(ms_ago(calls.failed)),
+        ..StoreHealth::default()
+    };
+    let mut check = RejectionCheck::default();
+    check.update(&store, &peers, calls.stalled.map(ms_ago), now);
+    assert_eq!(check.rejected_unlike().is_some(), expected);
 }
 
 /// Returns a name whose rank compares in this way with the ranks of all `others`.
@@ -188,6 +256,7 @@
         incarnation: 5,
         last_heard: ms_ago(100),
         store_reachable: true,
+        served_at: None,
         shutting_down: false,
         cpu_share,
     };
@@ -227,6 +296,7 @@
         incarnation: 5,
         last_heard: ms_ago(last_heard),
         store_reachable: true,
+        served_at: None,
         shutting_down: false,
         cpu_share,
     };
--- a/crates/peer/src/heartbeat.rs
+++ b/crates/peer/src/heartbeat.rs
@@ -5,7 +5,7 @@
     crate::frame,
     serde::{Deserialize, Serialize},
     snafu::Snafu,
-    std::net::SocketAddr,
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// The first bytes of a heartbeat: the protocol and its version.
@@ -73,6 +73,10 @@
     /// as from a sender of an earlier version.
     #[serde(skip)]
     pub cpu_share: u32,
+    /// How long before this heartbeat the sender sent its newest call that the store has served, in
+    /// whole milliseconds; `None` if the store has served none, or from a sender of an earlier version.
+    #[serde(skip)]
+    pub store_age: Option<Duration>,
 }
 
 impl Heartbeat {
@@ -82,7 +86,11 @@
     ///
     /// Returns an error if the heartbeat is longer than [`MAX_BYTES`].
     pub fn encode(&self) -> Result<Vec<u8>> {
-        frame::encode(MAGIC, MAX_BYTES, &(self, self.cpu_share)).ok_or(HeartbeatError::TooLong)
+        let store_age_ms = self
+            .store_age
+            .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
+        let message = (self, self.cpu_share, store_age_ms);
+        frame::encode(MAGIC, MAX_BYTES, &message).ok_or(HeartbeatError::TooLong)
     }
 
     /// Decodes a heartbeat.
@@ -94,15 +102,22 @@
         let body = buf.strip_prefix(MAGIC).ok_or(HeartbeatError::Damaged)?;
         let decoded = postcard::take_from_bytes::<Self>(body);
         let (heartbeat, rest) = decoded.map_err(|_| HeartbeatError::Damaged)?;
-        // Earlier versions send nothing after the first part.
-        let cpu_share = if rest.is_empty() {
-            0
-        } else {
-            postcard::from_bytes(rest).map_err(|_| HeartbeatError::Damaged)?
-        };
+        // Earlier versions end after the first or the second part.
+        let (cpu_share, rest) = take_or_default::<u32>(rest)?;
+        let (store_age_ms, _) = take_or_default::<Option<u32>>(rest)?;
         Ok(Self {
             cpu_share,
+            store_age: store_age_ms.map(|ms| Duration::from_millis(ms.into())),
             ..heartbeat
         })
     }
 }
+
+/// Decodes the next part of a heartbeat, which is absent if the sender has an earlier version;
+/// returns the rest as well.
+fn take_or_default<'de, T: Default + Deserialize<'de>>(buf: &'de [u8]) -> Result<(T, &'de [u8])> {
+    if buf.is_empty() {
+        return Ok((T::default(), buf));
+    }
+    postcard::take_from_bytes(buf).map_err(|_| HeartbeatError::Damaged)
+}
--- a/crates/peer/tests/heartbeat.rs
+++ b/crates/peer/tests/heartbeat.rs
@@ -1,8 +1,15 @@
-//! Tests that heartbeats of this version and of the one before are decoded.
+//! Tests that heartbeats of this version and of earlier ones are decoded.
 
-use marigoldbend_peer::heartbeat::{Heartbeat, LedShard};
+use {
+    marigoldbend_peer::heartbeat::{Heartbeat, LedShard},
+    std::time::Duration,
+    test_case::test_case,
+};
 
-fn heartbeat(cpu_share: u32) -> Heartbeat {
+/// A time that is encoded in one byte, after the byte that says that there is one.
+const STORE_AGE: Duration = Duration::from_millis(20);
+
+fn heartbeat(cpu_share: u32, store_age: Option<Duration>) -> Heartbeat {
     Heartbeat {
         name: "a1".to_owned(),
         domain: "z1".to_owned(),
@@ -20,20 +27,24 @@
             pending: vec![("q".to_owned(), 4)],
         }],
         cpu_share,
+        store_age,
     }
 }
 
-#[test]
-fn processor_share_is_decoded() {
-    let sent = heartbeat(69);
+#[test_case(Some(STORE_AGE); "a sender that the store has served")]
+#[test_case(Some(Duration::from_secs(90)); "a sender that the store served long ago")]
+#[test_case(None; "a sender that the store has not served")]
+fn heartbeat_is_decoded(store_age: Option<Duration>) {
+    let sent = heartbeat(69, store_age);
     let buf = sent.encode().expect("a short heartbeat");
     assert_eq!(Heartbeat::decode(&buf), Ok(sent));
 }
 
-#[test]
-fn heartbeat_without_processor_share_is_decoded() {
-    let buf = heartbeat(69).encode().expect("a short heartbeat");
-    // The share is the last byte.
-    let decoded = Heartbeat::decode(&buf[..buf.len() - 1]);
-    assert_eq!(decoded, Ok(heartbeat(0)));
+#[test_case(2, heartbeat(69, None); "without the age of the newest call")]
+#[test_case(3, heartbeat(0, None); "without the processor share")]
+fn heartbeat_of_an_earlier_version_is_decoded(missing_bytes: usize, expected: Heartbeat) {
+    let buf = heartbeat(69, Some(STORE_AGE)).encode();
+    let buf = buf.expect("a short heartbeat");
+    let decoded = Heartbeat::decode(&buf[..buf.len() - missing_bytes]);
+    assert_eq!(decoded, Ok(expected));
 }
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -12,7 +12,7 @@
         rows::{Page, Range, Tx, TxOutcome, Wire, WireError},
     },
     hyper::StatusCode,
-    marigoldbend_core::clock::Clock,
+    marigoldbend_core::{clock::Clock, sched::leadership::StoreHealth},
     marigoldbend_http::{
         client::Reply,
         connection::{ConnectionError, ConnectionPool, Outgoing, TimeLimits},
@@ -109,8 +109,14 @@
 
 #[derive(Debug, Default)]
 struct Health {
-    /// When the first call after the last success failed; `None` after a success.
+    /// When the first call after the last success failed; `None` after a success. The store may
+    /// have served calls until then, however long before the failed call was sent.
     failing_since: Option<Instant>,
+    /// When the newest of the calls that have failed since the last success was sent; `None` after
+    /// a success.
+    failed_call_sent: Option<Instant>,
+    /// When the newest call that succeeded was sent; `None` if none has succeeded.
+    served_at: Option<Instant>,
     /// Whether the log says that the store is unreachable.
     reported_unreachable: bool,
 }
@@ -142,8 +148,19 @@
     /// have failed for less than
     /// `UNREACHABLE_AFTER`.
     pub fn is_reachable(&self) -> bool {
-        let since = self.health.lock().failing_since;
-        since.is_none_or(|since| self.clock.now().duration_since(since) < UNREACHABLE_AFTER)
+        self.health().reachable
+    }
+
+    /// Returns the state of the calls to the store.
+    pub fn health(&self) -> StoreHealth {
+        let health = self.health.lock();
+        let is_short = |since| self.clock.now().duration_since(since) < UNREACHABLE_AFTER;
+        StoreHealth {
+            reachable: health.failing_since.is_none_or(is_short),
+            served_at: health.served_at,
+            failing_since: health.failing_since,
+            failed_call_sent: health.failed_call_sent,
+        }
     }
 
     /// Sends a transaction once.
@@ -270,6 +287,7 @@
     }
 
     async fn call(&self, out: Outgoing, limits: TimeLimits) -> Result<Reply> {
+        let sent_at = self.clock.now();
         let reply = self.pool.exchange(out, limits).await;
         let result = match reply {
             Ok(reply) => match reply.status {
@@ -286,16 +304,18 @@
             Err(ConnectionError::Unsent) => Err(StoreError::NotApplied),
             Err(ConnectionError::Lost | ConnectionError::TimedOut) => Err(StoreError::Unknown),
         };
-        self.record_result(result.as_ref().err());
+        self.record_result(sent_at, result.as_ref().err());
         result
     }
 
-    fn record_result(&self, failure: Option<&StoreError>) {
+    fn record_result(&self, sent_at: Instant, failure: Option<&StoreError>) {
         let now = self.clock.now();
         let mut health = self.health.lock();
         match failure {
             None | Some(StoreError::HistoryDeleted) => {
                 health.failing_since = None;
+                health.failed_call_sent = None;
+                health.served_at = health.served_at.max(Some(sent_at));
                 if std::mem::take(&mut health.reported_unreachable) {
                     log::info!("platform: the store is reachable again.");
                 }
@@ -303,6 +323,7 @@
             Some(failure) => {
                 self.counters.failures.fetch_add(1, Ordering::Relaxed);
                 let since = *health.failing_since.get_or_insert(now);
+                health.failed_call_sent = health.failed_call_sent.max(Some(sent_at));
                 if now.duration_since(since) >= UNREACHABLE_AFTER && !health.reported_unreachable {
                     health.reported_unreachable = true;
                     log::warn!("platform: the store is unreachable: {failure}.");
--- a/crates/platform/tests/store.rs
+++ b/crates/platform/tests/store.rs
@@ -6,7 +6,10 @@
     http_body_util::Full,
     hyper::{Request, Response, StatusCode, body::Incoming, service::service_fn},
     hyper_util::rt::TokioIo,
-    marigoldbend_core::clock::{ManualClock, SystemClock},
+    marigoldbend_core::{
+        clock::{ManualClock, SystemClock},
+        sched::leadership::StoreHealth,
+    },
     marigoldbend_http::connection::Outgoing,
     marigoldbend_platform::{
         rows::{Page, Range, Result, Row, RowKey, Tx, TxOutcome, Wire},
@@ -213,3 +216,39 @@
     );
     server.abort();
 }
+
+#[tokio::test]
+async fn health_tells_when_served_calls_were_sent_and_when_failed_calls_ended() {
+    let start = Instant::now();
+    let clock = Arc::new(ManualClock::new(start));
+    let delay = Duration::from_millis(240);
+    let address = serve_slowly(clock.clone(), delay).await;
+    let store = Store::new(address, WIRE, clock.clone());
+    assert!(store.tx(&transaction(0)).await.is_ok());
+    let served = StoreHealth {
+        reachable: true,
+        served_at: Some(start),
+        ..StoreHealth::default()
+    };
+    assert_eq!(store.health(), served);
+    for failures in 1..=2 {
+        assert!(store.tx(&transaction(1)).await.is_err());
+        let failing = StoreHealth {
+            failing_since: Some(start + delay * 2),
+            failed_call_sent: Some(start + delay * failures),
+            ..served
+        };
+        assert_eq!(store.health(), failing);
+    }
+    clock.advance(Duration::from_secs(1));
+    assert!(!store.health().reachable);
+    assert!(store.tx(&transaction(0)).await.is_ok());
+    let served_at = Some(start + delay * 3 + Duration::from_secs(1));
+    assert_eq!(
+        store.health(),
+        StoreHealth {
+            served_at,
+            ..served
+        }
+    );
+}
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -30,8 +30,8 @@
         sched::{
             job::{JobId, JobSpec, TaskName},
             leadership::{
-                LeadershipView, PeerView, TakeoverDelay, is_minority, is_rejected_by_store,
-                should_take_over,
+                LeadershipView, MAX_HEARTBEAT_DELAY, PeerView, RejectionCheck, TakeoverDelay,
+                is_minority, should_take_over,
             },
             progress::JobState,
             queues::Queues,
@@ -64,7 +64,7 @@
 const LEADER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// The gap between two ticks above which this process counts as stalled.
-const STALL_THRESHOLD: Duration = Duration::from_millis(450);
+const STALL_THRESHOLD: Duration = MAX_HEARTBEAT_DELAY;
 
 /// The interval of the summary log lines of the led shards.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(2);
@@ -155,6 +155,10 @@
     busy: Duration,
     /// When this instance last stalled or heard from only a minority of its peers.
     impaired_at: Option<Instant>,
+    /// When this process last stalled.
+    stalled_at: Option<Instant>,
+    /// Whether the store rejects this instance.
+    rejection: RejectionCheck,
 }
 
 impl Actor for Control {
@@ -214,6 +218,8 @@
             max_event_wait: Duration::ZERO,
             busy: Duration::ZERO,
             impaired_at: None,
+            stalled_at: None,
+            rejection: RejectionCheck::default(),
         }
     }
 
@@ -224,6 +230,7 @@
         if gap > STALL_THRESHOLD {
             log::warn!("entry: the process stalled for {} ms.", gap.as_millis());
             self.impaired_at = Some(now);
+            self.stalled_at = Some(now);
         }
         self.last_tick = now;
         self.send_heartbeats(now, false);
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -6,7 +6,8 @@
 
 use super::*;
 
-/// The interval of store heartbeats while a led shard waits for a confirmation.
+/// The interval of store heartbeats while a led shard waits for a confirmation, or calls to the store
+/// fail: the leader must notice soon that the store serves it again, and that it still does not.
 const AWAITED_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 
 /// The maximum age of the last confirmation with which a leader that hears only a minority of its
@@ -34,17 +35,26 @@
         }
     }
 
-    /// Returns whether the store is unreachable for this instance but reachable for a peer.
-    pub(super) fn is_rejected_by_store(&self, now: Instant) -> bool {
-        is_rejected_by_store(self.store.is_reachable(), &self.peer_views, now)
-    }
-
     /// Resigns shards that this instance can't lead any more, and takes over shards that need a
     /// new leader.
     pub(super) fn check_leadership(&mut self, now: Instant) {
-        let store_reachable = self.store.is_reachable();
-        if self.is_rejected_by_store(now) && !self.led_shards.is_empty() {
-            log::warn!("lead: resigning, the store rejects this instance but serves a peer.");
+        let health = self.store.health();
+        let store_reachable = health.reachable;
+        self.rejection
+            .update(&health, &self.peer_views, self.stalled_at, now);
+        if let Some(served) = self.rejection.rejected_unlike()
+            && !self.led_shards.is_empty()
+        {
+            let ms_ago = |at: Option<Instant>| {
+                at.map_or(0, |at| now.saturating_duration_since(at).as_millis())
+            };
+            log::warn!(
+                "lead: resigning, the store rejects this instance but serves a peer: failing_ms={} failed_call_ms={} peer={} served_ms={}.",
+                ms_ago(health.failing_since),
+                ms_ago(health.failed_call_sent),
+                served.name,
+                ms_ago(Some(served.served_at)),
+            );
             self.resign_all(now);
         }
         self.resign_unconfirmed(now);
@@ -166,7 +176,8 @@
             .led_shards
             .values()
             .any(|l| l.shard.awaits_confirmation());
-        let interval = if is_awaited {
+        let is_failing = self.store.health().failing_since.is_some();
+        let interval = if is_awaited || is_failing {
             AWAITED_HEARTBEAT_INTERVAL
         } else {
             STORE_HEARTBEAT_INTERVAL
--- a/crates/scheduler/src/control/peers.rs
+++ b/crates/scheduler/src/control/peers.rs
@@ -56,17 +56,19 @@
             .leadership
             .iter()
             .filter(|(_, leadership)| leadership.taking_over);
+        let health = self.store.health();
         let heartbeat = Heartbeat {
             name: self.settings.name.clone(),
             domain: domain.clone(),
             incarnation: self.incarnation,
             address: self.settings.peers,
             config_version: self.config.as_ref().map_or(0, |c| c.version),
-            store_reachable: self.store.is_reachable(),
+            store_reachable: health.reachable,
             shutting_down: self.shutting_down,
             taking_over: taking_over.map(|(shard, _)| shard.clone()).collect(),
             led_shards: led_shards.collect(),
             cpu_share: self.settings.cpu_share,
+            store_age: health.served_at.map(|at| now.saturating_duration_since(at)),
         };
         let buf = match heartbeat.encode() {
             Ok(buf) => buf,
@@ -118,6 +120,7 @@
                 incarnation: heartbeat.incarnation,
                 last_heard: now,
                 store_reachable: heartbeat.store_reachable,
+                served_at: heartbeat.store_age.and_then(|age| now.checked_sub(age)),
                 shutting_down: heartbeat.shutting_down,
                 cpu_share: heartbeat.cpu_share,
             },
--- a/crates/scheduler/src/control/publish.rs
+++ b/crates/scheduler/src/control/publish.rs
@@ -117,7 +117,7 @@
             labels: self.labels.clone(),
             ready,
             shutting_down: self.shutting_down,
-            rejected_by_store: self.is_rejected_by_store(now),
+            rejected_by_store: self.rejection.rejected_unlike().is_some(),
         }));
     }
 }
--- /dev/null
+++ b/crates/scheduler/tests/leadership.rs
@@ -0,0 +1,204 @@
+//! Tests when the control thread of a leader gives its shard up, with a stand-in for the store and the
+//! heartbeats of one peer.
+
+use {
+    arc_swap::ArcSwap,
+    marigoldbend_core::{clock::SystemClock, hash::HashMap},
+    marigoldbend_peer::heartbeat::Heartbeat,
+    marigoldbend_platform::store::Store,
+    marigoldbend_scheduler::{
+        control::{Control, Event, TICK, deliver_urgent_event},
+        metrics::Metrics,
+        settings::{Settings, ShardSettings},
+        view::{LeaderView, View},
+    },
+    stand_ins::rows::{Faults, RowStore},
+    std::{
+        net::{SocketAddr, UdpSocket},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    test_case::test_case,
+    tokio::time::sleep,
+    xtra::{Address, Mailbox},
+};
+
+/// The shard of all tests.
+const SHARD: &str = "all";
+
+/// The interval of the peer's heartbeats.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
+
+/// What the peer's heartbeats say.
+#[derive(Clone, Copy)]
+struct PeerState {
+    store_reachable: bool,
+    served_at: Instant,
+}
+
+fn settings(store: SocketAddr, peers: SocketAddr) -> Settings {
+    Settings {
+        name: "own".to_owned(),
+        domain: "z".to_owned(),
+        shards: vec![ShardSettings {
+            name: SHARD.to_owned(),
+            domains: vec!["z".to_owned()],
+        }],
+        cpu_share: 500,
+        peers,
+        store,
+        advice: None,
+        max_lease: Duration::from_secs(4),
+        drain: Duration::from_secs(1),
+        keep: Duration::from_secs(60),
+        config_max_age: Duration::from_secs(2),
+    }
+}
+
+fn heartbeat(peer: PeerState, address: SocketAddr) -> Heartbeat {
+    Heartbeat {
+        name: "peer".to_owned(),
+        domain: "z".to_owned(),
+        incarnation: 5,
+        address,
+        config_version: 0,
+        store_reachable: peer.store_reachable,
+        shutting_down: false,
+        taking_over: Vec::new(),
+        led_shards: Vec::new(),
+        cpu_share: 69,
+        store_age: Some(peer.served_at.elapsed()),
+    }
+}
+
+/// A running control thread with its store.
+struct Instance {
+    store: RowStore,
+    address: Address<Control>,
+    view: Arc<ArcSwap<View>>,
+    /// Takes the place of the peer's socket.
+    peer: SocketAddr,
+    peer_socket: UdpSocket,
+}
+
+impl Instance {
+    /// Starts an instance, and waits until it leads.
+    async fn start() -> Self {
+        let store = RowStore::start(Duration::ZERO).await;
+        let store = store.expect("the store does not start");
+        let bind = || UdpSocket::bind("127.0.0.1:0").expect("binding a port failed");
+        let (socket, peer_socket) = (bind(), bind());
+        let address_of = |socket: &UdpSocket| socket.local_addr().expect("a bound socket");
+        let (own, peer) = (address_of(&socket), address_of(&peer_socket));
+        let clock = Arc::new(SystemClock);
+        let wire = marigoldbend_wire::store::WIRE;
+        let view = Arc::new(ArcSwap::<View>::default());
+        let control = Control::new(
+            settings(store.address(), own),
+            1,
+            clock.clone(),
+            Arc::new(Store::new(store.address(), wire, clock)),
+            socket,
+            Arc::new(Metrics::new().expect("the metrics are valid")),
+            view.clone(),
+        );
+        let address = xtra::spawn_tokio(control, Mailbox::unbounded());
+        let ticks = address.clone();
+        tokio::spawn(async move {
+            loop {
+                deliver_urgent_event(&ticks, Event::Tick).await;
+                sleep(TICK).await;
+            }
+        });
+        let instance = Self {
+            store,
+            address,
+            view,
+            peer,
+            peer_socket,
+        };
+        let started_at = Instant::now();
+        let lead = |_| PeerState {
+            store_reachable: true,
+            served_at: Instant::now(),
+        };
+        while !instance.leads() {
+            assert!(started_at.elapsed() < Duration::from_secs(10));
+            instance.run(Duration::from_millis(300), lead).await;
+        }
+        instance
+    }
+
+    fn leads(&self) -> bool {
+        let view = self.view.load();
+        let leaders: &HashMap<String, LeaderView> = &view.leaders;
+        leaders.get(SHARD).is_some_and(|l| l.name == "own")
+    }
+
+    /// Sends the peer's heartbeats for some time; `state` returns what they say after a time. Returns
+    /// when the instance was first seen not to lead.
+    async fn run(
+        &self,
+        duration: Duration,
+        state: impl Fn(Duration) -> PeerState,
+    ) -> Option<Duration> {
+        let started_at = Instant::now();
+        let mut lost_after = None;
+        while started_at.elapsed() < duration {
+            let heartbeat = heartbeat(state(started_at.elapsed()), self.peer);
+            deliver_urgent_event(&self.address, Event::Heartbeat(heartbeat)).await;
+            sleep(HEARTBEAT_INTERVAL).await;
+            if !self.leads() {
+                lost_after.get_or_insert(started_at.elapsed());
+            }
+        }
+        lost_after
+    }
+
+    /// Makes the store refuse all calls of this instance, or none.
+    fn set_down(&self, down: bool) {
+        self.store.set_faults(Faults {
+            down,
+            ..Faults::default()
+        });
+    }
+}
+
+/// Guards against a leader that stops renewing leases because peers notice an outage later.
+#[test_case(1_400; "the peer notices the outage a little later")]
+#[test_case(4_000; "the peer does not notice the outage")]
+#[tokio::test]
+async fn leader_keeps_its_shard_while_the_store_serves_nobody(noticed_ms: u64) {
+    let instance = Instance::start().await;
+    instance.set_down(true);
+    let served_at = Instant::now();
+    let state = |elapsed| PeerState {
+        store_reachable: elapsed < Duration::from_millis(noticed_ms),
+        served_at,
+    };
+    let lost_after = instance.run(Duration::from_secs(4), state).await;
+    assert_eq!(lost_after, None, "the store is down");
+    instance.set_down(false);
+    let state = |_| PeerState {
+        store_reachable: true,
+        served_at: Instant::now(),
+    };
+    let lost_after = instance.run(Duration::from_secs(2), state).await;
+    assert_eq!(lost_after, None, "the store is back");
+    drop(instance.peer_socket);
+}
+
+#[tokio::test]
+async fn leader_that_the_store_rejects_resigns() {
+    let instance = Instance::start().await;
+    instance.set_down(true);
+    let state = |_| PeerState {
+        store_reachable: true,
+        served_at: Instant::now(),
+    };
+    let lost_after = instance.run(Duration::from_secs(5), state).await;
+    assert!(
+        lost_after.is_some_and(|after| after <= Duration::from_secs(4)),
+        "lost_after={lost_after:?}"
+    );
+}
