Leave the lead to its holder or the largest candidate when the store returns

Cause: a leader that is heard but does not reach the store was replaced at once by whoever reached it first, and after a silence during an outage all turns of the candidates were over.

Change: a candidate counts 1.75 s from the time when the store serves it again; if it never lost the store, from when it heard that the leader did not reach it. Until then it leaves the lead to a leader that is heard, and to larger candidates that are alive and not served yet. After that a heard leader is replaced only if the store served a call of the candidate that was sent later. 1.75 s are the pause between two calls (0.25 s), the time limit of a read that a silent store has not answered (1 s), a tick, and a late heartbeat (0.45 s). A leader that has resigned or is silent is replaced at once by the best candidate. The turns of the candidates begin when the store serves them. Each instance sends heartbeats at once when it loses or regains the store. A smaller leader is replaced after 3 s in which the store served both; before, at once on the return of the store. Takeovers log their reason and the state of the leader in one line.

Ruled out: replacing a smaller leader only once its takeover has settled (6.2 s). The wait of the larger one begins anew either way, and would end later still; what helps is that the smaller one does not lead first. A wait for the larger candidates without a limit: they may be rejected.

Now all pass, and silent_leader_is_replaced_as_soon_as_the_store_returns shows a takeover within 0.75 s of the store's return, 0.25 s of them until it is called.

A leader that the store alone rejects is usually replaced after it has resigned by itself; one that does not notice is replaced 1.75 s or, if the candidate only makes long polls, about 2 s after its heartbeats say so.

--- a/crates/core/src/sched/leadership.rs
+++ b/crates/core/src/sched/leadership.rs
@@ -11,6 +11,7 @@
     serde::{Deserialize, Serialize},
     std::{
         cmp::Reverse,
+        fmt,
         time::{Duration, Instant},
     },
 };
@@ -41,6 +42,15 @@
 /// How long after a peer's heartbeat its report that it reaches the store stays valid.
 const STORE_REPORT_TTL: Duration = Duration::from_millis(2_500);
 
+/// The time within which an instance that the store serves again makes a call that shows it, and its
+/// peers hear of it: a pause of 250 ms after a failed call, the time limit of a read of 1 s if the
+/// store was silent, a tick of 50 ms, and the delay of the heartbeat. A leader calls more often.
+///
+/// An instance that the store serves leaves it so long to a leader that is heard, and to larger
+/// candidates, to reach the store as well.
+pub const STORE_RETURN_DELAY: Duration =
+    Duration::from_millis(250 + 1_000 + 50).saturating_add(MAX_HEARTBEAT_DELAY);
+
 /// How long all instances of a shard's own domains must be silent before an instance of another
 /// domain takes the shard over.
 pub const OTHER_DOMAIN_DELAY: Duration = Duration::from_millis(2_500);
@@ -130,6 +140,9 @@
     pub last_heard: Instant,
     /// Whether the peer reaches the store.
     pub store_reachable: bool,
+    /// Since when the peer's heartbeats have said that it does not reach the store; `None` if the
+    /// last one says that it does.
+    pub unreachable_since: Option<Instant>,
     /// A time after which the store served the peer, too late by at most [`MAX_HEARTBEAT_DELAY`]
     /// unless this instance has stalled; `None` if unknown.
     pub served_at: Option<Instant>,
@@ -151,6 +164,9 @@
     /// When the newest call that has failed since the last success was sent; `None` after a
     /// success.
     pub failed_call_sent: Option<Instant>,
+    /// When a call first succeeded after the store had last been unreachable; `None` if it never
+    /// was.
+    pub reachable_since: Option<Instant>,
 }
 
 /// The input of the decision whether to take a shard over.
@@ -168,8 +184,8 @@
     pub shard: &'a str,
     /// The shard's failure domains.
     pub domains: &'a [String],
-    /// Whether this instance reaches the store.
-    pub store_reachable: bool,
+    /// The state of this instance's calls to the store.
+    pub store: StoreHealth,
     /// The peers, by name.
     pub peers: &'a HashMap<String, PeerView>,
     /// When this process began to listen for heartbeats.
@@ -205,6 +221,69 @@
         let heard_at = self.leader_updated_at.unwrap_or(self.since).max(self.since);
         now.duration_since(heard_at) >= LEADER_TIMEOUT
     }
+
+    /// Returns since when a leader whose heartbeats arrive needs a successor because it does not
+    /// reach the store: since it resigned, or since [`STORE_RETURN_DELAY`] has passed in which the
+    /// store served this instance. `None` if it needs none.
+    fn leader_rejected_since(&self, leader: &PeerView, now: Instant) -> Option<Instant> {
+        let unreachable_since = leader.unreachable_since?;
+        // The newest heartbeat of a leader that has resigned does not name it as the leader.
+        if self
+            .leader_updated_at
+            .is_none_or(|at| at < leader.last_heard)
+        {
+            return Some(self.leader_silent_since());
+        }
+        let starts = [self.store.reachable_since, self.impaired_at];
+        let start = starts
+            .into_iter()
+            .flatten()
+            .fold(unreachable_since, Instant::max);
+        let rejected_since = start + STORE_RETURN_DELAY;
+        let is_served = self.store.served_at.is_some_and(|at| at > start);
+        (is_served && rejected_since <= now).then_some(rejected_since)
+    }
+
+    /// Returns whether the store serves this instance again only since [`STORE_RETURN_DELAY`],
+    /// and `peer` is larger, alive and not served yet.
+    fn may_larger_peer_reach_store(&self, peer: &PeerView, now: Instant) -> bool {
+        let is_recent = |at| now.duration_since(at) < STORE_RETURN_DELAY;
+        self.store.reachable_since.is_some_and(is_recent)
+            && now.duration_since(peer.last_heard) < PEER_TIMEOUT
+            && !peer.store_reachable
+            && !peer.shutting_down
+            && size_class(peer.cpu_share) > size_class(self.cpu_share)
+    }
+}
+
+/// Why an instance takes a shard over.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TakeoverReason {
+    /// No leader is known, or its process is not the one that led the shard.
+    NoLeader,
+    /// The leader is shutting down.
+    ShuttingDown,
+    /// The leader has resigned, or is heard but does not reach the store.
+    StoreUnreachable,
+    /// The leader is silent.
+    Silent,
+    /// Only a minority of the peers is heard, and the leader's heartbeat in the store is stale.
+    StaleStoreHeartbeat,
+    /// The leader is much smaller than this instance.
+    TooSmall,
+}
+
+impl fmt::Display for TakeoverReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NoLeader => "no_leader",
+            Self::ShuttingDown => "shutting_down",
+            Self::StoreUnreachable => "store_unreachable",
+            Self::Silent => "silent",
+            Self::StaleStoreHeartbeat => "stale_store_heartbeat",
+            Self::TooSmall => "too_small",
+        })
+    }
 }
 
 /// Returns whether this instance hears from only a minority of the instances, itself included.
@@ -293,10 +372,10 @@
     }
 }
 
-/// Returns whether this instance should try to take the shard over now.
-pub fn should_take_over(view: &LeadershipView<'_>, now: Instant) -> bool {
-    if !view.store_reachable {
-        return false;
+/// Returns why this instance should try to take the shard over now; `None` if it should not.
+pub fn takeover_reason(view: &LeadershipView<'_>, now: Instant) -> Option<TakeoverReason> {
+    if !view.store.reachable {
+        return None;
     }
     let is_shard_domain = |domain: &str| view.domains.iter().any(|d| d == domain);
     let is_in_shard_domain = is_shard_domain(view.domain);
@@ -306,19 +385,33 @@
         .peers
         .iter()
         .filter(|(_, p)| is_shard_domain(&p.domain));
-    let silence = now.duration_since(view.leader_silent_since());
-    let is_leaderless = match view.leader {
-        None => true,
-        // A leader that restarted, is shutting down or can't reach the store is replaced.
-        Some((name, incarnation)) if name == view.own_name => incarnation != view.incarnation,
-        Some((name, incarnation)) => view.peers.get(name).is_some_and(|p| {
-            is_alive(p) && (p.incarnation != incarnation || p.shutting_down || !p.store_reachable)
-        }),
+    // A leader that restarted, is shutting down, has resigned or is rejected by the store is replaced
+    // although it is not silent.
+    let silent_since = view.leader_silent_since();
+    let absence = match view.leader {
+        None => Some((TakeoverReason::NoLeader, silent_since)),
+        Some((name, incarnation)) if name == view.own_name => {
+            (incarnation != view.incarnation).then_some((TakeoverReason::NoLeader, silent_since))
+        }
+        Some((name, incarnation)) => {
+            let leader = view.peers.get(name).filter(|p| is_alive(p));
+            leader.and_then(|p| {
+                if p.incarnation != incarnation {
+                    Some((TakeoverReason::NoLeader, silent_since))
+                } else if p.shutting_down {
+                    Some((TakeoverReason::ShuttingDown, silent_since))
+                } else {
+                    let since = view.leader_rejected_since(p, now)?;
+                    Some((TakeoverReason::StoreUnreachable, since))
+                }
+            })
+        }
     };
-    if !is_leaderless && is_minority(view.peers, now) {
+    if absence.is_none() && is_minority(view.peers, now) {
         // The leader may be healthy but unheard here, so its heartbeat in the store decides.
         let is_stale = |at: Instant| now.duration_since(at) >= STORE_HEARTBEAT_TIMEOUT;
-        return view.store_heartbeat_changed.is_some_and(is_stale);
+        let is_stale = view.store_heartbeat_changed.is_some_and(is_stale);
+        return is_stale.then_some(TakeoverReason::StaleStoreHeartbeat);
     }
     if !is_in_shard_domain {
         let shard_domain_peers =
@@ -326,11 +419,20 @@
         let last_heard = shard_domain_peers.map(|(_, p)| p.last_heard).max();
         let shard_domains_silent_since = last_heard.unwrap_or(view.since).max(view.since);
         if now.duration_since(shard_domains_silent_since) < OTHER_DOMAIN_DELAY {
-            return false;
+            return None;
         }
     }
-    let rivals = view.peers.iter().filter(|(_, p)| is_eligible(p));
-    let rivals = rivals.filter(|(_, p)| is_shard_domain(&p.domain) == is_in_shard_domain);
+    let rivals = view
+        .peers
+        .iter()
+        .filter(|(_, p)| is_shard_domain(&p.domain) == is_in_shard_domain);
+    if rivals
+        .clone()
+        .any(|(_, p)| view.may_larger_peer_reach_store(p, now))
+    {
+        return None;
+    }
+    let rivals = rivals.filter(|(_, p)| is_eligible(p));
     // Among instances of similar size the last leader ranks first, so that it gets its shard back
     // after a restart.
     let leader_name = view.leader.map(|(name, _)| name);
@@ -342,31 +444,36 @@
     let better_candidates =
         rivals.filter(|(name, p)| takeover_order(name, p.cpu_share) < own_order);
     let delay = RANK_DELAY * u32::try_from(better_candidates.count()).unwrap_or(u32::MAX);
-    if !is_leaderless && is_leader_too_small(view, delay, now) {
-        return true;
+    if absence.is_none() && is_leader_too_small(view, delay, now) {
+        return Some(TakeoverReason::TooSmall);
     }
-    let required_silence = if is_leaderless {
-        Duration::ZERO
-    } else {
-        LEADER_TIMEOUT
-    };
+    let (reason, absent_since) =
+        absence.unwrap_or((TakeoverReason::Silent, silent_since + LEADER_TIMEOUT));
     // If no leader is known, as after a start, wait until an existing leader would be heard.
     let startup_delay = if view.leader.is_none() {
         LEADER_TIMEOUT
     } else {
         Duration::ZERO
     };
-    silence >= required_silence + delay + startup_delay
+    // The candidates take their turns from when the store serves them.
+    let due_since = absent_since + startup_delay;
+    let due_since = view
+        .store
+        .reachable_since
+        .map_or(due_since, |at| at.max(due_since));
+    (due_since + delay <= now).then_some(reason)
 }
 
 /// Returns whether the leader has much less processor time than this instance, and both have been
 /// steady for [`MIN_LEADERSHIP`] and `delay`.
 fn is_leader_too_small(view: &LeadershipView<'_>, delay: Duration, now: Instant) -> bool {
     let leader = view.leader.and_then(|(name, _)| view.peers.get(name));
-    let is_smaller = leader.is_some_and(|p| size_class(p.cpu_share) < size_class(view.cpu_share));
+    let is_smaller = leader
+        .is_some_and(|p| p.store_reachable && size_class(p.cpu_share) < size_class(view.cpu_share));
     let since = view
         .leader_since
         .max(view.impaired_at)
+        .max(view.store.reachable_since)
         .max(Some(view.since));
     is_smaller
         && view.leader_since.is_some()
--- a/crates/core/tests/leadership.rs
+++ b/crates/core/tests/leadership.rs
@@ -4,14 +4,23 @@
     marigoldbend_core::{
         hash::HashMap,
         sched::leadership::{
-            LeadershipView, PeerView, RejectionCheck, StoreHealth, TakeoverDelay, rank,
-            should_take_over,
+            LeadershipView, PeerView, RejectionCheck, StoreHealth, TakeoverDelay, TakeoverReason,
+            rank, takeover_reason,
         },
     },
     std::time::{Duration, Instant},
     test_case::test_case,
 };
 
+/// The store has been reachable since the start.
+const REACHABLE: StoreHealth = StoreHealth {
+    reachable: true,
+    served_at: None,
+    failing_since: None,
+    failed_call_sent: None,
+    reachable_since: None,
+};
+
 /// The input of a decision; all times are in milliseconds before the decision.
 struct Case {
     leader_updated_at: u64,
@@ -60,6 +69,7 @@
             case.last_heard
         }),
         store_reachable: true,
+        unreachable_since: None,
         served_at: None,
         shutting_down: false,
         cpu_share: 1_000,
@@ -75,7 +85,10 @@
         domain: "z",
         shard: "all",
         domains: &domains,
-        store_reachable: case.store_reachable,
+        store: StoreHealth {
+            reachable: case.store_reachable,
+            ..REACHABLE
+        },
         peers: &peers,
         since: ms_ago(50_000),
         leader: Some(("p0", 5)),
@@ -84,7 +97,7 @@
         impaired_at: case.impaired_at.map(ms_ago),
         store_heartbeat_changed: case.store_heartbeat_changed.map(ms_ago),
     };
-    assert_eq!(should_take_over(&view, now), expected);
+    assert_eq!(takeover_reason(&view, now).is_some(), expected);
 }
 
 #[test]
@@ -99,7 +112,7 @@
         domain: "z",
         shard: "all",
         domains: &domains,
-        store_reachable: true,
+        store: REACHABLE,
         peers: &peers,
         since: now,
         leader: Some(("me", 1)),
@@ -108,7 +121,7 @@
         impaired_at: None,
         store_heartbeat_changed: None,
     };
-    assert!(should_take_over(&view, now));
+    assert!(takeover_reason(&view, now).is_some());
 }
 
 /// How many milliseconds ago a peer was heard, whether it reaches the store, and whether it is
@@ -137,6 +150,7 @@
         incarnation: 5,
         last_heard: now - Duration::from_millis(*last_heard),
         store_reachable: *store_reachable,
+        unreachable_since: None,
         served_at: Some(ms_ago(1_000)),
         shutting_down: *shutting_down,
         cpu_share: 1_000,
@@ -191,6 +205,7 @@
         incarnation: 5,
         last_heard: ms_ago(100),
         store_reachable: true,
+        unreachable_since: None,
         served_at: calls.served.map(ms_ago),
         shutting_down: false,
         cpu_share: 1_000,
@@ -256,6 +271,7 @@
         incarnation: 5,
         last_heard: ms_ago(100),
         store_reachable: true,
+        unreachable_since: None,
         served_at: None,
         shutting_down: false,
         cpu_share,
@@ -274,7 +290,7 @@
         domain: "z",
         shard: "all",
         domains: &domains,
-        store_reachable: true,
+        store: REACHABLE,
         peers: &peers,
         since: ms_ago(80_000),
         leader: Some(("leader", 5)),
@@ -283,7 +299,7 @@
         impaired_at: impaired_at.map(ms_ago),
         store_heartbeat_changed: None,
     };
-    assert_eq!(should_take_over(&view, now), expected);
+    assert_eq!(takeover_reason(&view, now).is_some(), expected);
 }
 
 #[test_case(500, true; "the largest instance takes over at once")]
@@ -296,6 +312,7 @@
         incarnation: 5,
         last_heard: ms_ago(last_heard),
         store_reachable: true,
+        unreachable_since: None,
         served_at: None,
         shutting_down: false,
         cpu_share,
@@ -322,7 +339,7 @@
         domain: "z",
         shard: "all",
         domains: &domains,
-        store_reachable: true,
+        store: REACHABLE,
         peers: &peers,
         since: ms_ago(80_000),
         leader: Some(("leader", 5)),
@@ -331,7 +348,141 @@
         impaired_at: None,
         store_heartbeat_changed: None,
     };
-    assert_eq!(should_take_over(&view, now), expected);
+    assert_eq!(takeover_reason(&view, now).is_some(), expected);
+}
+
+/// What a candidate knows of the leader, which it hears, of the store and of another candidate; all
+/// times are in milliseconds before the decision.
+struct Outage {
+    own: u32,
+    leader: u32,
+    /// When the store served this instance again; `None` if it always did.
+    reachable_since: Option<u64>,
+    served: u64,
+    impaired_at: Option<u64>,
+    leader_heard: u64,
+    /// When a heartbeat last named the leader.
+    leader_named: u64,
+    leader_unreachable_since: Option<u64>,
+    other: u32,
+    other_heard: u64,
+    other_reachable: bool,
+    other_shutting_down: bool,
+}
+
+/// The store has returned for this instance, not yet for a leader of the same size.
+const RETURNED: Outage = Outage {
+    own: 500,
+    leader: 500,
+    reachable_since: Some(100),
+    served: 50,
+    impaired_at: None,
+    leader_heard: 100,
+    leader_named: 100,
+    leader_unreachable_since: Some(5_000),
+    other: 500,
+    other_heard: 100,
+    other_reachable: false,
+    other_shutting_down: false,
+};
+
+/// The leader has been silent for most of the outage.
+const SILENT: Outage = Outage {
+    leader_heard: 5_000,
+    leader_named: 5_000,
+    ..RETURNED
+};
+
+const UNREACHABLE: Option<TakeoverReason> = Some(TakeoverReason::StoreUnreachable);
+const LEADER_SILENT: Option<TakeoverReason> = Some(TakeoverReason::Silent);
+
+#[test_case(RETURNED, None; "the leader is heard and may reach the store soon")]
+#[test_case(Outage { own: 69, ..RETURNED }, None; "a small instance reaches the store before the leader")]
+#[test_case(Outage { reachable_since: Some(1_700), ..RETURNED }, None; "the leader still has time")]
+#[test_case(Outage { reachable_since: Some(1_800), ..RETURNED }, UNREACHABLE; "the leader has not reached the store in time")]
+#[test_case(Outage { reachable_since: Some(1_800), leader_unreachable_since: None, ..RETURNED }, None; "the leader reaches the store")]
+#[test_case(Outage { reachable_since: Some(1_800), served: 2_000, ..RETURNED }, None; "the store may serve nobody again")]
+#[test_case(Outage { reachable_since: Some(1_800), impaired_at: Some(300), ..RETURNED }, None; "this instance has stalled")]
+#[test_case(Outage { reachable_since: None, leader_unreachable_since: Some(200), ..RETURNED }, None; "the leader may be the first to notice an outage")]
+#[test_case(Outage { reachable_since: None, leader_unreachable_since: Some(1_800), ..RETURNED }, UNREACHABLE; "the store rejects the leader only")]
+#[test_case(Outage { reachable_since: None, served: 1_900, leader_unreachable_since: Some(1_800), ..RETURNED }, None; "nothing shows that the store rejects the leader only")]
+#[test_case(Outage { leader_named: 300, ..RETURNED }, UNREACHABLE; "the leader has resigned")]
+#[test_case(Outage { own: 69, leader_named: 300, ..RETURNED }, None; "the leader has resigned and a larger candidate may reach the store soon")]
+#[test_case(Outage { leader: 69, ..RETURNED }, None; "the leader is smaller and may reach the store soon")]
+#[test_case(Outage { leader: 69, leader_unreachable_since: None, ..RETURNED }, None; "the smaller leader has just reached the store")]
+#[test_case(Outage { leader: 69, reachable_since: Some(3_100), leader_unreachable_since: None, ..RETURNED }, Some(TakeoverReason::TooSmall); "the smaller leader reached the store long ago")]
+#[test_case(SILENT, LEADER_SILENT; "the leader is silent and the store has just returned")]
+#[test_case(Outage { own: 69, ..SILENT }, None; "a larger candidate may reach the store soon")]
+#[test_case(Outage { own: 69, other: 128, ..SILENT }, None; "a candidate in the next larger size class may reach the store soon")]
+#[test_case(Outage { own: 69, reachable_since: Some(1_800), ..SILENT }, LEADER_SILENT; "the larger candidate has not reached the store in time")]
+#[test_case(Outage { own: 69, other_shutting_down: true, ..SILENT }, LEADER_SILENT; "the larger candidate is shutting down")]
+#[test_case(Outage { own: 69, other_heard: 2_000, ..SILENT }, LEADER_SILENT; "the larger candidate is silent")]
+#[test_case(Outage { own: 69, other: 100, ..SILENT }, LEADER_SILENT; "the other candidate has a similar size")]
+#[test_case(Outage { own: 69, other_reachable: true, ..SILENT }, None; "the larger candidate reaches the store and goes first")]
+#[test_case(Outage { own: 69, other_reachable: true, reachable_since: Some(400), ..SILENT }, LEADER_SILENT; "the larger candidate has had its turn")]
+fn returning_store_leaves_the_lead_to_the_leader_or_the_largest_candidate(
+    outage: Outage,
+    expected: Option<TakeoverReason>,
+) {
+    let now = Instant::now() + Duration::from_secs(90);
+    let ms_ago = |ms| now - Duration::from_millis(ms);
+    let leader = PeerView {
+        domain: "z".to_owned(),
+        incarnation: 5,
+        last_heard: ms_ago(outage.leader_heard),
+        store_reachable: outage.leader_unreachable_since.is_none(),
+        unreachable_since: outage.leader_unreachable_since.map(ms_ago),
+        served_at: None,
+        shutting_down: false,
+        cpu_share: outage.leader,
+    };
+    let other = PeerView {
+        last_heard: ms_ago(outage.other_heard),
+        store_reachable: outage.other_reachable,
+        unreachable_since: (!outage.other_reachable).then(|| ms_ago(5_000)),
+        shutting_down: outage.other_shutting_down,
+        cpu_share: outage.other,
+        ..leader.clone()
+    };
+    // Without them, a silent candidate would leave this instance with a minority.
+    let bystander = PeerView {
+        last_heard: ms_ago(100),
+        unreachable_since: Some(ms_ago(5_000)),
+        store_reachable: false,
+        cpu_share: 30,
+        ..leader.clone()
+    };
+    let peers = [
+        ("leader", leader),
+        ("other", other),
+        ("b1", bystander.clone()),
+        ("b2", bystander),
+    ];
+    let peers = peers.map(|(name, peer)| (name.to_owned(), peer));
+    let peers = HashMap::from_iter(peers);
+    let domains = ["z".to_owned()];
+    let own_name = name_ranked(|own, other| own > other, &["leader", "other"]);
+    let view = LeadershipView {
+        own_name: &own_name,
+        cpu_share: outage.own,
+        incarnation: 1,
+        domain: "z",
+        shard: "all",
+        domains: &domains,
+        store: StoreHealth {
+            served_at: Some(ms_ago(outage.served)),
+            reachable_since: outage.reachable_since.map(ms_ago),
+            ..REACHABLE
+        },
+        peers: &peers,
+        since: ms_ago(80_000),
+        leader: Some(("leader", 5)),
+        leader_updated_at: Some(ms_ago(outage.leader_named)),
+        leader_since: Some(ms_ago(60_000)),
+        impaired_at: outage.impaired_at.map(ms_ago),
+        store_heartbeat_changed: None,
+    };
+    assert_eq!(takeover_reason(&view, now), expected);
 }
 
 /// Guards against one instance that fails again and again and keeps all others from trying.
--- a/crates/core/tests/store_outages.rs
+++ b/crates/core/tests/store_outages.rs
@@ -154,6 +154,7 @@
                 incarnation: 5,
                 last_heard: at(received),
                 store_reachable,
+                unreachable_since: (!store_reachable).then(|| at(received)),
                 served_at: age.map(|age| at(received - age)),
                 shutting_down: false,
                 cpu_share: 1_000,
@@ -165,6 +166,7 @@
             served_at: instance.served_at.map(at),
             failing_since: instance.failing_since.map(at),
             failed_call_sent: instance.failed_call_sent.map(at),
+            reachable_since: None,
         };
         check.update(&health, &peers, None, at(now));
         if check.rejected_unlike().is_some() {
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -117,6 +117,9 @@
     failed_call_sent: Option<Instant>,
     /// When the newest call that succeeded was sent; `None` if none has succeeded.
     served_at: Option<Instant>,
+    /// When a call first succeeded after the store had last been unreachable; `None` if it never
+    /// was.
+    reachable_since: Option<Instant>,
     /// Whether the log says that the store is unreachable.
     reported_unreachable: bool,
 }
@@ -160,6 +163,7 @@
             served_at: health.served_at,
             failing_since: health.failing_since,
             failed_call_sent: health.failed_call_sent,
+            reachable_since: health.reachable_since,
         }
     }
 
@@ -313,7 +317,10 @@
         let mut health = self.health.lock();
         match failure {
             None | Some(StoreError::HistoryDeleted) => {
-                health.failing_since = None;
+                let failing_since = health.failing_since.take();
+                if failing_since.is_some_and(|at| now.duration_since(at) >= UNREACHABLE_AFTER) {
+                    health.reachable_since = Some(now);
+                }
                 health.failed_call_sent = None;
                 health.served_at = health.served_at.max(Some(sent_at));
                 if std::mem::take(&mut health.reported_unreachable) {
--- a/crates/platform/tests/store.rs
+++ b/crates/platform/tests/store.rs
@@ -7,7 +7,7 @@
     hyper::{Request, Response, StatusCode, body::Incoming, service::service_fn},
     hyper_util::rt::TokioIo,
     marigoldbend_core::{
-        clock::{ManualClock, SystemClock},
+        clock::{Clock, ManualClock, SystemClock},
         sched::leadership::StoreHealth,
     },
     marigoldbend_http::connection::Outgoing,
@@ -244,11 +244,17 @@
     assert!(!store.health().reachable);
     assert!(store.tx(&transaction(0)).await.is_ok());
     let served_at = Some(start + delay * 3 + Duration::from_secs(1));
+    let expected = StoreHealth {
+        served_at,
+        reachable_since: Some(clock.now()),
+        ..served
+    };
+    assert_eq!(store.health(), expected);
+    assert!(store.tx(&transaction(1)).await.is_err());
+    assert!(store.tx(&transaction(0)).await.is_ok());
+    let since = store.health().reachable_since;
     assert_eq!(
-        store.health(),
-        StoreHealth {
-            served_at,
-            ..served
-        }
+        since, expected.reachable_since,
+        "a short failure is no outage"
     );
 }
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -31,7 +31,7 @@
             job::{JobId, JobSpec, TaskName},
             leadership::{
                 LeadershipView, MAX_HEARTBEAT_DELAY, PeerView, RejectionCheck, TakeoverDelay,
-                is_minority, should_take_over,
+                TakeoverReason, is_minority, takeover_reason,
             },
             progress::JobState,
             queues::Queues,
@@ -157,6 +157,8 @@
     impaired_at: Option<Instant>,
     /// When this process last stalled.
     stalled_at: Option<Instant>,
+    /// What the last heartbeats said about whether the store is reachable.
+    sent_store_reachable: bool,
     /// Whether the store rejects this instance.
     rejection: RejectionCheck,
 }
@@ -219,6 +221,7 @@
             busy: Duration::ZERO,
             impaired_at: None,
             stalled_at: None,
+            sent_store_reachable: true,
             rejection: RejectionCheck::default(),
         }
     }
@@ -233,7 +236,11 @@
             self.stalled_at = Some(now);
         }
         self.last_tick = now;
-        self.send_heartbeats(now, false);
+        // Peers wait with their decisions until they hear that this instance reaches the store again.
+        let store_reachable = self.store.is_reachable();
+        let has_changed = store_reachable != self.sent_store_reachable;
+        self.sent_store_reachable = store_reachable;
+        self.send_heartbeats(now, has_changed);
         self.check_leadership(now);
         self.write_store_heartbeats(now);
         let shards: Vec<_> = self.led_shards.keys().cloned().collect();
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -39,7 +39,6 @@
     /// new leader.
     pub(super) fn check_leadership(&mut self, now: Instant) {
         let health = self.store.health();
-        let store_reachable = health.reachable;
         self.rejection
             .update(&health, &self.peer_views, self.stalled_at, now);
         if let Some(served) = self.rejection.rejected_unlike()
@@ -92,7 +91,7 @@
                 domain: &self.settings.domain,
                 shard: &shard,
                 domains: self.settings.domains_of(&shard),
-                store_reachable,
+                store: health,
                 peers: &self.peer_views,
                 since: self.started_at,
                 leader: leadership
@@ -110,8 +109,8 @@
                     silent_leaders.push(shard.clone());
                 }
             }
-            if should_take_over(&view, now) {
-                self.take_over(&shard);
+            if let Some(reason) = takeover_reason(&view, now) {
+                self.take_over(&shard, reason);
             }
         }
         if impaired {
@@ -223,18 +222,15 @@
     }
 
     /// Starts the takeover of a shard; [`Event::TakenOver`] delivers the result.
-    pub(super) fn take_over(&mut self, shard: &str) {
+    pub(super) fn take_over(&mut self, shard: &str, reason: TakeoverReason) {
         let Some(address) = self.address.clone() else {
             return;
         };
         if let Some(leadership) = self.leadership.get_mut(shard) {
             leadership.taking_over = true;
         }
-        log::info!(
-            "lead: shard={shard} taking over cpu_share={}.",
-            self.settings.cpu_share
-        );
         let now = self.clock.now();
+        self.log_takeover(shard, reason, now);
         self.send_heartbeats(now, true);
         let leadership = self.leadership.get(shard);
         let working_leader = leadership.is_some_and(|l| {
@@ -252,6 +248,31 @@
         });
     }
 
+    /// Logs why this instance takes a shard over, with the state of the leader and of the store.
+    fn log_takeover(&self, shard: &str, reason: TakeoverReason, now: Instant) {
+        let ms_ago = |at: Option<Instant>| {
+            let age = at.map(|at| now.saturating_duration_since(at).as_millis());
+            age.map_or_else(|| "none".to_owned(), |ms| ms.to_string())
+        };
+        let leadership = self.leadership.get(shard);
+        let leader = leadership.and_then(|l| Some(l.leader.as_ref()?.0.as_str()));
+        let peer = leader.and_then(|name| self.peer_views.get(name));
+        log::info!(
+            "lead: shard={shard} taking over cpu_share={} reason={reason} leader={} leader_cpu_share={} leader_heard_ms={} leader_named_ms={} leader_unreachable_ms={} store_back_ms={} peers_unreachable={}.",
+            self.settings.cpu_share,
+            leader.unwrap_or("none"),
+            peer.map_or(0, |p| p.cpu_share),
+            ms_ago(peer.map(|p| p.last_heard)),
+            ms_ago(leadership.and_then(|l| l.leader_updated_at)),
+            ms_ago(peer.and_then(|p| p.unreachable_since)),
+            ms_ago(self.store.health().reachable_since),
+            self.peer_views
+                .values()
+                .filter(|p| !p.store_reachable)
+                .count(),
+        );
+    }
+
     /// Starts to lead a shard after a successful takeover, or records which instance was first.
     pub(super) fn on_takeover(
         &mut self,
--- a/crates/scheduler/src/control/peers.rs
+++ b/crates/scheduler/src/control/peers.rs
@@ -113,6 +113,11 @@
                 heartbeat.cpu_share
             );
         }
+        let unreachable_since = (!heartbeat.store_reachable).then(|| {
+            let previous = self.peer_views.get(&heartbeat.name);
+            let previous = previous.filter(|p| p.incarnation == heartbeat.incarnation);
+            previous.and_then(|p| p.unreachable_since).unwrap_or(now)
+        });
         let previous = self.peer_views.insert(
             heartbeat.name.clone(),
             PeerView {
@@ -120,6 +125,7 @@
                 incarnation: heartbeat.incarnation,
                 last_heard: now,
                 store_reachable: heartbeat.store_reachable,
+                unreachable_since,
                 served_at: heartbeat.store_age.and_then(|age| now.checked_sub(age)),
                 shutting_down: heartbeat.shutting_down,
                 cpu_share: heartbeat.cpu_share,
--- a/crates/scheduler/tests/leadership.rs
+++ b/crates/scheduler/tests/leadership.rs
@@ -1,13 +1,14 @@
-//! Tests when the control thread of a leader gives its shard up, with a stand-in for the store and the
-//! heartbeats of one peer.
+//! Tests when the control thread gives a shard up or takes it over around outages of the store, with a
+//! stand-in for the store and the heartbeats of one peer.
 
 use {
     arc_swap::ArcSwap,
-    marigoldbend_core::{clock::SystemClock, hash::HashMap},
-    marigoldbend_peer::heartbeat::Heartbeat,
+    marigoldbend_core::{clock::SystemClock, hash::HashMap, sched::leadership::LeaseRow},
+    marigoldbend_peer::heartbeat::{Heartbeat, LedShard},
     marigoldbend_platform::store::Store,
     marigoldbend_scheduler::{
         control::{Control, Event, TICK, deliver_urgent_event},
+        keys,
         metrics::Metrics,
         settings::{Settings, ShardSettings},
         view::{LeaderView, View},
@@ -26,6 +27,9 @@
 /// The shard of all tests.
 const SHARD: &str = "all";
 
+/// The fencing token of the peer's leadership.
+const PEER_TOKEN: u64 = 3;
+
 /// The interval of the peer's heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -34,6 +38,7 @@
 struct PeerState {
     store_reachable: bool,
     served_at: Instant,
+    leads: bool,
 }
 
 fn settings(store: SocketAddr, peers: SocketAddr) -> Settings {
@@ -55,6 +60,17 @@
     }
 }
 
+/// The shard as led by the peer.
+fn led_shard() -> LedShard {
+    LedShard {
+        shard: SHARD.to_owned(),
+        token: PEER_TOKEN,
+        lease_version: 1,
+        loads: Vec::new(),
+        pending: Vec::new(),
+    }
+}
+
 fn heartbeat(peer: PeerState, address: SocketAddr) -> Heartbeat {
     Heartbeat {
         name: "peer".to_owned(),
@@ -65,7 +81,7 @@
         store_reachable: peer.store_reachable,
         shutting_down: false,
         taking_over: Vec::new(),
-        led_shards: Vec::new(),
+        led_shards: peer.leads.then(led_shard).into_iter().collect(),
         cpu_share: 69,
         store_age: Some(peer.served_at.elapsed()),
     }
@@ -82,7 +98,7 @@
 }
 
 impl Instance {
-    /// Starts an instance, and waits until it leads.
+    /// Starts an instance with an empty store.
     async fn start() -> Self {
         let store = RowStore::start(Duration::ZERO).await;
         let store = store.expect("the store does not start");
@@ -110,17 +126,23 @@
                 sleep(TICK).await;
             }
         });
-        let instance = Self {
+        Self {
             store,
             address,
             view,
             peer,
             peer_socket,
-        };
+        }
+    }
+
+    /// Starts an instance, and waits until it leads.
+    async fn start_leader() -> Self {
+        let instance = Self::start().await;
         let started_at = Instant::now();
         let lead = |_| PeerState {
             store_reachable: true,
             served_at: Instant::now(),
+            leads: false,
         };
         while !instance.leads() {
             assert!(started_at.elapsed() < Duration::from_secs(10));
@@ -129,6 +151,34 @@
         instance
     }
 
+    /// Starts an instance whose peer leads, and stops the store for it until it has noticed that.
+    async fn start_in_outage() -> Self {
+        let instance = Self::start().await;
+        let lease = LeaseRow {
+            holder: "peer".to_owned(),
+            incarnation: 5,
+            token: PEER_TOKEN,
+        };
+        let lease = postcard::to_stdvec(&lease).expect("a lease can be encoded");
+        instance.store.put(keys::lease(SHARD), lease);
+        let started_at = Instant::now();
+        let state = |_| PeerState {
+            store_reachable: true,
+            served_at: Instant::now(),
+            leads: true,
+        };
+        instance.run(Duration::from_millis(1_500), state).await;
+        instance.set_down(true);
+        let state = |elapsed| PeerState {
+            store_reachable: elapsed < Duration::from_secs(1),
+            served_at: started_at,
+            leads: true,
+        };
+        instance.run(Duration::from_secs(4), state).await;
+        assert!(!instance.leads());
+        instance
+    }
+
     fn leads(&self) -> bool {
         let view = self.view.load();
         let leaders: &HashMap<String, LeaderView> = &view.leaders;
@@ -169,12 +219,13 @@
 #[test_case(4_000; "the peer does not notice the outage")]
 #[tokio::test]
 async fn leader_keeps_its_shard_while_the_store_serves_nobody(noticed_ms: u64) {
-    let instance = Instance::start().await;
+    let instance = Instance::start_leader().await;
     instance.set_down(true);
     let served_at = Instant::now();
     let state = |elapsed| PeerState {
         store_reachable: elapsed < Duration::from_millis(noticed_ms),
         served_at,
+        leads: false,
     };
     let lost_after = instance.run(Duration::from_secs(4), state).await;
     assert_eq!(lost_after, None, "the store is down");
@@ -182,6 +233,7 @@
     let state = |_| PeerState {
         store_reachable: true,
         served_at: Instant::now(),
+        leads: false,
     };
     let lost_after = instance.run(Duration::from_secs(2), state).await;
     assert_eq!(lost_after, None, "the store is back");
@@ -190,11 +242,12 @@
 
 #[tokio::test]
 async fn leader_that_the_store_rejects_resigns() {
-    let instance = Instance::start().await;
+    let instance = Instance::start_leader().await;
     instance.set_down(true);
     let state = |_| PeerState {
         store_reachable: true,
         served_at: Instant::now(),
+        leads: false,
     };
     let lost_after = instance.run(Duration::from_secs(5), state).await;
     assert!(
@@ -202,3 +255,46 @@
         "lost_after={lost_after:?}"
     );
 }
+
+/// Guards against a candidate that takes over from a leader which the store serves a moment later.
+#[tokio::test]
+async fn heard_leader_gets_time_to_reach_a_store_that_returns() {
+    let instance = Instance::start_in_outage().await;
+    instance.set_down(false);
+    let returned_at = Instant::now();
+    let served_at = returned_at - Duration::from_secs(4);
+    let unreachable = |_| PeerState {
+        store_reachable: false,
+        served_at,
+        leads: true,
+    };
+    instance
+        .run(Duration::from_millis(1_200), unreachable)
+        .await;
+    assert!(!instance.leads(), "the leader has had no time");
+    while !instance.leads() && returned_at.elapsed() < Duration::from_secs(6) {
+        instance.run(Duration::from_millis(150), unreachable).await;
+    }
+    let taken_over_after = returned_at.elapsed();
+    assert!(
+        instance.leads() && taken_over_after < Duration::from_secs(4),
+        "taken_over_after={taken_over_after:?}"
+    );
+}
+
+#[tokio::test]
+async fn silent_leader_is_replaced_as_soon_as_the_store_returns() {
+    let instance = Instance::start_in_outage().await;
+    sleep(Duration::from_secs(2)).await;
+    instance.set_down(false);
+    let returned_at = Instant::now();
+    while !instance.leads() && returned_at.elapsed() < Duration::from_secs(6) {
+        sleep(Duration::from_millis(10)).await;
+    }
+    // The store is called again after up to 250 ms.
+    let taken_over_after = returned_at.elapsed();
+    assert!(
+        taken_over_after < Duration::from_millis(750),
+        "taken_over_after={taken_over_after:?}"
+    );
+}
