--- a/crates/core/src/sched/leadership.rs
+++ b/crates/core/src/sched/leadership.rs
@@ -11,6 +11,7 @@
     serde::{Deserialize, Serialize},
     std::{
         cmp::Reverse,
+        fmt,
         time::{Duration, Instant},
     },
 };
@@ -34,9 +35,22 @@
 /// How long after its last heartbeat a peer counts among those that this instance should hear.
 const EXPECTED_PEER_WINDOW: Duration = Duration::from_secs(10);
 
+/// How long before its handling a heartbeat may have been sent. If this process was delayed for longer, it
+/// notices that it has stalled.
+pub const MAX_HEARTBEAT_DELAY: Duration = Duration::from_millis(450);
+
 /// How long after a peer's heartbeat its report that it reaches the store stays valid.
 const STORE_REPORT_TTL: Duration = Duration::from_millis(2_500);
 
+/// The time within which an instance that the store serves again makes a call that shows it, and its
+/// peers hear of it: a pause of 250 ms after a failed call, the time limit of a read of 1 s if the
+/// store was silent, a tick of 50 ms, and the delay of the heartbeat. A leader calls more often.
+///
+/// An instance that the store serves leaves it so long to a leader that is heard, and to larger
+/// candidates, to reach the store as well.
+pub const STORE_RETURN_DELAY: Duration =
+    Duration::from_millis(250 + 1_000 + 50).saturating_add(MAX_HEARTBEAT_DELAY);
+
 /// How long all instances of a shard's own domains must be silent before an instance of another
 /// domain takes the shard over.
 pub const OTHER_DOMAIN_DELAY: Duration = Duration::from_millis(2_500);
@@ -126,12 +140,35 @@
     pub last_heard: Instant,
     /// Whether the peer reaches the store.
     pub store_reachable: bool,
+    /// Since when the peer's heartbeats have said that it does not reach the store; `None` if the
+    /// last one says that it does.
+    pub unreachable_since: Option<Instant>,
+    /// A time after which the store served the peer, too late by at most [`MAX_HEARTBEAT_DELAY`]
+    /// unless this instance has stalled; `None` if unknown.
+    pub served_at: Option<Instant>,
     /// Whether the peer is shutting down.
     pub shutting_down: bool,
     /// The processor time that the peer may use, in thousandths of a core; zero if unknown.
     pub cpu_share: u32,
 }
 
+/// The state of an instance's calls to the store.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct StoreHealth {
+    /// Whether the store counts as reachable.
+    pub reachable: bool,
+    /// When the newest call that succeeded was sent; `None` if none has succeeded.
+    pub served_at: Option<Instant>,
+    /// When the first call after the last success failed; `None` after a success.
+    pub failing_since: Option<Instant>,
+    /// When the newest call that has failed since the last success was sent; `None` after a
+    /// success.
+    pub failed_call_sent: Option<Instant>,
+    /// When a call first succeeded after the store had last been unreachable; `None` if it never
+    /// was.
+    pub reachable_since: Option<Instant>,
+}
+
 /// The input of the decision whether to take a shard over.
 #[derive(Debug)]
 pub struct LeadershipView<'a> {
@@ -147,8 +184,8 @@
     pub shard: &'a str,
     /// The shard's failure domains.
     pub domains: &'a [String],
-    /// Whether this instance reaches the store.
-    pub store_reachable: bool,
+    /// The state of this instance's calls to the store.
+    pub store: StoreHealth,
     /// The peers, by name.
     pub peers: &'a HashMap<String, PeerView>,
     /// When this process began to listen for heartbeats.
@@ -184,6 +221,69 @@
         let heard_at = self.leader_updated_at.unwrap_or(self.since).max(self.since);
         now.duration_since(heard_at) >= LEADER_TIMEOUT
     }
+
+    /// Returns since when a leader whose heartbeats arrive needs a successor because it does not
+    /// reach the store: since it resigned, or since [`STORE_RETURN_DELAY`] has passed in which the
+    /// store served this instance. `None` if it needs none.
+    fn leader_rejected_since(&self, leader: &PeerView, now: Instant) -> Option<Instant> {
+        let unreachable_since = leader.unreachable_since?;
+        // The newest heartbeat of a leader that has resigned does not name it as the leader.
+        if self
+            .leader_updated_at
+            .is_none_or(|at| at < leader.last_heard)
+        {
+            return Some(self.leader_silent_since());
+        }
+        let starts = [self.store.reachable_since, self.impaired_at];
+        let start = starts
+            .into_iter()
+            .flatten()
+            .fold(unreachable_since, Instant::max);
+        let rejected_since = start + STORE_RETURN_DELAY;
+        let is_served = self.store.served_at.is_some_and(|at| at > start);
+        (is_served && rejected_since <= now).then_some(rejected_since)
+    }
+
+    /// Returns whether the store serves this instance again only since [`STORE_RETURN_DELAY`],
+    /// and `peer` is larger, alive and not served yet.
+    fn may_larger_peer_reach_store(&self, peer: &PeerView, now: Instant) -> bool {
+        let is_recent = |at| now.duration_since(at) < STORE_RETURN_DELAY;
+        self.store.reachable_since.is_some_and(is_recent)
+            && now.duration_since(peer.last_heard) < PEER_TIMEOUT
+            && !peer.store_reachable
+            && !peer.shutting_down
+            && size_class(peer.cpu_share) > size_class(self.cpu_share)
+    }
+}
+
+/// Why an instance takes a shard over.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TakeoverReason {
+    /// No leader is known, or its process is not the one that led the shard.
+    NoLeader,
+    /// The leader is shutting down.
+    ShuttingDown,
+    /// The leader has resigned, or is heard but does not reach the store.
+    StoreUnreachable,
+    /// The leader is silent.
+    Silent,
+    /// Only a minority of the peers is heard, and the leader's heartbeat in the store is stale.
+    StaleStoreHeartbeat,
+    /// The leader is much smaller than this instance.
+    TooSmall,
+}
+
+impl fmt::Display for TakeoverReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NoLeader => "no_leader",
+            Self::ShuttingDown => "shutting_down",
+            Self::StoreUnreachable => "store_unreachable",
+            Self::Silent => "silent",
+            Self::StaleStoreHeartbeat => "stale_store_heartbeat",
+            Self::TooSmall => "too_small",
+        })
+    }
 }
 
 /// Returns whether this instance hears from only a minority of the instances, itself included.
@@ -202,23 +302,80 @@
     (heard + 1) * 2 < expected + 1
 }
 
-/// Returns whether the store rejects this instance: a peer reaches the store, but this instance
-/// does not.
-pub fn is_rejected_by_store(
-    store_reachable: bool,
-    peers: &HashMap<String, PeerView>,
-    now: Instant,
-) -> bool {
-    let reaches_store = |p: &PeerView| {
-        now.duration_since(p.last_heard) < STORE_REPORT_TTL && p.store_reachable && !p.shutting_down
-    };
-    !store_reachable && peers.values().any(reaches_store)
+/// A call of a peer that the store served while it failed those of this instance.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ServedPeer {
+    /// The peer.
+    pub name: String,
+    /// A time after which the store served the peer, as [`PeerView::served_at`].
+    pub served_at: Instant,
 }
 
-/// Returns whether this instance should try to take the shard over now.
-pub fn should_take_over(view: &LeadershipView<'_>, now: Instant) -> bool {
-    if !view.store_reachable {
-        return false;
+/// Distinguishes a store that rejects this instance from one that serves nobody.
+///
+/// What peers report is older than what this instance sees itself. When the store stops serving
+/// everybody, or serves everybody again, the reports of peers that reach it prove nothing. So the
+/// order of three calls counts: one of this instance that has failed, then one of a peer that was
+/// sent later and succeeded, then one of this instance that was sent after that and has failed.
+#[derive(Debug, Default)]
+pub struct RejectionCheck {
+    /// The first call of a peer that was sent after the calls of this instance began to fail.
+    served_peer: Option<ServedPeer>,
+    is_rejected: bool,
+}
+
+impl RejectionCheck {
+    /// Updates the check with the present state of this instance's calls and of its peers.
+    /// `stalled_at` is when this instance last stalled; heartbeats that were sent before were
+    /// received late.
+    pub fn update(
+        &mut self,
+        store: &StoreHealth,
+        peers: &HashMap<String, PeerView>,
+        stalled_at: Option<Instant>,
+        now: Instant,
+    ) {
+        self.is_rejected = false;
+        let Some(failing_since) = store.failing_since else {
+            self.served_peer = None;
+            return;
+        };
+        let first_evidence = stalled_at.max(Some(failing_since)).unwrap_or(failing_since);
+        let first_evidence = first_evidence + MAX_HEARTBEAT_DELAY;
+        let can_lead = |p: &PeerView| {
+            now.duration_since(p.last_heard) < STORE_REPORT_TTL
+                && p.store_reachable
+                && !p.shutting_down
+        };
+        let is_evidence = |served: &ServedPeer| served.served_at > first_evidence;
+        self.served_peer = self.served_peer.take().filter(is_evidence).or_else(|| {
+            let served = peers.iter().filter(|(_, p)| can_lead(p));
+            let served = served.filter_map(|(name, p)| {
+                Some(ServedPeer {
+                    name: name.clone(),
+                    served_at: p.served_at?,
+                })
+            });
+            served.filter(is_evidence).min_by_key(|s| s.served_at)
+        });
+        let has_failed_since = self
+            .served_peer
+            .as_ref()
+            .is_some_and(|served| store.failed_call_sent > Some(served.served_at));
+        self.is_rejected = !store.reachable && has_failed_since && peers.values().any(can_lead);
+    }
+
+    /// Returns the peer that shows that the store rejects only this instance, or a part of the
+    /// instances; `None` if it reaches the store, or nothing shows that the store serves a peer.
+    pub fn rejected_unlike(&self) -> Option<&ServedPeer> {
+        self.served_peer.as_ref().filter(|_| self.is_rejected)
+    }
+}
+
+/// Returns why this instance should try to take the shard over now; `None` if it should not.
+pub fn takeover_reason(view: &LeadershipView<'_>, now: Instant) -> Option<TakeoverReason> {
+    if !view.store.reachable {
+        return None;
     }
     let is_shard_domain = |domain: &str| view.domains.iter().any(|d| d == domain);
     let is_in_shard_domain = is_shard_domain(view.domain);
@@ -228,19 +385,33 @@
         .peers
         .iter()
         .filter(|(_, p)| is_shard_domain(&p.domain));
-    let silence = now.duration_since(view.leader_silent_since());
-    let is_leaderless = match view.leader {
-        None => true,
-        // A leader that restarted, is shutting down or can't reach the store is replaced.
-        Some((name, incarnation)) if name == view.own_name => incarnation != view.incarnation,
-        Some((name, incarnation)) => view.peers.get(name).is_some_and(|p| {
-            is_alive(p) && (p.incarnation != incarnation || p.shutting_down || !p.store_reachable)
-        }),
+    // A leader that restarted, is shutting down, has resigned or is rejected by the store is replaced
+    // although it is not silent.
+    let silent_since = view.leader_silent_since();
+    let absence = match view.leader {
+        None => Some((TakeoverReason::NoLeader, silent_since)),
+        Some((name, incarnation)) if name == view.own_name => {
+            (incarnation != view.incarnation).then_some((TakeoverReason::NoLeader, silent_since))
+        }
+        Some((name, incarnation)) => {
+            let leader = view.peers.get(name).filter(|p| is_alive(p));
+            leader.and_then(|p| {
+                if p.incarnation != incarnation {
+                    Some((TakeoverReason::NoLeader, silent_since))
+                } else if p.shutting_down {
+                    Some((TakeoverReason::ShuttingDown, silent_since))
+                } else {
+                    let since = view.leader_rejected_since(p, now)?;
+                    Some((TakeoverReason::StoreUnreachable, since))
+                }
+            })
+        }
     };
-    if !is_leaderless && is_minority(view.peers, now) {
+    if absence.is_none() && is_minority(view.peers, now) {
         // The leader may be healthy but unheard here, so its heartbeat in the store decides.
         let is_stale = |at: Instant| now.duration_since(at) >= STORE_HEARTBEAT_TIMEOUT;
-        return view.store_heartbeat_changed.is_some_and(is_stale);
+        let is_stale = view.store_heartbeat_changed.is_some_and(is_stale);
+        return is_stale.then_some(TakeoverReason::StaleStoreHeartbeat);
     }
     if !is_in_shard_domain {
         let shard_domain_peers =
@@ -248,11 +419,20 @@
         let last_heard = shard_domain_peers.map(|(_, p)| p.last_heard).max();
         let shard_domains_silent_since = last_heard.unwrap_or(view.since).max(view.since);
         if now.duration_since(shard_domains_silent_since) < OTHER_DOMAIN_DELAY {
-            return false;
+            return None;
         }
     }
-    let rivals = view.peers.iter().filter(|(_, p)| is_eligible(p));
-    let rivals = rivals.filter(|(_, p)| is_shard_domain(&p.domain) == is_in_shard_domain);
+    let rivals = view
+        .peers
+        .iter()
+        .filter(|(_, p)| is_shard_domain(&p.domain) == is_in_shard_domain);
+    if rivals
+        .clone()
+        .any(|(_, p)| view.may_larger_peer_reach_store(p, now))
+    {
+        return None;
+    }
+    let rivals = rivals.filter(|(_, p)| is_eligible(p));
     // Among instances of similar size the last leader ranks first, so that it gets its shard back
     // after a restart.
     let leader_name = view.leader.map(|(name, _)| name);
@@ -264,31 +444,36 @@
     let better_candidates =
         rivals.filter(|(name, p)| takeover_order(name, p.cpu_share) < own_order);
     let delay = RANK_DELAY * u32::try_from(better_candidates.count()).unwrap_or(u32::MAX);
-    if !is_leaderless && is_leader_too_small(view, delay, now) {
-        return true;
+    if absence.is_none() && is_leader_too_small(view, delay, now) {
+        return Some(TakeoverReason::TooSmall);
     }
-    let required_silence = if is_leaderless {
-        Duration::ZERO
-    } else {
-        LEADER_TIMEOUT
-    };
+    let (reason, absent_since) =
+        absence.unwrap_or((TakeoverReason::Silent, silent_since + LEADER_TIMEOUT));
     // If no leader is known, as after a start, wait until an existing leader would be heard.
     let startup_delay = if view.leader.is_none() {
         LEADER_TIMEOUT
     } else {
         Duration::ZERO
     };
-    silence >= required_silence + delay + startup_delay
+    // The candidates take their turns from when the store serves them.
+    let due_since = absent_since + startup_delay;
+    let due_since = view
+        .store
+        .reachable_since
+        .map_or(due_since, |at| at.max(due_since));
+    (due_since + delay <= now).then_some(reason)
 }
 
 /// Returns whether the leader has much less processor time than this instance, and both have been
 /// steady for [`MIN_LEADERSHIP`] and `delay`.
 fn is_leader_too_small(view: &LeadershipView<'_>, delay: Duration, now: Instant) -> bool {
     let leader = view.leader.and_then(|(name, _)| view.peers.get(name));
-    let is_smaller = leader.is_some_and(|p| size_class(p.cpu_share) < size_class(view.cpu_share));
+    let is_smaller = leader
+        .is_some_and(|p| p.store_reachable && size_class(p.cpu_share) < size_class(view.cpu_share));
     let since = view
         .leader_since
         .max(view.impaired_at)
+        .max(view.store.reachable_since)
         .max(Some(view.since));
     is_smaller
         && view.leader_since.is_some()
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -30,8 +30,8 @@
         sched::{
             job::{JobId, JobSpec, TaskName},
             leadership::{
-                LeadershipView, PeerView, TakeoverDelay, is_minority, is_rejected_by_store,
-                should_take_over,
+                LeadershipView, MAX_HEARTBEAT_DELAY, PeerView, RejectionCheck, TakeoverDelay,
+                TakeoverReason, is_minority, takeover_reason,
             },
             progress::JobState,
             queues::Queues,
@@ -64,7 +64,7 @@
 const LEADER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// The gap between two ticks above which this process counts as stalled.
-const STALL_THRESHOLD: Duration = Duration::from_millis(450);
+const STALL_THRESHOLD: Duration = MAX_HEARTBEAT_DELAY;
 
 /// The interval of the summary log lines of the led shards.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(2);
@@ -155,6 +155,12 @@
     busy: Duration,
     /// When this instance last stalled or heard from only a minority of its peers.
     impaired_at: Option<Instant>,
+    /// When this process last stalled.
+    stalled_at: Option<Instant>,
+    /// What the last heartbeats said about whether the store is reachable.
+    sent_store_reachable: bool,
+    /// Whether the store rejects this instance.
+    rejection: RejectionCheck,
 }
 
 impl Actor for Control {
@@ -214,6 +220,9 @@
             max_event_wait: Duration::ZERO,
             busy: Duration::ZERO,
             impaired_at: None,
+            stalled_at: None,
+            sent_store_reachable: true,
+            rejection: RejectionCheck::default(),
         }
     }
 
@@ -224,9 +233,14 @@
         if gap > STALL_THRESHOLD {
             log::warn!("entry: the process stalled for {} ms.", gap.as_millis());
             self.impaired_at = Some(now);
+            self.stalled_at = Some(now);
         }
         self.last_tick = now;
-        self.send_heartbeats(now, false);
+        // Peers wait with their decisions until they hear that this instance reaches the store again.
+        let store_reachable = self.store.is_reachable();
+        let has_changed = store_reachable != self.sent_store_reachable;
+        self.sent_store_reachable = store_reachable;
+        self.send_heartbeats(now, has_changed);
         self.check_leadership(now);
         self.write_store_heartbeats(now);
         let shards: Vec<_> = self.led_shards.keys().cloned().collect();
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -6,7 +6,8 @@
 
 use super::*;
 
-/// The interval of store heartbeats while a led shard waits for a confirmation.
+/// The interval of store heartbeats while a led shard waits for a confirmation, or calls to the store
+/// fail: the leader must notice soon that the store serves it again, and that it still does not.
 const AWAITED_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 
 /// The maximum age of the last confirmation with which a leader that hears only a minority of its
@@ -34,17 +35,25 @@
         }
     }
 
-    /// Returns whether the store is unreachable for this instance but reachable for a peer.
-    pub(super) fn is_rejected_by_store(&self, now: Instant) -> bool {
-        is_rejected_by_store(self.store.is_reachable(), &self.peer_views, now)
-    }
-
     /// Resigns shards that this instance can't lead any more, and takes over shards that need a
     /// new leader.
     pub(super) fn check_leadership(&mut self, now: Instant) {
-        let store_reachable = self.store.is_reachable();
-        if self.is_rejected_by_store(now) && !self.led_shards.is_empty() {
-            log::warn!("lead: resigning, the store rejects this instance but serves a peer.");
+        let health = self.store.health();
+        self.rejection
+            .update(&health, &self.peer_views, self.stalled_at, now);
+        if let Some(served) = self.rejection.rejected_unlike()
+            && !self.led_shards.is_empty()
+        {
+            let ms_ago = |at: Option<Instant>| {
+                at.map_or(0, |at| now.saturating_duration_since(at).as_millis())
+            };
+            log::warn!(
+                "lead: resigning, the store rejects this instance but serves a peer: failing_ms={} failed_call_ms={} peer={} served_ms={}.",
+                ms_ago(health.failing_since),
+                ms_ago(health.failed_call_sent),
+                served.name,
+                ms_ago(Some(served.served_at)),
+            );
             self.resign_all(now);
         }
         self.resign_unconfirmed(now);
@@ -82,7 +91,7 @@
                 domain: &self.settings.domain,
                 shard: &shard,
                 domains: self.settings.domains_of(&shard),
-                store_reachable,
+                store: health,
                 peers: &self.peer_views,
                 since: self.started_at,
                 leader: leadership
@@ -100,8 +109,8 @@
                     silent_leaders.push(shard.clone());
                 }
             }
-            if should_take_over(&view, now) {
-                self.take_over(&shard);
+            if let Some(reason) = takeover_reason(&view, now) {
+                self.take_over(&shard, reason);
             }
         }
         if impaired {
@@ -166,7 +175,8 @@
             .led_shards
             .values()
             .any(|l| l.shard.awaits_confirmation());
-        let interval = if is_awaited {
+        let is_failing = self.store.health().failing_since.is_some();
+        let interval = if is_awaited || is_failing {
             AWAITED_HEARTBEAT_INTERVAL
         } else {
             STORE_HEARTBEAT_INTERVAL
@@ -212,18 +222,15 @@
     }
 
     /// Starts the takeover of a shard; [`Event::TakenOver`] delivers the result.
-    pub(super) fn take_over(&mut self, shard: &str) {
+    pub(super) fn take_over(&mut self, shard: &str, reason: TakeoverReason) {
         let Some(address) = self.address.clone() else {
             return;
         };
         if let Some(leadership) = self.leadership.get_mut(shard) {
             leadership.taking_over = true;
         }
-        log::info!(
-            "lead: shard={shard} taking over cpu_share={}.",
-            self.settings.cpu_share
-        );
         let now = self.clock.now();
+        self.log_takeover(shard, reason, now);
         self.send_heartbeats(now, true);
         let leadership = self.leadership.get(shard);
         let working_leader = leadership.is_some_and(|l| {
@@ -241,6 +248,31 @@
         });
     }
 
+    /// Logs why this instance takes a shard over, with the state of the leader and of the store.
+    fn log_takeover(&self, shard: &str, reason: TakeoverReason, now: Instant) {
+        let ms_ago = |at: Option<Instant>| {
+            let age = at.map(|at| now.saturating_duration_since(at).as_millis());
+            age.map_or_else(|| "none".to_owned(), |ms| ms.to_string())
+        };
+        let leadership = self.leadership.get(shard);
+        let leader = leadership.and_then(|l| Some(l.leader.as_ref()?.0.as_str()));
+        let peer = leader.and_then(|name| self.peer_views.get(name));
+        log::info!(
+            "lead: shard={shard} taking over cpu_share={} reason={reason} leader={} leader_cpu_share={} leader_heard_ms={} leader_named_ms={} leader_unreachable_ms={} store_back_ms={} peers_unreachable={}.",
+            self.settings.cpu_share,
+            leader.unwrap_or("none"),
+            peer.map_or(0, |p| p.cpu_share),
+            ms_ago(peer.map(|p| p.last_heard)),
+            ms_ago(leadership.and_then(|l| l.leader_updated_at)),
+            ms_ago(peer.and_then(|p| p.unreachable_since)),
+            ms_ago(self.store.health().reachable_since),
+            self.peer_views
+                .values()
+                .filter(|p| !p.store_reachable)
+                .count(),
+        );
+    }
+
     /// Starts to lead a shard after a successful takeover, or records which instance was first.
     pub(super) fn on_takeover(
         &mut self,
