Measure the parts of a takeover

Cause: a takeover logs its start and its end, so nobody can tell whether the lease row, the rows or the workers' reports took the time.

Change: the times to the written lease row, the read rows, the first report and the first dispatch of inherited work are logged as one line ("takeover times") and kept in the histogram mgb_takeover_seconds.

Conclusion: the figures of a takeover can be read from one line.

--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -16,6 +16,7 @@
 //! - `losses`: lost processes of workers, and the tasks that ran on them.
 //! - `moves`: moves jobs to less loaded shards before they start.
 //! - `queries`: states of jobs, counts and loads, for callers and other instances.
+//! - `restoring`: a new leader, before it has dispatched the work of earlier leaders.
 //! - `runs`: adds and removes runs on workers, and accounts for their resources.
 //! - `summary`: what waits and what is free, for the log and the metrics.
 //! - `tails`: tail latencies of serving tasks, and the throttles that follow from them.
@@ -35,6 +36,7 @@
 mod losses;
 mod moves;
 mod queries;
+mod restoring;
 mod runs;
 mod state;
 mod summary;
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -357,9 +357,7 @@
             }
             Event::Report(shard, token, worker, report, sent_at) => {
                 if let Some(leader) = self.shard_leader(&shard, token) {
-                    leader
-                        .shard
-                        .on_report(&worker, &report, sent_at, now, unix_ms);
+                    leader.on_report(&worker, &report, sent_at, now, unix_ms);
                     self.advance_shard(&shard, now);
                 }
             }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -17,5 +17,6 @@
 pub mod settings;
 pub mod shard_leader;
 pub mod takeover;
+pub mod takeover_times;
 pub mod view;
 pub mod watch;
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -24,6 +24,11 @@
 /// Latency buckets, in seconds.
 const BUCKETS: [f64; 10] = [0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 3.0];
 
+/// Buckets for the parts of takeovers, in seconds.
+const TAKEOVER_BUCKETS: [f64; 12] = [
+    0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 3.0, 4.0, 6.0, 8.0, 12.0,
+];
+
 /// The metrics of one instance.
 pub struct Metrics {
     registry: Registry,
@@ -48,6 +53,9 @@
     pub places: IntGaugeVec,
     /// CPU of the workers of led shards, by use, in thousandths of a core.
     pub cpu: IntGaugeVec,
+    /// Time from the start of a takeover by this instance to the end of each of its parts, in
+    /// seconds.
+    pub takeover: HistogramVec,
     /// Shards that this instance leads.
     pub led_shards: IntGauge,
     /// The version of the configuration in force; 0 before the first.
@@ -90,6 +98,12 @@
         );
         let event_wait = Histogram::with_opts(opts.buckets(BUCKETS.to_vec()))?;
         registry.register(Box::new(event_wait.clone()))?;
+        let opts = HistogramOpts::new(
+            "mgb_takeover_seconds",
+            "Time from the start of a takeover to the end of a part.",
+        );
+        let takeover = HistogramVec::new(opts.buckets(TAKEOVER_BUCKETS.to_vec()), &["part"])?;
+        registry.register(Box::new(takeover.clone()))?;
         let gauges = |name: &str, help: &str, labels: &[&str]| -> Result<IntGaugeVec> {
             let gauges = IntGaugeVec::new(Opts::new(name, help), labels)?;
             registry.register(Box::new(gauges.clone()))?;
@@ -132,6 +146,7 @@
             waiting,
             places,
             cpu,
+            takeover,
             led_shards,
             config_version,
             config_age,
--- a/crates/scheduler/src/shard_leader.rs
+++ b/crates/scheduler/src/shard_leader.rs
@@ -7,6 +7,7 @@
         metrics::Metrics,
         settings::ShardSettings,
         takeover::TakeoverState,
+        takeover_times::{Part, TakeoverTimes},
     },
     marigoldbend_core::{
         hash::HashMap,
@@ -80,6 +81,8 @@
     pub max_intake_ms: u64,
     /// Whether an [`Event::Wake`](crate::control::Event::Wake) is scheduled.
     pub wake_scheduled: bool,
+    /// How long the parts of the takeover took.
+    times: TakeoverTimes,
     /// The links to the workers, by name.
     links: HashMap<String, WorkerLink>,
     /// When a report was last requested, by worker.
@@ -108,6 +111,9 @@
         now: Instant,
         unix_ms: u64,
     ) -> Self {
+        let mut times = TakeoverTimes::new(state.started_at);
+        times.record(Part::Lease, state.leased_at, &metrics);
+        times.record(Part::Rows, now, &metrics);
         let mut shard = Shard::new(params, state.token, now);
         shard.restore_interference(&state.interference);
         for (worker, address) in &state.workers_in_use {
@@ -134,6 +140,7 @@
             job_watch: None,
             max_intake_ms: 0,
             wake_scheduled: false,
+            times,
             links: HashMap::default(),
             report_requested_at: HashMap::default(),
             journal: Journal::new(state.token, state.head_version),
@@ -249,6 +256,19 @@
         })
     }
 
+    /// Processes a worker's report, which was requested at `sent_at`.
+    pub fn on_report(
+        &mut self,
+        worker: &str,
+        report: &Report,
+        sent_at: Instant,
+        now: Instant,
+        unix_ms: u64,
+    ) {
+        self.times.record(Part::FirstReport, now, &self.metrics);
+        self.shard.on_report(worker, report, sent_at, now, unix_ms);
+    }
+
     /// Polls the state machine, sends its commands to the workers, and returns the commands that
     /// are not for workers.
     pub fn dispatch_commands(&mut self, now: Instant, unix_ms: u64) -> Vec<Command> {
@@ -259,6 +279,14 @@
         if self.shard.last_dispatch_at() != previous_dispatch_at {
             self.shard.record_dispatch_duration(start.elapsed());
         }
+        if !self.shard.awaits_unknown_runs(now) {
+            // Without a worker there is no report to wait for.
+            let ended = self.times.record(Part::FirstReport, now, &self.metrics)
+                | self.times.record(Part::Dispatch, now, &self.metrics);
+            if ended {
+                log::info!("lead: shard={} takeover times: {}.", self.name, self.times);
+            }
+        }
         for command in commands {
             let (Command::Start { worker, .. }
             | Command::Stop { worker, .. }
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -17,7 +17,10 @@
     },
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     snafu::Snafu,
-    std::{collections::BTreeMap, time::Duration},
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
     tokio::time::timeout,
 };
 
@@ -52,6 +55,10 @@
 /// The stored state of a shard that a new leader starts from.
 #[derive(Debug)]
 pub struct TakeoverState {
+    /// When the takeover started.
+    pub started_at: Instant,
+    /// When the write of the lease row was confirmed.
+    pub leased_at: Instant,
     /// The fencing token of the new leadership.
     pub token: u64,
     /// The version of the lease row.
@@ -123,13 +130,20 @@
     (name, incarnation): (&str, u64),
     working_leader: bool,
 ) -> Result<TakeoverState> {
+    let started_at = store.now();
     let takeover = async {
         if working_leader {
             store.part(&keys::jobs_table(shard), shard).await?;
             store.part(&keys::progress_table(shard), shard).await?;
         }
         let lease = take_lease(store, shard, name, incarnation).await?;
-        read_state(store, shard, lease).await
+        let leased_at = store.now();
+        let state = read_state(store, shard, lease).await?;
+        Ok(TakeoverState {
+            started_at,
+            leased_at,
+            ..state
+        })
     };
     let result = timeout(MAX_TAKEOVER_TIME, takeover).await;
     result.unwrap_or(Err(TakeoverError::TooSlow))
@@ -144,7 +158,10 @@
     let jobs_table = keys::jobs_table(shard);
     let jobs = store.part(&jobs_table, shard).await?;
     let progress = store.part(&keys::progress_table(shard), shard).await?;
+    let now = store.now();
     let mut state = TakeoverState {
+        started_at: now,
+        leased_at: now,
         token,
         lease_version,
         head_version: 0,
