Renew the leases of the workers while a takeover reads the rows

Cause: a new leader asks the workers only when it has read all rows, 2.0 to 4.9 s after its lease row is written. Nobody renews leases meanwhile, as the workers refuse nobody but the lease row has stopped the predecessor, so the long-running tasks of the whole fleet lapse together. The wait for unknown runs counts from the end of reading as well, which stops nobody.

Change: with the reply to the lease row's write the instance becomes a restoring leader, kept apart from the led shards. It requests reports from the workers in its list and, as soon as that row is read, from those in @workers, with the new token, and renews their leases. It is not announced, has no jobs, sends no commands and acknowledges no ends. It keeps the last report of each worker; when the rows are read these are processed as if they came then, but with the time at which they were requested, and the links stay open. It reads the lease row every second and ends if another instance holds it, or under the conditions under which a leader resigns. After a failed reading it stays, and the retry by the same instance keeps the token. unknown_run_limit counts from the reply to the lease row's write: the store applies no write of the predecessor after that row has changed, so its last confirmed write was sent before. The first confirmation of a leadership is now the send time of the lease row's write, not the end of reading, which was too late for a successor that relies on it.

Conclusion: leases survive a takeover however long the rows take, and inherited work can start with the first dispatch.

--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -45,5 +45,6 @@
 mod workers;
 
 pub use losses::LossCounts;
+pub use restoring::RestoringShard;
 pub use state::{Batch, Command, JobOrigin, Params, ServiceLoad, Shard};
 pub use summary::{Summary, Waiting, WorkKind};
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -31,7 +31,7 @@
 
 /// The number of fencing tokens per leader token. Each incarnation of a worker that the leader
 /// observes gets its own fencing token.
-const TOKENS_PER_LEADER: u64 = 64;
+pub(super) const TOKENS_PER_LEADER: u64 = 64;
 
 /// The delay before a failed move of a job to another shard is retried.
 const MOVE_RETRY_DELAY: Duration = Duration::from_secs(1);
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -5,6 +5,7 @@
 mod leadership;
 mod peers;
 mod publish;
+mod restoring;
 mod watches;
 
 pub use events::{
@@ -17,9 +18,10 @@
         commands::{CommandResult, ReportRequest},
         keys,
         metrics::Metrics,
+        restoring_leader::RestoringLeader,
         settings::Settings,
         shard_leader::{Callbacks, ShardLeader},
-        takeover::{self, TakeoverError, TakeoverState},
+        takeover::{self, Lease, TakeoverError, TakeoverState, TakeoverStep},
         view::{LeaderView, View},
         watch::{self, CatchUp, Update, WatchEvent, WatchTarget},
     },
@@ -131,6 +133,9 @@
     leadership: HashMap<String, ShardLeadership>,
     /// The shards that this instance leads, by name.
     led_shards: HashMap<String, ShardLeader>,
+    /// The shards whose lease row names this instance and whose rows it still reads or has failed to
+    /// read, by name.
+    restoring: HashMap<String, RestoringLeader>,
     /// When this instance took a shard over, by shard.
     led_since: HashMap<String, Instant>,
     /// The configuration, which defines the queues; `None` before the first one is read.
@@ -200,6 +205,7 @@
             peers: HashMap::default(),
             peer_views: HashMap::default(),
             led_shards: HashMap::default(),
+            restoring: HashMap::default(),
             led_since: HashMap::default(),
             config: None,
             config_as_of: None,
@@ -228,6 +234,7 @@
         self.last_tick = now;
         self.send_heartbeats(now, false);
         self.check_leadership(now);
+        self.check_restoring(now);
         self.write_store_heartbeats(now);
         let shards: Vec<_> = self.led_shards.keys().cloned().collect();
         for shard in shards {
@@ -341,6 +348,14 @@
             Event::KnownInstances { instances, leases } => {
                 self.on_known_instances(instances, leases, now)
             }
+            Event::TakeoverStep(shard, TakeoverStep::LeaseTaken(lease)) => {
+                self.on_lease_taken(&shard, lease, now)
+            }
+            Event::TakeoverStep(shard, TakeoverStep::WorkersInUse(token, workers)) => {
+                if let Some(restoring) = self.restoring_leader(&shard, token) {
+                    restoring.add_workers_in_use(&workers);
+                }
+            }
             Event::TakenOver(shard, result) => self.on_takeover(&shard, result, now),
             Event::JobRows(shard, token, rows) => {
                 if let Some(leader) = self.shard_leader(&shard, token) {
@@ -359,6 +374,8 @@
                 if let Some(leader) = self.shard_leader(&shard, token) {
                     leader.on_report(&worker, &report, sent_at, now, unix_ms);
                     self.advance_shard(&shard, now);
+                } else if let Some(restoring) = self.restoring_leader(&shard, token) {
+                    restoring.on_report(&worker, report, sent_at, now);
                 }
             }
             Event::ConnectionLost(shard, token, worker) => {
@@ -381,11 +398,16 @@
             Event::LeadershipConfirmed(shard, token, sent_at) => {
                 if let Some(leader) = self.shard_leader(&shard, token) {
                     leader.shard.confirm(sent_at);
+                } else if let Some(restoring) = self.restoring_leader(&shard, token) {
+                    restoring.shard.confirm(sent_at);
                 }
             }
             Event::Replaced(shard, token) => {
                 if self.shard_leader(&shard, token).is_some() {
                     self.resign(&shard, "the store shows another leader");
+                } else if self.restoring_leader(&shard, token).is_some() {
+                    log::info!("lead: shard={shard} token={token} the store shows another leader.");
+                    self.restoring.remove(&shard);
                 }
             }
             Event::Wake(shard, token) => {
@@ -449,6 +471,9 @@
     ) -> Option<ReportRequest> {
         let now = self.clock.now();
         let NextReportRequest(shard, token, worker) = request;
+        if let Some(restoring) = self.restoring_leader(&shard, token) {
+            return restoring.next_report_request(&worker, now);
+        }
         self.shard_leader(&shard, token)?
             .next_report_request(&worker, now)
     }
--- a/crates/scheduler/src/control/events.rs
+++ b/crates/scheduler/src/control/events.rs
@@ -5,7 +5,7 @@
 /// An event that changes the control state.
 ///
 /// The fields of events about a shard begin with the shard's name, followed by the fencing token of
-/// the leadership that caused the event, except for `TakenOver` and `StoreHeartbeat`. An event with
+/// the leadership that caused the event, except for `TakeoverStep`, `TakenOver` and `StoreHeartbeat`. An event with
 /// any other token than the current one is ignored.
 #[derive(Debug)]
 pub enum Event {
@@ -45,6 +45,8 @@
         /// Name of each shard that has a lease row, with the leader's name and incarnation.
         leases: Vec<(String, String, u64)>,
     },
+    /// A takeover of a shard by this instance has made progress.
+    TakeoverStep(String, TakeoverStep),
     /// A takeover of a shard by this instance succeeded or failed.
     TakenOver(String, Result<TakeoverState, TakeoverError>),
     /// Rows of the job table of a led shard were read.
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -12,7 +12,7 @@
 /// The maximum age of the last confirmation with which a leader that hears only a minority of its
 /// peers continues to lead. A successor relies on this limit before it restarts tasks that may
 /// still run elsewhere.
-const UNCONFIRMED_LIMIT: Duration = Duration::from_millis(2_000);
+pub(super) const UNCONFIRMED_LIMIT: Duration = Duration::from_millis(2_000);
 
 /// The interval of a leader's store heartbeats.
 const STORE_HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
@@ -235,8 +235,14 @@
         let incarnation = self.incarnation;
         let shard = shard.to_owned();
         tokio::spawn(async move {
+            let on_step = |step| -> crate::commands::BoxFuture<()> {
+                let event = Event::TakeoverStep(shard.clone(), step);
+                let to = address.clone();
+                Box::pin(async move { send_event(&to, event).await })
+            };
+            let instance = (name.as_str(), incarnation);
             let state =
-                takeover::take_over(&store, &shard, (&name, incarnation), working_leader).await;
+                takeover::take_over(&store, &shard, instance, working_leader, &on_step).await;
             send_event(&address, Event::TakenOver(shard, state)).await;
         });
     }
@@ -257,7 +263,10 @@
             Ok(state) => state,
             Err(e) => {
                 log::info!("lead: shard={shard} takeover failed: {e}.");
+                // After any other failure the leases of the workers are still renewed, as the lease
+                // row may name this instance, and then nobody leads.
                 if let TakeoverError::Lost { holder, token } = e {
+                    self.restoring.remove(shard);
                     leadership.takeover_delay.on_decided(now);
                     leadership.leader = Some((holder, 0));
                     leadership.token = token;
@@ -270,52 +279,41 @@
                 return;
             }
         };
-        if leadership.token > state.token || self.shutting_down {
+        let token = state.lease.token;
+        let restoring = self.restoring.remove(shard);
+        let restoring = restoring.filter(|r| r.lease.token == token);
+        let is_current = leadership.token <= token && !self.shutting_down;
+        let Some(restoring) = restoring.filter(|_| is_current) else {
             log::info!(
-                "lead: shard={shard} takeover dropped token={} newest={} shutting_down={}.",
-                state.token,
+                "lead: shard={shard} takeover dropped token={token} newest={} shutting_down={}.",
                 leadership.token,
                 self.shutting_down
             );
+            if is_current {
+                leadership.takeover_delay.on_failure(now);
+            }
             return;
-        }
+        };
         log::info!(
-            "lead: shard={shard} taken over token={} jobs={} workers={} pairs={}.",
-            state.token,
+            "lead: shard={shard} taken over token={token} jobs={} workers={} pairs={}.",
             state.jobs.len(),
             state.workers_in_use.len(),
             state.interference.len(),
         );
         leadership.takeover_delay.on_decided(now);
         leadership.leader = Some((name, self.incarnation));
-        leadership.token = state.token;
+        leadership.token = token;
         leadership.leader_updated_at = Some(now);
-        let token = state.token;
         let after_version = state.watch_from;
-        let Some(callbacks) = self.callbacks(shard, token) else {
-            return;
-        };
         let params = self.params();
         let cancelled = state.cancelled.clone();
-        let Some(shard_settings) = self.settings.shards.iter().find(|s| s.name == shard) else {
-            return;
-        };
-        let mut leader = ShardLeader::new(
-            shard_settings,
-            state,
-            params,
-            callbacks,
-            self.metrics.clone(),
-            now,
-            unix_ms(),
-        );
+        let mut leader = ShardLeader::new(restoring, state, &self.workers, params, now, unix_ms());
         for job in cancelled
             .into_iter()
             .filter(|job| !leader.shard.contains_job(*job))
         {
             self.forward_cancel(shard, job);
         }
-        leader.update_workers(&self.workers, now);
         leader.job_watch = self.watch_jobs(shard, token, after_version);
         self.led_shards.insert(shard.to_owned(), leader);
         self.led_since.insert(shard.to_owned(), now);
--- a/crates/scheduler/src/control/publish.rs
+++ b/crates/scheduler/src/control/publish.rs
@@ -45,6 +45,9 @@
             }
         }
         self.labels = Arc::new(labels);
+        for restoring in self.restoring.values_mut() {
+            restoring.update_workers(&self.workers);
+        }
         let shards: Vec<_> = self.led_shards.keys().cloned().collect();
         for shard in shards {
             if let Some(leader) = self.led_shards.get_mut(&shard) {
--- /dev/null
+++ b/crates/scheduler/src/control/restoring.rs
@@ -0,0 +1,112 @@
+//! Leaderships whose lease row is written, while the rows of their shards are read.
+
+use super::{leadership::UNCONFIRMED_LIMIT, *};
+
+/// The interval at which the lease row is read to confirm that this instance still holds it.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_secs(1);
+
+impl Control {
+    /// Starts to renew the leases of the workers of a shard whose lease row names this instance.
+    ///
+    /// After a takeover that failed, the next one by this instance finds the same lease row, and
+    /// the leadership of the first continues.
+    pub(super) fn on_lease_taken(&mut self, shard: &str, lease: Lease, now: Instant) {
+        let newest = self.leadership.get(shard).map_or(0, |l| l.token);
+        if newest > lease.token || self.shutting_down || self.led_shards.contains_key(shard) {
+            return;
+        }
+        if let Some(restoring) = self.restoring.get_mut(shard)
+            && restoring.lease.token == lease.token
+        {
+            restoring.shard.confirm(lease.sent_at);
+            return;
+        }
+        let shard_settings = self.settings.shards.iter().find(|s| s.name == shard);
+        let callbacks = self.callbacks(shard, lease.token);
+        let (Some(shard_settings), Some(callbacks)) = (shard_settings, callbacks) else {
+            return;
+        };
+        let mut restoring = RestoringLeader::new(
+            shard_settings,
+            lease,
+            self.params().lease,
+            callbacks,
+            self.metrics.clone(),
+        );
+        restoring.update_workers(&self.workers);
+        log::info!(
+            "lead: shard={shard} holds the lease row token={} workers={} after_ms={}, renewing leases.",
+            lease.token,
+            restoring.shard.worker_addresses().count(),
+            now.saturating_duration_since(lease.started_at).as_millis()
+        );
+        self.restoring.insert(shard.to_owned(), restoring);
+    }
+
+    /// Returns the restoring leader of a shard; `None` if there is none with this fencing token.
+    pub(super) fn restoring_leader(
+        &mut self,
+        shard: &str,
+        token: u64,
+    ) -> Option<&mut RestoringLeader> {
+        let restoring = self.restoring.get_mut(shard)?;
+        (restoring.lease.token == token).then_some(restoring)
+    }
+
+    /// Drops restoring leaders under the conditions under which a leader resigns, and confirms the
+    /// leadership of the others.
+    ///
+    /// They write no store heartbeat, which would show counts that they don't know; they read the
+    /// lease row instead.
+    pub(super) fn check_restoring(&mut self, now: Instant) {
+        if self.restoring.is_empty() {
+            return;
+        }
+        let is_rejected = self.is_rejected_by_store(now);
+        let in_minority = is_minority(&self.peer_views, now);
+        let (leadership, shutting_down) = (&self.leadership, self.shutting_down);
+        self.restoring.retain(|shard, restoring| {
+            let newest = leadership.get(shard).map_or(0, |l| l.token);
+            let confirmed_at = restoring.shard.confirmed_at();
+            let reason = if shutting_down {
+                "the process is shutting down"
+            } else if newest > restoring.lease.token {
+                "another instance leads the shard"
+            } else if is_rejected {
+                "the store rejects this instance but serves a peer"
+            } else if in_minority && now.duration_since(confirmed_at) > UNCONFIRMED_LIMIT {
+                "neither the store nor most peers are reachable"
+            } else {
+                return true;
+            };
+            log::info!(
+                "lead: shard={shard} token={} renews no leases any more: {reason}.",
+                restoring.lease.token
+            );
+            false
+        });
+        let Some(to) = &self.address else {
+            return;
+        };
+        for restoring in self.restoring.values_mut() {
+            let requested_at = restoring.confirmation_requested_at;
+            if now.saturating_duration_since(requested_at) < CONFIRMATION_INTERVAL {
+                continue;
+            }
+            restoring.confirmation_requested_at = now;
+            let store = self.store.clone();
+            let to = to.clone();
+            let (shard, lease) = (restoring.name.clone(), restoring.lease);
+            tokio::spawn(async move {
+                let event = match takeover::read_lease(&store, &shard).await {
+                    Ok((_, version)) if version == lease.version => {
+                        Event::LeadershipConfirmed(shard, lease.token, now)
+                    }
+                    Ok(_) => Event::Replaced(shard, lease.token),
+                    Err(e) => return log::debug!("lead: reading the lease row failed: {e}."),
+                };
+                send_event(&to, event).await;
+            });
+        }
+    }
+}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -7,6 +7,7 @@
 //!
 //! - [`control`] holds the control state on one thread: peers, leadership and configuration.
 //! - [`shard_leader`] drives the state machine of a shard that this instance leads.
+//! - [`restoring_leader`] keeps the workers' leases while this instance reads a shard's rows.
 //! - [`intake`] serves callers on other threads, from snapshots that the control thread publishes.
 
 pub mod commands;
@@ -14,6 +15,7 @@
 pub mod intake;
 pub mod keys;
 pub mod metrics;
+pub mod restoring_leader;
 pub mod settings;
 pub mod shard_leader;
 pub mod takeover;
--- a/crates/scheduler/src/shard_leader.rs
+++ b/crates/scheduler/src/shard_leader.rs
@@ -5,7 +5,7 @@
         commands::{BoxFuture, CommandResult, ReportRequest, WorkerLink},
         keys,
         metrics::Metrics,
-        settings::ShardSettings,
+        restoring_leader::RestoringLeader,
         takeover::TakeoverState,
         takeover_times::{Part, TakeoverTimes},
     },
@@ -35,7 +35,7 @@
 const MAX_ENTRIES_PER_TX: usize = 90;
 
 /// How long a worker may delay its report while no attempt ends.
-const REPORT_WAIT: Duration = Duration::from_millis(1_000);
+pub(crate) const REPORT_WAIT: Duration = Duration::from_millis(1_000);
 
 /// The value of [`REPORT_WAIT`] for a worker that runs both serving and best-effort tasks.
 const MIXED_LOAD_REPORT_WAIT: Duration = Duration::from_millis(500);
@@ -101,20 +101,29 @@
 }
 
 impl ShardLeader {
-    /// Creates the leader of a shard from its stored state.
+    /// Creates the leader of a shard from its stored state, the platform's whole list of workers and
+    /// what the workers have reported while the rows were read.
     pub fn new(
-        settings: &ShardSettings,
+        restoring: RestoringLeader,
         state: TakeoverState,
+        workers: &HashMap<String, WorkerInfo>,
         params: Params,
-        callbacks: Callbacks,
-        metrics: Arc<Metrics>,
         now: Instant,
         unix_ms: u64,
     ) -> Self {
-        let mut times = TakeoverTimes::new(state.started_at);
-        times.record(Part::Lease, state.leased_at, &metrics);
+        let RestoringLeader {
+            name,
+            domains,
+            lease,
+            shard: restoring_shard,
+            links,
+            callbacks,
+            metrics,
+            mut times,
+            ..
+        } = restoring;
         times.record(Part::Rows, now, &metrics);
-        let mut shard = Shard::new(params, state.token, now);
+        let mut shard = Shard::new(params, lease.token, now);
         shard.restore_interference(&state.interference);
         for (worker, address) in &state.workers_in_use {
             shard.add_worker_in_use(worker, address, now);
@@ -131,26 +140,35 @@
         for id in state.cancelled {
             shard.cancel(id, unix_ms);
         }
-        Self {
-            name: settings.name.clone(),
-            domains: settings.domains.clone(),
-            token: state.token,
-            lease_version: state.lease_version,
+        let mut leader = Self {
+            name,
+            domains,
+            token: lease.token,
+            lease_version: lease.version,
             shard,
             job_watch: None,
             max_intake_ms: 0,
             wake_scheduled: false,
             times,
-            links: HashMap::default(),
+            links,
             report_requested_at: HashMap::default(),
-            journal: Journal::new(state.token, state.head_version),
+            journal: Journal::new(lease.token, state.head_version),
             callbacks,
             metrics,
-        }
+        };
+        leader.list_workers(workers, now);
+        leader.shard.restore_workers(restoring_shard, now, unix_ms);
+        leader.update_links();
+        leader
     }
 
     /// Applies the platform's whole list of workers.
     pub fn update_workers(&mut self, workers: &HashMap<String, WorkerInfo>, now: Instant) {
+        self.list_workers(workers, now);
+        self.update_links();
+    }
+
+    fn list_workers(&mut self, workers: &HashMap<String, WorkerInfo>, now: Instant) {
         let shard_workers = workers
             .values()
             .filter(|w| self.domains.contains(&w.domain));
@@ -167,7 +185,6 @@
                 self.shard.worker_unlisted(&id, now);
             }
         }
-        self.update_links();
     }
 
     /// Applies rows of the shard's job table. Returns the cancelled jobs that this shard does not
@@ -420,29 +437,39 @@
         if !self.shard.take_worker_addresses_changed() {
             return;
         }
-        let addresses: HashMap<_, _> = self.shard.worker_addresses().collect();
-        self.links
-            .retain(|id, link| addresses.get(id.as_str()) == Some(&link.address.as_str()));
-        for (id, address) in addresses {
-            if self.links.contains_key(id) {
-                continue;
-            }
-            let (next_report_request, request_worker) =
-                (self.callbacks.next_report_request.clone(), id.to_owned());
-            let (report, report_worker) = (self.callbacks.report.clone(), id.to_owned());
-            let link = WorkerLink::open(
-                id,
-                address,
-                self.metrics.clone(),
-                move || next_report_request(request_worker.clone()),
-                move |r, sent| report(report_worker.clone(), r, sent),
-            );
-            match link {
-                Some(link) => drop(self.links.insert(id.to_owned(), link)),
-                None => log::warn!(
-                    "lead: worker={id} address={address:?} is not valid, no commands are sent."
-                ),
-            }
+        let addresses = self.shard.worker_addresses().collect();
+        open_links(&mut self.links, addresses, &self.callbacks, &self.metrics);
+    }
+}
+
+/// Opens links to the workers with these ids and addresses, and closes the links to other workers or
+/// other addresses.
+pub(crate) fn open_links(
+    links: &mut HashMap<String, WorkerLink>,
+    addresses: HashMap<&str, &str>,
+    callbacks: &Callbacks,
+    metrics: &Arc<Metrics>,
+) {
+    links.retain(|id, link| addresses.get(id.as_str()) == Some(&link.address.as_str()));
+    for (id, address) in addresses {
+        if links.contains_key(id) {
+            continue;
+        }
+        let (next_report_request, request_worker) =
+            (callbacks.next_report_request.clone(), id.to_owned());
+        let (report, report_worker) = (callbacks.report.clone(), id.to_owned());
+        let link = WorkerLink::open(
+            id,
+            address,
+            metrics.clone(),
+            move || next_report_request(request_worker.clone()),
+            move |r, sent| report(report_worker.clone(), r, sent),
+        );
+        match link {
+            Some(link) => drop(links.insert(id.to_owned(), link)),
+            None => log::warn!(
+                "lead: worker={id} address={address:?} is not valid, no commands are sent."
+            ),
         }
     }
 }
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -4,7 +4,7 @@
 //! grows with each takeover.
 
 use {
-    crate::keys,
+    crate::{commands::BoxFuture, keys},
     marigoldbend_core::sched::{
         interference::PairEstimate,
         job::{JobId, JobSpec},
@@ -21,7 +21,7 @@
         collections::BTreeMap,
         time::{Duration, Instant},
     },
-    tokio::time::timeout,
+    tokio::{join, time::timeout},
 };
 
 /// A result of a takeover.
@@ -52,17 +52,37 @@
 /// The maximum duration of a takeover; meanwhile no other instance tries.
 const MAX_TAKEOVER_TIME: Duration = Duration::from_secs(8);
 
-/// The stored state of a shard that a new leader starts from.
-#[derive(Debug)]
-pub struct TakeoverState {
+/// The lease row of a leadership by this instance, and how it was obtained.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Lease {
+    /// The fencing token.
+    pub token: u64,
+    /// The version of the lease row.
+    pub version: u64,
     /// When the takeover started.
     pub started_at: Instant,
-    /// When the write of the lease row was confirmed.
+    /// When the call was sent that wrote the lease row, or found it written by an earlier call.
+    pub sent_at: Instant,
+    /// When the reply to that call arrived. Every write of an earlier leader that the store applied
+    /// was sent before.
     pub leased_at: Instant,
-    /// The fencing token of the new leadership.
-    pub token: u64,
-    /// The version of the lease row.
-    pub lease_version: u64,
+}
+
+/// What is known before a takeover ends.
+#[derive(Debug)]
+pub enum TakeoverStep {
+    /// The lease row names this instance: no earlier leader can write any more.
+    LeaseTaken(Lease),
+    /// Name and address of each worker that the previous leader used, for the leadership with this
+    /// fencing token.
+    WorkersInUse(u64, Vec<(String, String)>),
+}
+
+/// The stored state of a shard that a new leader starts from.
+#[derive(Debug)]
+pub struct TakeoverState {
+    /// The lease row of the new leadership.
+    pub lease: Lease,
     /// The version of the head row, which orders the leader's writes; 0 if there is none.
     pub head_version: u64,
     /// The jobs with their progress.
@@ -118,7 +138,9 @@
 /// instance becomes leader first.
 ///
 /// If there is a `working_leader`, whom the write of the lease row stops, this instance first reads
-/// the rows to find out whether it can.
+/// the rows to find out whether it can. `on_step` is called once the lease row is written, while the
+/// rows are still to be read; if reading them fails, the lease row stays, and the next takeover by
+/// this instance continues with the same token.
 ///
 /// # Errors
 ///
@@ -129,6 +151,7 @@
     shard: &str,
     (name, incarnation): (&str, u64),
     working_leader: bool,
+    on_step: &(dyn Fn(TakeoverStep) -> BoxFuture<()> + Send + Sync),
 ) -> Result<TakeoverState> {
     let started_at = store.now();
     let takeover = async {
@@ -136,34 +159,37 @@
             store.part(&keys::jobs_table(shard), shard).await?;
             store.part(&keys::progress_table(shard), shard).await?;
         }
-        let lease = take_lease(store, shard, name, incarnation).await?;
-        let leased_at = store.now();
-        let state = read_state(store, shard, lease).await?;
-        Ok(TakeoverState {
-            started_at,
-            leased_at,
-            ..state
-        })
+        let lease = take_lease(store, shard, name, incarnation, started_at).await?;
+        on_step(TakeoverStep::LeaseTaken(lease)).await;
+        let workers_in_use = async {
+            if let Some(workers) = read_workers_in_use(store, shard).await {
+                on_step(TakeoverStep::WorkersInUse(lease.token, workers)).await;
+            }
+        };
+        let (state, ()) = join!(read_state(store, shard, lease), workers_in_use);
+        state
     };
     let result = timeout(MAX_TAKEOVER_TIME, takeover).await;
     result.unwrap_or(Err(TakeoverError::TooSlow))
 }
 
-/// Reads the stored state of a shard for the leader with this token and lease row.
-async fn read_state(
-    store: &Store,
-    shard: &str,
-    (token, lease_version): (u64, u64),
-) -> Result<TakeoverState> {
+/// Reads the workers that the previous leader used; `None` if there was no usable reply. The rows
+/// contain them as well, but take longer to read.
+async fn read_workers_in_use(store: &Store, shard: &str) -> Option<Vec<(String, String)>> {
+    let value = read_row(store, &keys::workers_in_use(shard)).await;
+    let value = value.inspect_err(|e| {
+        log::info!("lead: shard={shard} the workers in use are read with the other rows: {e}.")
+    });
+    postcard::from_bytes(&value.ok()??).ok()
+}
+
+/// Reads the stored state of a shard for the leader with this lease row.
+async fn read_state(store: &Store, shard: &str, lease: Lease) -> Result<TakeoverState> {
     let jobs_table = keys::jobs_table(shard);
     let jobs = store.part(&jobs_table, shard).await?;
     let progress = store.part(&keys::progress_table(shard), shard).await?;
-    let now = store.now();
     let mut state = TakeoverState {
-        started_at: now,
-        leased_at: now,
-        token,
-        lease_version,
+        lease,
         head_version: 0,
         jobs: Vec::new(),
         finished: Vec::new(),
@@ -232,19 +258,28 @@
     decoded.unwrap_or_default()
 }
 
-/// Writes a lease row that names this instance, with the next fencing token; returns the token and
-/// the version of the row.
+/// Writes a lease row that names this instance, with the next fencing token, in a takeover that
+/// started at `started_at`.
 async fn take_lease(
     store: &Store,
     shard: &str,
     name: &str,
     incarnation: u64,
-) -> Result<(u64, u64)> {
+    started_at: Instant,
+) -> Result<Lease> {
+    let lease_since = |sent_at, token, version| Lease {
+        token,
+        version,
+        started_at,
+        sent_at,
+        leased_at: store.now(),
+    };
+    let sent_at = store.now();
     let (row, lease_version) = read_lease(store, shard).await?;
     let is_own = |row: &LeaseRow| row.holder == name && row.incarnation == incarnation;
     if is_own(&row) {
         // An earlier write by this instance took effect, but its reply was lost.
-        return Ok((row.token, lease_version));
+        return Ok(lease_since(sent_at, row.token, lease_version));
     }
     let new_row = LeaseRow {
         holder: name.to_owned(),
@@ -258,12 +293,14 @@
         puts: vec![(key, postcard::to_stdvec(&new_row).unwrap_or_default())],
         deletes: Vec::new(),
     };
+    let sent_at = store.now();
     match store.tx(&tx).await {
-        Ok(TxOutcome::Applied(lease_version)) => Ok((new_row.token, lease_version)),
+        Ok(TxOutcome::Applied(version)) => Ok(lease_since(sent_at, new_row.token, version)),
         Ok(TxOutcome::Conflict(_)) | Err(StoreError::Unknown) => {
+            let sent_at = store.now();
             let (row, lease_version) = read_lease(store, shard).await?;
             if is_own(&row) {
-                return Ok((row.token, lease_version));
+                return Ok(lease_since(sent_at, row.token, lease_version));
             }
             let LeaseRow { holder, token, .. } = row;
             Err(TakeoverError::Lost { holder, token })
--- /dev/null
+++ b/crates/scheduler/tests/restoring.rs
@@ -0,0 +1,401 @@
+//! Tests what a new leader does for the workers while it reads the rows of the shard, through the
+//! control thread, a stand-in for the store and one for a worker.
+
+use {
+    arc_swap::ArcSwap,
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper::{Request, Response, StatusCode, body::Incoming},
+    marigoldbend_core::{
+        clock::SystemClock,
+        sched::{
+            job::{JobId, JobSpec, Resources, Step, TaskName},
+            leadership::LeaseRow,
+            worker::{Availability, CommandReply, Report, RunningRow, WorkerInfo},
+        },
+    },
+    marigoldbend_http::{
+        body::{HttpResponse, read_whole},
+        connection::{ConnectionPool, Outgoing, TimeLimits},
+        server::{Limits, serve},
+    },
+    marigoldbend_platform::{rows::RowKey, store::Store},
+    marigoldbend_scheduler::{
+        control::{Control, Event, TICK, deliver_urgent_event},
+        keys,
+        metrics::Metrics,
+        settings::{Settings, ShardSettings},
+        view::View,
+    },
+    marigoldbend_wire::{
+        stand_in::{self as wire, WorkerAction, WorkerCall},
+        store::{WIRE, WORKERS_TABLE},
+    },
+    stand_ins::rows::RowStore,
+    std::{
+        net::{SocketAddr, UdpSocket},
+        sync::{
+            Arc,
+            atomic::{AtomicU32, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+    tokio::{
+        net::TcpListener,
+        sync::{mpsc, watch},
+        time::timeout,
+    },
+    xtra::Mailbox,
+};
+
+const SHARD: &str = "all";
+
+/// The token of the previous leader, and what the next leader sends to workers.
+const PREVIOUS_TOKEN: u64 = 3;
+const WORKER_TOKEN: u64 = 64 * (PREVIOUS_TOKEN + 1);
+
+/// How long the test waits for anything; reached only if it fails.
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// A job that waits, and one that runs on the worker but is not stored any more.
+const WAITING: JobId = JobId(7);
+const UNKNOWN: JobId = JobId(8);
+
+/// What the store does with reads of the job table.
+struct JobReads {
+    /// Reads wait until this is true.
+    open: watch::Sender<bool>,
+    /// How many reads still fail.
+    failures: AtomicU32,
+}
+
+fn reply(status: StatusCode, body: Bytes) -> HttpResponse {
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    response
+}
+
+/// Starts a server on a free port.
+async fn start<F>(
+    handler: impl Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+) -> SocketAddr
+where
+    F: Future<Output = HttpResponse> + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("binding a port failed");
+    let address = listener.local_addr().expect("the listener has no address");
+    tokio::spawn(async move {
+        let (_stop, stopped) = watch::channel(false);
+        serve(
+            listener,
+            Limits::default(),
+            move |_, req| handler(req),
+            stopped,
+        )
+        .await;
+    });
+    address
+}
+
+/// Starts a proxy before the store that holds up or fails reads of the job table.
+async fn start_proxy(store: SocketAddr, reads: Arc<JobReads>) -> SocketAddr {
+    let pool = Arc::new(ConnectionPool::new(store));
+    start(move |req| {
+        let (pool, reads) = (pool.clone(), reads.clone());
+        async move {
+            let uri = req.uri().clone();
+            let path = uri.path_and_query().map_or("", |p| p.as_str()).to_owned();
+            if path.starts_with("/v1/rows-get") && path.contains(&keys::jobs_table(SHARD)) {
+                let relaxed = Ordering::Relaxed;
+                let count_down = |left: u32| left.checked_sub(1);
+                if reads
+                    .failures
+                    .fetch_update(relaxed, relaxed, count_down)
+                    .is_ok()
+                {
+                    return reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+                }
+                let mut open = reads.open.subscribe();
+                if open.wait_for(|open| *open).await.is_err() {
+                    return reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+                }
+            }
+            let method = req.method().clone();
+            let Ok(body) = read_whole(req.into_body(), 1 << 20).await else {
+                return reply(StatusCode::BAD_REQUEST, Bytes::new());
+            };
+            let outgoing = Outgoing::new(method, path, body);
+            match pool.exchange(outgoing, TimeLimits::total(LIMIT)).await {
+                Ok(r) => reply(r.status, r.body),
+                Err(_) => reply(StatusCode::BAD_GATEWAY, Bytes::new()),
+            }
+        }
+    })
+    .await
+}
+
+/// Starts a worker that passes each call to `calls`, and reports one run.
+async fn start_worker(calls: mpsc::UnboundedSender<WorkerCall>) -> SocketAddr {
+    let epoch = Instant::now();
+    start(move |req| {
+        let calls = calls.clone();
+        async move {
+            let path = req.uri().path().to_owned();
+            let body = read_whole(req.into_body(), 1 << 20)
+                .await
+                .unwrap_or_default();
+            let clock_ms = epoch.elapsed().as_millis() as u64;
+            let Some(call) = wire::read_worker_call(&path, &body) else {
+                let (status, body) = wire::write_reply(CommandReply::Refused, clock_ms);
+                return reply(status, body);
+            };
+            let is_report = matches!(call.action, WorkerAction::Report { .. });
+            // The test may have ended.
+            let _ = calls.send(call);
+            if is_report {
+                let report = Report {
+                    started_ms: 1,
+                    clock_ms,
+                    running: vec![RunningRow {
+                        task: task(UNKNOWN),
+                        attempt: 300,
+                        checkpoint: String::new(),
+                        percent: 10.0,
+                        usage: None,
+                    }],
+                    ..Report::default()
+                };
+                return reply(StatusCode::OK, wire::write_report(&report));
+            }
+            let (status, body) = wire::write_reply(CommandReply::Ok, clock_ms);
+            reply(status, body)
+        }
+    })
+    .await
+}
+
+fn task(job: JobId) -> TaskName {
+    TaskName {
+        job,
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    }
+}
+
+fn encode(value: &impl serde::Serialize) -> Vec<u8> {
+    postcard::to_stdvec(value).expect("plain data can be encoded")
+}
+
+/// An instance that takes the shard of a silent leader over.
+struct Deployment {
+    store: RowStore,
+    job_reads: Arc<JobReads>,
+    calls: mpsc::UnboundedReceiver<WorkerCall>,
+    control: xtra::Address<Control>,
+}
+
+impl Deployment {
+    /// Starts the instance, its worker and the store, where `failures` reads of the job table fail
+    /// and the others wait.
+    async fn start(failures: u32, is_worker_listed: bool) -> Self {
+        let store = RowStore::start(Duration::ZERO)
+            .await
+            .expect("starting the store failed");
+        let job_reads = Arc::new(JobReads {
+            open: watch::Sender::new(false),
+            failures: AtomicU32::new(failures),
+        });
+        let (to_test, calls) = mpsc::unbounded_channel();
+        let worker = start_worker(to_test).await.to_string();
+        let step = Step {
+            count: 1,
+            request: Resources {
+                cpu: 1_000,
+                mem_mb: 100,
+                gpu: 0,
+            },
+            ..Step::default()
+        };
+        let spec = JobSpec {
+            queue: "q".to_owned(),
+            service: "s".to_owned(),
+            max_attempts: 2,
+            spec: "text".to_owned(),
+            steps: vec![step],
+            token: PREVIOUS_TOKEN,
+            ..JobSpec::default()
+        };
+        let previous = LeaseRow {
+            holder: "previous".to_owned(),
+            incarnation: 1,
+            token: PREVIOUS_TOKEN,
+        };
+        store.put(keys::lease(SHARD), encode(&previous));
+        store.put(keys::job(SHARD, WAITING), encode(&spec));
+        let in_use = vec![("w1".to_owned(), worker.clone())];
+        store.put(keys::workers_in_use(SHARD), encode(&in_use));
+        if is_worker_listed {
+            let info = WorkerInfo {
+                id: "w1".to_owned(),
+                service: "s".to_owned(),
+                address: worker,
+                domain: "z".to_owned(),
+                availability: Availability::Ready,
+                capacity: Resources {
+                    cpu: 4_000,
+                    mem_mb: 10_000,
+                    gpu: 0,
+                },
+                labels: Vec::new(),
+                started_ms: 1,
+                remaining_ms: None,
+            };
+            store.put(
+                RowKey::new(WORKERS_TABLE, "", "w1"),
+                wire::write_entry(&info, 1),
+            );
+        }
+        let address = start_proxy(store.address(), job_reads.clone()).await;
+        let socket = UdpSocket::bind("127.0.0.1:0").expect("binding a port failed");
+        let settings = Settings {
+            name: "next".to_owned(),
+            domain: "z".to_owned(),
+            shards: vec![ShardSettings {
+                name: SHARD.to_owned(),
+                domains: vec!["z".to_owned()],
+            }],
+            cpu_share: 500,
+            peers: socket.local_addr().expect("the socket has no address"),
+            store: address,
+            advice: None,
+            max_lease: Duration::from_secs(4),
+            drain: Duration::from_secs(2),
+            keep: Duration::from_secs(60),
+            config_max_age: Duration::from_secs(3),
+        };
+        let clock = Arc::new(SystemClock);
+        let control = Control::new(
+            settings,
+            7,
+            clock.clone(),
+            Arc::new(Store::new(address, WIRE, clock)),
+            socket,
+            Arc::new(Metrics::new().expect("the metrics are valid")),
+            Arc::new(ArcSwap::<View>::default()),
+        );
+        let control = xtra::spawn_tokio(control, Mailbox::unbounded());
+        let to_control = control.clone();
+        tokio::spawn(async move {
+            let mut ticks = tokio::time::interval(TICK);
+            loop {
+                ticks.tick().await;
+                deliver_urgent_event(&to_control, Event::Tick).await;
+            }
+        });
+        Self {
+            store,
+            job_reads,
+            calls,
+            control,
+        }
+    }
+
+    /// Returns the next call to the worker that `is_wanted`, and whether any call before it was not
+    /// a report request.
+    async fn call_until(&mut self, is_wanted: impl Fn(&WorkerCall) -> bool) -> (WorkerCall, bool) {
+        let mut has_commands = false;
+        let wanted = async {
+            loop {
+                let call = self.calls.recv().await.expect("the worker stays");
+                if is_wanted(&call) {
+                    return call;
+                }
+                has_commands |= !matches!(call.action, WorkerAction::Report { .. });
+            }
+        };
+        let call = timeout(LIMIT, wanted).await.expect("no such call");
+        (call, has_commands)
+    }
+}
+
+fn renews_leases(call: &WorkerCall) -> bool {
+    matches!(call.action, WorkerAction::Report { .. }) && call.until_ms.is_some()
+}
+
+/// Guards against long-running tasks that all lapse whenever the leader changes, since nobody renews
+/// leases until the rows are read.
+#[test_case::test_case(true; "a listed worker")]
+#[test_case::test_case(false; "a worker that only the previous leader has used")]
+#[tokio::test]
+async fn leases_are_renewed_before_the_rows_are_read(is_worker_listed: bool) {
+    let mut deployment = Deployment::start(0, is_worker_listed).await;
+    let (call, has_commands) = deployment.call_until(renews_leases).await;
+    assert_eq!(call.token, WORKER_TOKEN);
+    assert!(
+        !has_commands,
+        "a command was sent before the rows were read"
+    );
+    let lease = deployment.store.row(&keys::lease(SHARD)).expect("a lease");
+    let lease: LeaseRow = postcard::from_bytes(&lease.value).expect("a lease");
+    assert_eq!(lease.token, PREVIOUS_TOKEN + 1);
+    let heartbeat = deployment.store.row(&keys::heartbeat(SHARD));
+    assert_eq!(heartbeat, None, "counts were stored before they were known");
+
+    // The report that was kept meanwhile shows a run that no stored job needs.
+    deployment.job_reads.open.send_replace(true);
+    let is_stop = |call: &WorkerCall| matches!(call.action, WorkerAction::Stop { .. });
+    let (call, _) = deployment.call_until(is_stop).await;
+    let stop = WorkerAction::Stop {
+        task: task(UNKNOWN),
+        attempt: 300,
+    };
+    assert_eq!(call.action, stop);
+}
+
+/// Guards against a shard that nobody leads and whose leases nobody renews, after a takeover that
+/// failed once its lease row was written.
+#[tokio::test]
+async fn leases_are_renewed_until_the_next_takeover_by_the_same_instance() {
+    let mut deployment = Deployment::start(u32::MAX, true).await;
+    deployment.job_reads.open.send_replace(true);
+    // A takeover repeats a failed read three times, so the fifth is that of the next takeover.
+    let failed = |deployment: &Deployment| {
+        let left = deployment.job_reads.failures.load(Ordering::Relaxed);
+        u32::MAX - left
+    };
+    while failed(&deployment) < 5 {
+        let (call, _) = deployment.call_until(renews_leases).await;
+        assert_eq!(call.token, WORKER_TOKEN);
+    }
+    deployment.job_reads.failures.store(0, Ordering::Relaxed);
+    let is_stop = |call: &WorkerCall| matches!(call.action, WorkerAction::Stop { .. });
+    let (call, _) = deployment.call_until(is_stop).await;
+    assert_eq!(call.token, WORKER_TOKEN);
+}
+
+/// Guards against an instance that renews leases with the token of a lease row that another one has
+/// replaced, while it still reads.
+#[tokio::test]
+async fn leases_are_not_renewed_under_a_replaced_lease_row() {
+    let mut deployment = Deployment::start(0, true).await;
+    deployment.call_until(renews_leases).await;
+    let successor = LeaseRow {
+        holder: "successor".to_owned(),
+        incarnation: 1,
+        token: PREVIOUS_TOKEN + 2,
+    };
+    deployment.store.put(keys::lease(SHARD), encode(&successor));
+    // The worker replies at once, so that requests follow each other until they end. Without a look
+    // at the lease row they would end only with the reading, which fails after more than 4 s.
+    let end = async {
+        let silence = Duration::from_millis(1_000);
+        while let Ok(Some(_)) = timeout(silence, deployment.calls.recv()).await {}
+    };
+    timeout(Duration::from_secs(4), end)
+        .await
+        .expect("report requests don't end");
+    drop(deployment.control);
+}
--- a/crates/scheduler/tests/takeover.rs
+++ b/crates/scheduler/tests/takeover.rs
@@ -17,7 +17,10 @@
         rows::{Page, Range, Result, Row, RowKey, Tx, TxOutcome, Wire},
         store::Store,
     },
-    marigoldbend_scheduler::takeover::{TakeoverState, take_over},
+    marigoldbend_scheduler::{
+        commands::BoxFuture,
+        takeover::{TakeoverState, TakeoverStep, take_over},
+    },
     std::{
         convert::Infallible,
         net::SocketAddr,
@@ -162,6 +165,10 @@
     address
 }
 
+fn ignore_steps(_: TakeoverStep) -> BoxFuture<()> {
+    Box::pin(async {})
+}
+
 async fn takeover(failures: u32) -> TakeoverState {
     let calls = Arc::new(Calls {
         failures: AtomicU32::new(failures),
@@ -169,7 +176,7 @@
     });
     let address = start_store(calls).await;
     let store = Store::new(address, WIRE, Arc::new(SystemClock));
-    let state = take_over(&store, "all", ("a1", 7), false).await;
+    let state = take_over(&store, "all", ("a1", 7), false, &ignore_steps).await;
     state.expect("the takeover failed")
 }
 
@@ -204,7 +211,7 @@
     });
     let address = start_store(calls.clone()).await;
     let store = Store::new(address, WIRE, Arc::new(SystemClock));
-    let state = take_over(&store, "all", ("a1", 7), true).await;
+    let state = take_over(&store, "all", ("a1", 7), true, &ignore_steps).await;
     assert!(state.is_err());
     assert_eq!(calls.transactions.load(Ordering::Relaxed), 0);
 }
