Let workers that can't have runs hold up no takeover

Cause: after a takeover, tasks that an earlier leader may have started wait until every worker has answered, or for 6.2 s. A drained worker stayed in the stored list until it had left and its leases had expired, some 6 s later, so while workers are replaced there is nearly always one that never answers. And a task could start on a newly listed worker before a stored list contained it, so that every listed worker had to answer as well.

Change: a worker leaves the stored list when it drains or is unlisted (beyond the grace period), has answered this leader, and has no run left; a start or stop without a reply counts as a run. No task starts on a worker before a stored list certainly contains it with its address, also not after a drain was called off or an address has changed. So only workers of the stored list can have unknown runs, and only they hold up inherited jobs. The number of writes for a replaced worker stays two; a newly listed worker waits for one of them.

The model has a second mode, in which workers drain, return, lose their entries and leave; it detects a list without draining workers that have runs, and starts on workers outside of the list.

Conclusion: a replaced worker holds up a takeover only until its runs have ended, or if it vanishes with them.

--- a/crates/core/src/sched/shard/commits.rs
+++ b/crates/core/src/sched/shard/commits.rs
@@ -45,8 +45,7 @@
             }
         }
         if std::mem::take(&mut self.workers_in_use_dirty) {
-            let entry = |w: &Worker| (w.info.id.clone(), w.info.address.clone());
-            batch.workers_in_use = Some(self.workers.values().map(entry).collect());
+            batch.workers_in_use = Some(self.workers_in_use(now));
         }
         if now.duration_since(self.interference_stored_at) >= INTERFERENCE_WRITE_INTERVAL {
             self.interference_stored_at = now;
@@ -100,6 +99,13 @@
                 }
             }
         }
+        for (id, address) in batch.workers_in_use.iter().flatten() {
+            let worker = self.workers.get_mut(id);
+            if let Some(worker) = worker.filter(|w| w.info.address == *address) {
+                self.changed |= !worker.is_stored_in_use;
+                worker.is_stored_in_use = true;
+            }
+        }
         for (id, started_ms, last_end) in &batch.acks {
             let worker = self.workers.get_mut(id);
             if let Some(worker) = worker.filter(|w| w.info.started_ms == *started_ms) {
@@ -134,6 +140,28 @@
         !self.dirty.is_empty() || self.workers_in_use_dirty
     }
 
+    /// Marks the list of workers in use to be stored if the stored one differs.
+    pub(super) fn update_workers_in_use(&mut self, now: Instant) {
+        let differs = |w: &Worker| w.is_in_use(now) != w.is_stored_in_use;
+        if !self.storing && self.workers.values().any(differs) {
+            self.workers_in_use_dirty = true;
+        }
+    }
+
+    /// Returns the list of workers in use for a batch. The others get no tasks from now on, since
+    /// the batch may be stored even if it has no result.
+    fn workers_in_use(&mut self, now: Instant) -> Vec<(String, String)> {
+        let mut entries = Vec::with_capacity(self.workers.len());
+        for worker in self.workers.values_mut() {
+            if worker.is_in_use(now) {
+                entries.push((worker.info.id.clone(), worker.info.address.clone()));
+            } else {
+                worker.is_stored_in_use = false;
+            }
+        }
+        entries
+    }
+
     /// Marks a job's progress to be stored; without delay if `urgent`, else within
     /// [`Params::commit_delay`](super::Params::commit_delay).
     pub(super) fn mark_dirty(&mut self, id: JobId, urgent: bool, now: Instant) {
--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -48,6 +48,7 @@
         if now.duration_since(last_check) >= CHECK_INTERVAL || self.checked_at.is_none() {
             self.checked_at = Some(now);
             self.expire_leases(now);
+            self.update_workers_in_use(now);
             self.resend(now);
             self.stop_draining_runs(now);
             self.stop_stuck(now);
--- a/crates/core/src/sched/shard/leases.rs
+++ b/crates/core/src/sched/shard/leases.rs
@@ -72,16 +72,20 @@
             log::info!("jobs: worker={id} removed: it is unlisted and its leases have expired.");
             if let Some(worker) = self.workers.remove(&id) {
                 self.processes.forget(&worker.info.address, &id);
+                // A write in progress may contain the worker.
+                self.workers_in_use_dirty |= worker.is_stored_in_use || self.storing;
             }
-            self.workers_in_use_dirty = true;
             self.worker_addresses_changed = true;
         }
     }
 
     /// Returns whether any worker that has sent no report to this leader may still have runs of an
     /// earlier one.
+    ///
+    /// Leaders start tasks only on workers in the stored list, so others have none.
     pub(super) fn may_have_unknown_runs(&self, now: Instant) -> bool {
-        now < self.unknown_runs_until() && self.workers.values().any(|w| w.answered_at.is_none())
+        let is_unknown = |w: &Worker| w.is_inherited && w.answered_at.is_none();
+        now < self.unknown_runs_until() && self.workers.values().any(is_unknown)
     }
 
     /// Returns the time by which runs of an earlier leader have ended on workers that have sent no
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -139,7 +139,8 @@
 pub struct Batch {
     /// Job ids and their encoded [`Progress`] rows.
     pub rows: Vec<(JobId, Vec<u8>)>,
-    /// Ids and addresses of all workers in use; `None` if they have not changed.
+    /// Ids and addresses of all workers that may have runs or get some; `None` if they have not
+    /// changed.
     pub workers_in_use: Option<Vec<(String, String)>>,
     /// Interference estimates; `None` if none are due to be stored.
     pub interference: Option<Vec<PairEstimate>>,
@@ -222,6 +223,11 @@
     pub info: WorkerInfo,
     /// Whether the platform lists the worker.
     pub listed: bool,
+    /// Whether the stored list of workers in use certainly contains the worker with its current
+    /// address. No task starts on the worker before.
+    pub is_stored_in_use: bool,
+    /// Whether an earlier leader may have started tasks on the worker.
+    pub is_inherited: bool,
     /// When the platform stopped listing the worker; `None` while it lists it.
     pub unlisted_at: Option<Instant>,
     /// Since when the worker counts as draining; `None` while the platform lists it as ready.
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -50,6 +50,7 @@
         worker.listed = true;
         worker.unlisted_at = None;
         if worker.info.address != info.address {
+            worker.is_stored_in_use = false;
             self.workers_in_use_dirty = true;
             self.worker_addresses_changed = true;
         }
@@ -70,12 +71,14 @@
         }
     }
 
-    /// Adds a worker that an earlier leader used, unless the platform has listed it already.
+    /// Adds a worker from the stored list of workers in use.
     ///
-    /// The worker may still have runs of that leader. It gets no new tasks until the platform lists
-    /// it.
+    /// The worker may still have runs of an earlier leader. It gets no new tasks until the platform
+    /// lists it.
     pub fn add_worker_in_use(&mut self, worker_id: &str, address: &str, now: Instant) {
-        if self.workers.contains_key(worker_id) {
+        if let Some(worker) = self.workers.get_mut(worker_id) {
+            worker.is_stored_in_use = worker.info.address == address;
+            worker.is_inherited = true;
             return;
         }
         let info = WorkerInfo {
@@ -91,6 +94,8 @@
         };
         let mut worker = Worker::new(info, now);
         worker.listed = false;
+        worker.is_stored_in_use = true;
+        worker.is_inherited = true;
         self.workers.insert(worker_id.to_owned(), worker);
         self.worker_addresses_changed = true;
     }
@@ -505,6 +510,8 @@
                 ..info
             },
             listed: true,
+            is_stored_in_use: false,
+            is_inherited: false,
             unlisted_at: None,
             draining_since: draining.then_some(now),
             incarnations: 0,
@@ -538,12 +545,29 @@
         answered_at.is_some_and(|at| now.duration_since(at) <= UNRESPONSIVE_AFTER)
     }
 
+    /// Returns whether the worker may have runs, or may get some.
+    ///
+    /// A worker that has answered this leader executes no commands of earlier ones any more, and
+    /// `runs` has each run that this leader may have started, until its end is certain.
+    pub(super) fn is_in_use(&self, now: Instant) -> bool {
+        !self.is_leaving(now)
+            || self.answered_at.is_none()
+            || self.has_unaccounted_runs
+            || !self.runs.is_empty()
+    }
+
+    /// Returns whether the worker gets no new tasks because it is about to leave or has left.
+    fn is_leaving(&self, now: Instant) -> bool {
+        let in_grace = |at| now.duration_since(at) < UNLISTED_GRACE;
+        let is_listed = self.listed || self.unlisted_at.is_some_and(in_grace);
+        !is_listed || self.draining_since.is_some()
+    }
+
     /// Returns whether new tasks may be placed on the worker.
     pub(super) fn accepts_work(&self, now: Instant) -> bool {
         let has_passed = |until: Option<Instant>| until.is_none_or(|until| until <= now);
-        let in_grace = |at| now.duration_since(at) < UNLISTED_GRACE;
-        (self.listed || self.unlisted_at.is_some_and(in_grace))
-            && self.draining_since.is_none()
+        !self.is_leaving(now)
+            && self.is_stored_in_use
             && self.is_responsive(now)
             && self.connection_lost_at.is_none()
             && !self.has_unaccounted_runs
--- a/crates/core/tests/crashes.rs
+++ b/crates/core/tests/crashes.rs
@@ -109,6 +109,8 @@
     machines: Vec<Machine>,
     specs: BTreeMap<JobId, JobSpec>,
     rows: BTreeMap<JobId, Vec<u8>>,
+    /// The stored list of workers in use: their ids and addresses.
+    workers_in_use: Vec<(String, String)>,
     /// When the crashing task has started, in milliseconds.
     starts_ms: Vec<u64>,
     /// The machines that are cut off from the leader, by their index.
@@ -135,6 +137,7 @@
             machines: machines.collect(),
             specs: BTreeMap::new(),
             rows: BTreeMap::new(),
+            workers_in_use: Vec::new(),
             starts_ms: Vec::new(),
             cut_off: HashSet::new(),
         };
@@ -242,6 +245,9 @@
         }
         while let Some(batch) = self.shard.take_batch(100, now) {
             self.rows.extend(batch.rows.iter().cloned());
+            if let Some(workers_in_use) = &batch.workers_in_use {
+                self.workers_in_use.clone_from(workers_in_use);
+            }
             self.shard.on_batch_result(&batch, true, now);
         }
     }
@@ -310,13 +316,9 @@
     fn replace_leader(&mut self) {
         self.token += 1;
         let now = self.now();
-        let earlier = self.shard.worker_addresses();
-        let earlier: Vec<_> = earlier
-            .map(|(id, address)| (id.to_owned(), address.to_owned()))
-            .collect();
         self.shard = Shard::new(Params::default(), self.token, now);
-        for (id, address) in earlier {
-            self.shard.add_worker_in_use(&id, &address, now);
+        for (id, address) in &self.workers_in_use {
+            self.shard.add_worker_in_use(id, address, now);
         }
         for (id, spec) in &self.specs {
             let row = self.rows.get(id).map(|row| Progress::decode(row));
--- a/crates/core/tests/shard.rs
+++ b/crates/core/tests/shard.rs
@@ -84,7 +84,7 @@
     }
 }
 
-/// A shard whose workers have each sent a report, with a simulated clock.
+/// A shard whose workers are stored as in use and have each sent a report, with a simulated clock.
 struct Fixture {
     shard: Shard,
     base: Instant,
@@ -98,6 +98,7 @@
         let mut shard = Shard::new(Params::default(), 1, base);
         for info in workers {
             shard.worker_listed(info, base);
+            shard.add_worker_in_use(&info.id, &info.address, base);
         }
         let mut fixture = Self {
             shard,
@@ -280,6 +281,7 @@
     let base = Instant::now();
     let mut shard = Shard::new(Params::default(), 2, base);
     shard.worker_listed(&worker("a", 4_000), base);
+    shard.add_worker_in_use("a", "127.0.0.1:1", base);
     shard.add_worker_in_use("b", "127.0.0.1:2", base);
     let origin = JobOrigin::Stored(Progress::default());
     shard.add_job(JOB, job(vec![step(1, 1_000)]), origin, base);
@@ -305,6 +307,7 @@
     let base = Instant::now();
     let mut shard = Shard::new(Params::default(), 3, base);
     shard.worker_listed(&worker("a", 4_000), base);
+    shard.add_worker_in_use("a", "127.0.0.1:1", base);
     let origin = JobOrigin::Stored(Progress::default());
     shard.add_job(JOB, job(vec![step(1, 1_000)]), origin, base);
     shard.on_report("a", &report(5), base + ms(4), base + ms(5), 5);
@@ -694,3 +697,164 @@
     assert!(stored_at.len() >= 2, "{stored_at:?}");
     assert!(gaps.iter().all(|gap| *gap == 2_000), "{gaps:?}");
 }
+
+/// Returns the ids in the next batch's list of workers in use, sorted, and stores the batch; `None`
+/// if there is no such list.
+fn store_workers_in_use(fixture: &mut Fixture) -> Option<Vec<String>> {
+    let batch = fixture.shard.take_batch(90, fixture.now())?;
+    fixture.shard.on_batch_result(&batch, true, fixture.now());
+    let mut ids: Vec<_> = batch
+        .workers_in_use?
+        .into_iter()
+        .map(|(id, _)| id)
+        .collect();
+    ids.sort();
+    Some(ids)
+}
+
+fn draining(id: &str) -> WorkerInfo {
+    WorkerInfo {
+        availability: Availability::Draining,
+        ..worker(id, 4_000)
+    }
+}
+
+#[test]
+fn a_drained_worker_without_runs_is_removed_from_the_stored_list() {
+    let mut fixture = Fixture::new(&[worker("a", 4_000), worker("b", 4_000)]);
+    let stored = store_workers_in_use(&mut fixture);
+    assert_eq!(stored.expect("a new leader stores the list"), ["a", "b"]);
+    fixture.shard.worker_listed(&draining("a"), fixture.now());
+    assert_eq!(fixture.poll(50), []);
+    let stored = store_workers_in_use(&mut fixture);
+    assert_eq!(stored.expect("the list has changed"), ["b"]);
+    assert_eq!(fixture.poll(50), []);
+    assert_eq!(store_workers_in_use(&mut fixture), None);
+}
+
+#[test_case(false; "draining")]
+#[test_case(true; "unlisted")]
+fn a_worker_with_an_unanswered_start_stays_in_the_stored_list(is_unlisted: bool) {
+    let mut fixture = Fixture::new(&[worker("a", 4_000)]);
+    fixture.shard.add_job(
+        JOB,
+        job(vec![step(1, 1_000)]),
+        JobOrigin::New,
+        fixture.now(),
+    );
+    let commands = fixture.poll(20);
+    let [Command::Start { task, attempt, .. }] = commands[..] else {
+        panic!("{commands:?}");
+    };
+    store_workers_in_use(&mut fixture);
+    if is_unlisted {
+        fixture.shard.worker_unlisted("a", fixture.now());
+    } else {
+        fixture.shard.worker_listed(&draining("a"), fixture.now());
+    }
+    let silent = CommandReply::Silent;
+    let now = fixture.now();
+    fixture
+        .shard
+        .on_start_reply("a", task, attempt, silent, now);
+    // The worker may execute the command later, also if a report does not list the task yet, and if
+    // the command to stop it has no reply either.
+    for _ in 0..50 {
+        let now_ms = fixture.now_ms;
+        fixture.report("a", &report(now_ms));
+        for command in fixture.poll(50) {
+            let now = fixture.now();
+            match command {
+                Command::Start { task, attempt, .. } => fixture
+                    .shard
+                    .on_start_reply("a", task, attempt, silent, now),
+                Command::Stop { task, attempt, .. } => {
+                    fixture.shard.on_stop_reply("a", task, attempt, silent, now)
+                }
+                _ => {}
+            }
+        }
+        assert_eq!(store_workers_in_use(&mut fixture), None);
+    }
+    // An acknowledged stop prevents the execution; the next report shows that the task is not
+    // running.
+    fixture.shard.cancel(JOB, fixture.now_ms);
+    let now = fixture.now();
+    fixture
+        .shard
+        .on_stop_reply("a", task, attempt, CommandReply::Ok, now);
+    fixture.now_ms += 10;
+    let now_ms = fixture.now_ms;
+    fixture.report("a", &report(now_ms));
+    assert_eq!(fixture.starts(50), []);
+    let stored = store_workers_in_use(&mut fixture);
+    assert_eq!(stored.expect("the list has changed"), [""; 0]);
+}
+
+#[test]
+fn a_worker_starts_no_task_before_it_is_in_the_stored_list() {
+    let mut fixture = Fixture::new(&[]);
+    fixture
+        .shard
+        .worker_listed(&worker("a", 4_000), fixture.now());
+    fixture.report("a", &report(10));
+    fixture.shard.add_job(
+        JOB,
+        job(vec![step(1, 1_000)]),
+        JobOrigin::New,
+        fixture.now(),
+    );
+    assert_eq!(fixture.starts(50), []);
+    let batch = fixture.shard.take_batch(90, fixture.now());
+    let batch = batch.expect("a new worker is stored");
+    assert_eq!(fixture.starts(50), []);
+    // Without a result, the list may not be stored.
+    fixture.shard.on_batch_result(&batch, false, fixture.now());
+    assert_eq!(fixture.starts(50), []);
+    store_workers_in_use(&mut fixture);
+    assert_eq!(fixture.starts(50).len(), 1);
+}
+
+#[test]
+fn a_worker_that_is_ready_again_starts_no_task_before_it_is_in_the_stored_list() {
+    let mut fixture = Fixture::new(&[worker("a", 4_000)]);
+    store_workers_in_use(&mut fixture);
+    fixture.shard.worker_listed(&draining("a"), fixture.now());
+    assert_eq!(fixture.poll(50), []);
+    let batch = fixture.shard.take_batch(90, fixture.now());
+    let batch = batch.expect("a drained worker is removed");
+    fixture
+        .shard
+        .worker_listed(&worker("a", 4_000), fixture.now());
+    fixture.shard.add_job(
+        JOB,
+        job(vec![step(1, 1_000)]),
+        JobOrigin::New,
+        fixture.now(),
+    );
+    assert_eq!(fixture.starts(50), []);
+    // Without a result, the removal may be stored.
+    fixture.shard.on_batch_result(&batch, false, fixture.now());
+    assert_eq!(fixture.starts(50), []);
+    let stored = store_workers_in_use(&mut fixture);
+    assert_eq!(stored.expect("the list has changed"), ["a"]);
+    assert_eq!(fixture.starts(50).len(), 1);
+}
+
+#[test]
+fn a_silent_worker_that_is_not_in_the_stored_list_holds_up_no_inherited_job() {
+    let base = Instant::now();
+    let mut shard = Shard::new(Params::default(), 2, base);
+    shard.add_worker_in_use("a", "127.0.0.1:1", base);
+    shard.worker_listed(&worker("a", 4_000), base);
+    shard.worker_listed(&draining("b"), base);
+    shard.worker_listed(&worker("c", 4_000), base);
+    let origin = JobOrigin::Stored(Progress::default());
+    shard.add_job(JOB, job(vec![step(1, 1_000)]), origin, base);
+    shard.on_report("a", &report(5), base + ms(4), base + ms(5), 5);
+    let commands = shard.poll(base + ms(10), 10);
+    assert!(
+        matches!(&commands[..], [Command::Start { worker, .. }] if worker == "a"),
+        "{commands:?}"
+    );
+}
--- a/crates/core/tests/shard_capacity.rs
+++ b/crates/core/tests/shard_capacity.rs
@@ -75,6 +75,7 @@
 fn started(cpu: i64, base: Instant) -> (Shard, TaskName, u32) {
     let mut shard = Shard::new(Params::default(), 1, base);
     shard.worker_listed(&worker(cpu), base);
+    shard.add_worker_in_use(WORKER, &worker(cpu).address, base);
     shard.on_report(WORKER, &report(10, &[]), base, base + ms(10), 10);
     shard.add_job(JobId(1), job(1_500), JobOrigin::New, base + ms(10));
     let commands = shard.poll(base + ms(50), 50);
@@ -91,6 +92,7 @@
     let base = Instant::now();
     let mut shard = Shard::new(Params::default(), 1, base);
     shard.worker_listed(&worker(1_000), base);
+    shard.add_worker_in_use(WORKER, &worker(1_000).address, base);
     let unknown = TaskName {
         job: JobId(99),
         occurrence: 0,
--- a/crates/core/tests/shard_model/main.rs
+++ b/crates/core/tests/shard_model/main.rs
@@ -20,7 +20,14 @@
 
 /// Simulates one seed; returns the violation that it found, if any.
 fn run_world(seed: u64, mutant: Mutant) -> Option<String> {
-    let mut world = World::new(seed, mutant);
+    let mut world = World::new(seed, mutant, false);
+    world.run();
+    world.violation
+}
+
+/// The same while workers are replaced.
+fn run_world_with_replacements(seed: u64, mutant: Mutant) -> Option<String> {
+    let mut world = World::new(seed, mutant, true);
     world.run();
     world.violation
 }
@@ -34,6 +41,15 @@
     }
 }
 
+#[test]
+fn no_task_runs_twice_while_workers_are_replaced() {
+    for seed in 0..SEEDS {
+        if let Some(violation) = run_world_with_replacements(seed, Mutant::None) {
+            panic!("seed {seed}: {violation}");
+        }
+    }
+}
+
 /// Seeds beyond [`SEEDS`] that failed; KNOWN-RED.txt lists them.
 #[test_case(2675; "a late duplicate of a start after the end")]
 #[test_case(4749; "another late duplicate of a start after the end")]
@@ -68,3 +84,14 @@
         "{mutant:?} is not detected by {MUTANT_SEEDS} seeds"
     );
 }
+
+#[test_case(Mutant::RemoveWorkersWithRuns; "draining workers with runs are removed from the list")]
+#[test_case(Mutant::StartOnUnstoredWorkers; "tasks start on workers that are not in the list")]
+fn mutant_is_detected_while_workers_are_replaced(mutant: Mutant) {
+    let detected =
+        (0..MUTANT_SEEDS).any(|seed| run_world_with_replacements(seed, mutant).is_some());
+    assert!(
+        detected,
+        "{mutant:?} is not detected by {MUTANT_SEEDS} seeds"
+    );
+}
--- a/crates/core/tests/shard_model/world.rs
+++ b/crates/core/tests/shard_model/world.rs
@@ -8,7 +8,7 @@
 mod workers;
 
 use {
-    leaders::Leader,
+    leaders::{Leader, worker_in_use},
     marigoldbend_core::{
         hash::{HashMap, HashSet},
         sched::{
@@ -20,7 +20,7 @@
     network::Message,
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     std::time::{Duration, Instant},
-    workers::Worker,
+    workers::{Listing, Worker},
 };
 
 /// The rule of the protocol that is left out.
@@ -42,6 +42,11 @@
     IgnoreJobToken,
     /// Workers accept commands with any token.
     NoFencing,
+    /// Workers that drain or are not listed are removed from the stored list of workers in use,
+    /// though they may have runs.
+    RemoveWorkersWithRuns,
+    /// Tasks start on workers that are not in the stored list of workers in use.
+    StartOnUnstoredWorkers,
 }
 
 /// The time between two steps of the simulation, in milliseconds.
@@ -57,6 +62,12 @@
 /// often.
 const MAX_CALM_MS: u64 = 1_500_000;
 
+/// The number of workers.
+const WORKERS: u64 = 3;
+
+/// The same while workers are replaced.
+const REPLACED_WORKERS: u64 = 4;
+
 /// The share of the jobs with a task that crashes its workers, in thousandths.
 const CRASHING_JOBS_PER_MILLE: u32 = 80;
 
@@ -64,6 +75,8 @@
 pub struct World {
     rng: SmallRng,
     mutant: Mutant,
+    /// Whether workers drain, leave, and lose their entries in the platform's list.
+    replaces_workers: bool,
     /// The instant of simulated time zero.
     base: Instant,
     now_ms: u64,
@@ -80,6 +93,8 @@
     store_version: u64,
     /// The stored progress rows.
     rows: HashMap<JobId, Vec<u8>>,
+    /// The stored list of workers in use: their ids and addresses.
+    workers_in_use: Vec<(String, String)>,
     /// The accepted jobs, in the order of their acceptance.
     jobs: Vec<(JobId, JobSpec)>,
     /// The tasks that crash each worker on which they start.
@@ -124,10 +139,11 @@
 }
 
 impl World {
-    /// Creates a world with three workers and one leader.
-    pub fn new(seed: u64, mutant: Mutant) -> Self {
+    /// Creates a world with one leader.
+    pub fn new(seed: u64, mutant: Mutant, replaces_workers: bool) -> Self {
         let worker = |i: u64| Worker {
             up: true,
+            listing: Listing::Ready,
             restarts_at_ms: 0,
             started_ms: i + 1,
             highest_token: 0,
@@ -137,18 +153,25 @@
             highest_attempts: HashMap::default(),
             unreachable_until_ms: HashMap::default(),
         };
+        let worker_count = if replaces_workers {
+            REPLACED_WORKERS
+        } else {
+            WORKERS
+        };
         let mut world = Self {
             rng: SmallRng::seed_from_u64(seed),
             mutant,
+            replaces_workers,
             base: Instant::now(),
             now_ms: 1_000,
-            workers: (0..3).map(worker).collect(),
+            workers: (0..worker_count).map(worker).collect(),
             leaders: Vec::new(),
             messages: Vec::new(),
             lease_token: 0,
             head_row: (0, None),
             store_version: 1,
             rows: HashMap::default(),
+            workers_in_use: (0..worker_count as usize).map(worker_in_use).collect(),
             jobs: Vec::new(),
             crashing: HashSet::default(),
             crashes: HashMap::default(),
@@ -261,12 +284,44 @@
         if !self.leaders.iter().any(|l| l.alive) && self.chance_per_mille(20) {
             self.take_over();
         }
+        if self.replaces_workers {
+            for i in 0..self.workers.len() {
+                self.change_listing(i);
+            }
+        }
+    }
+
+    /// Changes a worker's entry in the platform's list, or lets the worker leave if it has no runs,
+    /// with a small probability.
+    fn change_listing(&mut self, worker_index: usize) {
+        let chances = match self.workers[worker_index].listing {
+            Listing::Ready => [0, 2, 1, 0],
+            Listing::Draining => [1, 0, 2, 2],
+            Listing::Unlisted => [2, 2, 0, 1],
+        };
+        let [ready, draining, unlisted, leaves] = chances.map(|c| self.chance_per_mille(c));
+        if !self.workers[worker_index].up {
+            return;
+        }
+        let leaves = leaves && self.workers[worker_index].running.is_empty();
+        if leaves {
+            self.crash(worker_index);
+        }
+        let worker = &mut self.workers[worker_index];
+        if ready {
+            worker.listing = Listing::Ready;
+        } else if draining {
+            worker.listing = Listing::Draining;
+        } else if unlisted || leaves {
+            worker.listing = Listing::Unlisted;
+        }
     }
 
     /// Makes all workers reachable, restarts those that are down, and ensures that the newest leader
     /// is alive.
     fn remove_faults(&mut self) {
         for worker in &mut self.workers {
+            worker.listing = Listing::Ready;
             worker.unreachable_until_ms.clear();
             worker.restarts_at_ms = worker.restarts_at_ms.min(self.now_ms);
         }
--- a/crates/core/tests/shard_model/world/leaders.rs
+++ b/crates/core/tests/shard_model/world/leaders.rs
@@ -4,6 +4,7 @@
     super::{
         Mutant, World,
         network::{Message, ReportRequest},
+        workers::Listing,
     },
     marigoldbend_core::sched::{
         job::Resources,
@@ -30,6 +31,8 @@
     /// How many of the accepted jobs the leader has read.
     pub(super) jobs_read: usize,
     pub(super) next_heartbeat_ms: u64,
+    /// The entry of each worker in the platform's list, as the leader has seen it.
+    pub(super) listings: Vec<Listing>,
     /// When the next report request is sent to each worker.
     pub(super) next_report_request_ms: Vec<u64>,
     /// The incarnation of each worker to which the leader is connected, as the worker's
@@ -37,6 +40,39 @@
     pub(super) incarnations: Vec<Option<u64>>,
 }
 
+/// Returns the entry of a worker in the stored list of workers in use.
+pub(super) fn worker_in_use(index: usize) -> (String, String) {
+    let info = worker_info(index, Listing::Ready);
+    (info.id, info.address)
+}
+
+/// Returns the index of the worker with an id.
+pub(super) fn worker_index(id: &str) -> usize {
+    id[1..].parse().expect("a worker id is `w` and a number")
+}
+
+fn worker_info(index: usize, listing: Listing) -> WorkerInfo {
+    WorkerInfo {
+        id: format!("w{index}"),
+        service: "s".to_owned(),
+        address: format!("127.0.0.1:{index}"),
+        domain: "z".to_owned(),
+        availability: if listing == Listing::Draining {
+            Availability::Draining
+        } else {
+            Availability::Ready
+        },
+        capacity: Resources {
+            cpu: 3_000,
+            mem_mb: 1_000,
+            gpu: 0,
+        },
+        labels: Vec::new(),
+        started_ms: 0,
+        remaining_ms: None,
+    }
+}
+
 impl World {
     /// Adds a new leader, which replaces the previous one in the lease row.
     pub(super) fn take_over(&mut self) {
@@ -44,23 +80,8 @@
         self.store_version += 1;
         let now = self.instant_at(self.now_ms);
         let mut shard = Shard::new(Params::default(), self.lease_token, now);
-        for i in 0..self.workers.len() {
-            let info = WorkerInfo {
-                id: format!("w{i}"),
-                service: "s".to_owned(),
-                address: format!("127.0.0.1:{i}"),
-                domain: "z".to_owned(),
-                availability: Availability::Ready,
-                capacity: Resources {
-                    cpu: 3_000,
-                    mem_mb: 1_000,
-                    gpu: 0,
-                },
-                labels: Vec::new(),
-                started_ms: 0,
-                remaining_ms: None,
-            };
-            shard.worker_listed(&info, now);
+        for (id, address) in &self.workers_in_use {
+            shard.add_worker_in_use(id, address, now);
         }
         for (id, spec) in &self.jobs {
             let row = self.rows.get(id);
@@ -83,8 +104,31 @@
             jobs_read: self.jobs.len(),
             next_heartbeat_ms: self.now_ms + HEARTBEAT_MS,
             next_report_request_ms: vec![0; self.workers.len()],
+            listings: vec![Listing::Unlisted; self.workers.len()],
             incarnations: vec![None; self.workers.len()],
         });
+        self.read_list(self.leaders.len() - 1);
+    }
+
+    /// Passes the platform's list of workers to the leader at index `i`.
+    fn read_list(&mut self, i: usize) {
+        let now = self.instant_at(self.now_ms);
+        let leader = &mut self.leaders[i];
+        for (index, worker) in self.workers.iter().enumerate() {
+            if leader.listings[index] == worker.listing {
+                continue;
+            }
+            leader.listings[index] = worker.listing;
+            let info = worker_info(index, worker.listing);
+            if worker.listing == Listing::Unlisted {
+                leader.shard.worker_unlisted(&info.id, now);
+                continue;
+            }
+            leader.shard.worker_listed(&info, now);
+            if self.mutant == Mutant::StartOnUnstoredWorkers {
+                leader.shard.add_worker_in_use(&info.id, &info.address, now);
+            }
+        }
     }
 
     /// Lets the leader at index `i` do the work of one step, unless it is dead or paused.
@@ -104,6 +148,8 @@
             }
             leader.shard.confirm(now);
         }
+        self.read_list(i);
+        let leader = &mut self.leaders[i];
         while leader.jobs_read < self.jobs.len() {
             let (id, spec) = &self.jobs[leader.jobs_read];
             leader.jobs_read += 1;
@@ -152,9 +198,7 @@
             else {
                 continue;
             };
-            let worker_index: usize = worker[1..]
-                .parse()
-                .expect("a worker id is `w` and a number");
+            let worker_index = worker_index(worker);
             let incarnation = self.workers[worker_index].started_ms;
             self.send(
                 Message::Command(token, worker_index, command, incarnation),
--- a/crates/core/tests/shard_model/world/network.rs
+++ b/crates/core/tests/shard_model/world/network.rs
@@ -3,7 +3,11 @@
 //! A leader is addressed by its token, a worker by its index.
 
 use {
-    super::{Mutant, World, workers::Running},
+    super::{
+        Mutant, World,
+        leaders::worker_index,
+        workers::{Listing, Running},
+    },
     marigoldbend_core::sched::{
         job::TaskName,
         journal::{Write, WriteResult},
@@ -192,6 +196,16 @@
             self.store_version += 1;
             self.head_row = (self.store_version, Some(write.mark));
             self.rows.extend(write.batch.rows.iter().cloned());
+            if let Some(workers_in_use) = &write.batch.workers_in_use {
+                self.workers_in_use.clone_from(workers_in_use);
+                self.workers_in_use.sort();
+                if self.mutant == Mutant::RemoveWorkersWithRuns {
+                    let workers = &self.workers;
+                    let is_ready = |i: usize| workers[i].listing == Listing::Ready;
+                    self.workers_in_use
+                        .retain(|(id, _)| is_ready(worker_index(id)));
+                }
+            }
             WriteResult::Applied(self.store_version)
         } else {
             WriteResult::Superseded(self.head_row.0, self.head_row.1)
--- a/crates/core/tests/shard_model/world/workers.rs
+++ b/crates/core/tests/shard_model/world/workers.rs
@@ -26,10 +26,20 @@
     pub(super) lease_until_ms: u64,
 }
 
+/// A worker's entry in the platform's list.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Listing {
+    Ready,
+    Draining,
+    /// The platform does not list the worker, which may be up nevertheless.
+    Unlisted,
+}
+
 /// A worker, with the state of its current incarnation.
 #[derive(Debug)]
 pub(super) struct Worker {
     pub(super) up: bool,
+    pub(super) listing: Listing,
     /// When the worker restarts, if it is not up.
     pub(super) restarts_at_ms: u64,
     /// When the current incarnation started; identifies the incarnation.
@@ -71,6 +81,7 @@
             if !worker.up {
                 if self.now_ms >= worker.restarts_at_ms {
                     worker.up = true;
+                    worker.listing = Listing::Ready;
                     worker.started_ms = self.now_ms + 10;
                     worker.highest_token = 0;
                     worker.finished.clear();
--- a/crates/core/tests/shard_ranking.rs
+++ b/crates/core/tests/shard_ranking.rs
@@ -40,6 +40,7 @@
     let mut shard = Shard::new(Params::default(), 1, base);
     for index in 0..WORKERS {
         shard.worker_listed(&worker(index, "127.0.0.1:1"), base);
+        shard.add_worker_in_use(&format!("w{index}"), "127.0.0.1:1", base);
         let report = Report {
             started_ms: 1,
             clock_ms: 10,
--- a/crates/core/tests/starvation.rs
+++ b/crates/core/tests/starvation.rs
@@ -100,6 +100,7 @@
             remaining_ms: None,
         };
         shard.worker_listed(&info, base);
+        shard.add_worker_in_use(&info.id, &info.address, base);
         Self {
             shard,
             base,
