Send calls that got stuck in an outage again once the store serves a peer

Cause: after an outage in which the store answers nothing, a watch learns of its return only when the call that was sent in the outage reaches its time limit, up to 2 s later; until then its configuration is out of date and work is refused.

Change: heartbeats tell since when the store serves a peer. If that is after calls of this instance began to fail, its watches give up their calls and send them again, at most every 2.5 s, which leaves a slow reply its time limit.

Evidence: a_stuck_call_is_sent_again_once_the_store_serves_a_peer times out without the retry.

--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -27,7 +27,7 @@
         },
         time::{Duration, Instant},
     },
-    tokio::time::sleep,
+    tokio::{sync::Notify, time::sleep},
 };
 
 /// The time limit of a write. A store at a hundredth of its normal speed takes 0.8 s for a write
@@ -112,6 +112,8 @@
     /// The moving average of the write time, and when it was last updated; `None` before the first
     /// write.
     write_time: Mutex<Option<(Duration, Instant)>>,
+    /// Wakes the callers of [`Store::retry_requested`].
+    retry: Notify,
 }
 
 #[derive(Debug, Default)]
@@ -141,6 +143,7 @@
             counters: Counters::default(),
             health: Mutex::new(Health::default()),
             write_time: Mutex::default(),
+            retry: Notify::new(),
         }
     }
 
@@ -174,6 +177,18 @@
         }
     }
 
+    /// Ends the pending [`Store::retry_requested`] calls. To be called when the store is known to
+    /// serve a peer while calls from here fail: those in flight may be stuck until their time limit.
+    pub fn request_retry(&self) {
+        self.retry.notify_waiters();
+    }
+
+    /// Waits until a call in flight should be given up and sent again; see
+    /// [`Store::request_retry`].
+    pub async fn retry_requested(&self) {
+        self.retry.notified().await;
+    }
+
     /// Sends a transaction once.
     ///
     /// # Errors
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -166,6 +166,8 @@
     sent_store_reachable: bool,
     /// Whether the store rejects this instance.
     rejection: RejectionCheck,
+    /// When calls to the store were last sent again because it serves a peer; `None` if never.
+    store_retried_at: Option<Instant>,
 }
 
 impl Actor for Control {
@@ -229,6 +231,7 @@
             stalled_at: None,
             sent_store_reachable: true,
             rejection: RejectionCheck::default(),
+            store_retried_at: None,
         }
     }
 
--- a/crates/scheduler/src/control/peers.rs
+++ b/crates/scheduler/src/control/peers.rs
@@ -14,6 +14,10 @@
 /// only every 5 s, a sixth of this time.
 const LOST_PEER_SILENCE: Duration = Duration::from_secs(30);
 
+/// The minimum time between two rounds in which calls to the store are sent again; longer than the
+/// time limit of a call that the store answers slowly.
+const STORE_RETRY_INTERVAL: Duration = Duration::from_millis(2_500);
+
 impl Control {
     /// Sends heartbeats to the peers for which one is due, or to all peers if `send_all` is true.
     pub(super) fn send_heartbeats(&mut self, now: Instant, send_all: bool) {
@@ -134,6 +138,7 @@
         if previous.is_some_and(|p| p.incarnation != heartbeat.incarnation) {
             log::info!("peers: {} has restarted.", heartbeat.name);
         }
+        self.retry_store_calls(now);
         let rival_takeovers = heartbeat.taking_over.into_iter();
         for shard in rival_takeovers.filter(|_| heartbeat.store_reachable) {
             if let Some(leadership) = self.leadership.get_mut(&shard) {
@@ -189,6 +194,24 @@
         }
     }
 
+    /// Has the calls to the store that are in flight sent again if a peer was served after calls of
+    /// this instance began to fail, since they may wait for a reply that was lost.
+    fn retry_store_calls(&mut self, now: Instant) {
+        let Some(failing_since) = self.store.health().failing_since else {
+            return;
+        };
+        let is_due = |at| now.duration_since(at) >= STORE_RETRY_INTERVAL;
+        let is_evidence = |p: &PeerView| p.served_at > Some(failing_since);
+        if self.store_retried_at.is_none_or(is_due) && self.peer_views.values().any(is_evidence) {
+            log::info!(
+                "platform: the store serves a peer, calls are sent again: failing_ms={}.",
+                now.saturating_duration_since(failing_since).as_millis()
+            );
+            self.store_retried_at = Some(now);
+            self.store.request_retry();
+        }
+    }
+
     /// Applies the instances and leases that were read from the store at the start.
     pub(super) fn on_known_instances(
         &mut self,
--- a/crates/scheduler/src/watch.rs
+++ b/crates/scheduler/src/watch.rs
@@ -13,7 +13,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::sleep,
+    tokio::{select, time::sleep},
 };
 
 /// The delay before a failed call is repeated.
@@ -131,14 +131,25 @@
         } else {
             target.long_poll_timeout
         };
-        let result = match after_version {
-            None => store
-                .part(&target.table, &target.part)
-                .await
-                .map(|p| (p.version, WatchEvent::All(p.rows))),
-            Some(after) => {
-                let page = store.feed(&target.table, after, wait).await;
-                page.map(|p| (p.version.max(after), WatchEvent::Changed(p.rows)))
+        let call = async {
+            match after_version {
+                None => {
+                    let page = store.part(&target.table, &target.part).await;
+                    page.map(|p| (p.version, WatchEvent::All(p.rows)))
+                }
+                Some(after) => {
+                    let page = store.feed(&target.table, after, wait).await;
+                    page.map(|p| (p.version.max(after), WatchEvent::Changed(p.rows)))
+                }
+            }
+        };
+        let result = select! {
+            result = call => result,
+            () = store.retry_requested() => {
+                if target.catch_up == CatchUp::Rows {
+                    after_version = None;
+                }
+                continue;
             }
         };
         match result {
@@ -178,7 +189,10 @@
                 if target.catch_up == CatchUp::Rows {
                     after_version = None;
                 }
-                sleep(RETRY_DELAY).await;
+                select! {
+                    () = sleep(RETRY_DELAY) => {}
+                    () = store.retry_requested() => {}
+                }
             }
         }
     }
--- a/crates/scheduler/tests/watch.rs
+++ b/crates/scheduler/tests/watch.rs
@@ -220,3 +220,35 @@
     }
     watch_task.abort();
 }
+
+/// Guards against a watch that hears of the store's return only when the call that got stuck in the
+/// outage reaches its time limit.
+#[test_case(CatchUp::Rows, "/rows"; "rows are read again")]
+#[test_case(CatchUp::Changes, "/changes-5-3600000"; "changes are read again")]
+#[tokio::test]
+async fn a_stuck_call_is_sent_again_once_the_store_serves_a_peer(catch_up: CatchUp, next: &str) {
+    let (requests, mut paths) = mpsc::unbounded_channel();
+    let script = Script::new(Mutex::new(VecDeque::from(["1 1 5 5"])));
+    let address = start_scripted(script, requests).await;
+    let store = Arc::new(Store::new(address, SCRIPT_WIRE, Arc::new(SystemClock)));
+    let target = WatchTarget {
+        table: "t".to_owned(),
+        part: String::new(),
+        // Longer than the time limit of the test.
+        long_poll_timeout: Duration::from_secs(3_600),
+        pause_between_polls: Duration::ZERO,
+        catch_up,
+    };
+    let watch_task = tokio::spawn(watch_table(store.clone(), target, None, |_| {
+        Box::pin(async {})
+    }));
+    let mut next_path = async || {
+        let path = timeout(Duration::from_secs(10), paths.recv()).await;
+        path.expect("no further call").expect("the store has ended")
+    };
+    assert_eq!(next_path().await, "/rows");
+    assert_eq!(next_path().await, "/changes-5-3600000");
+    store.request_retry();
+    assert_eq!(next_path().await, next);
+    watch_task.abort();
+}
