Keep a run whose lease an earlier leader granted

Cause: a lease counts as expired by the leases that this leader granted. A leader that stalls right after the first report of a worker has granted none, so on waking it takes a run on that worker, which an earlier leader started, for expired, although the earlier leader's lease lasts up to 6.2 s from the takeover. With one confirmation by the store the task starts elsewhere beside it.

Change: until the limit for unknown runs has passed, no lease of a worker in the stored list counts as expired, whether the worker has answered or not.

The new test fails without the change.

Conclusion: two runs at once ruled out for this case. The price is a later restart, by less than a second, of tasks whose worker answers once and falls silent right after a takeover, since leases that this leader grants end 5.7 s after the last report anyway.

--- a/crates/core/src/sched/shard/leases.rs
+++ b/crates/core/src/sched/shard/leases.rs
@@ -36,12 +36,11 @@
                 worker.leases_expired_at = None;
                 continue;
             }
-            let has_expired = if worker.clock.has_sample() {
-                worker.clock.has_expired(now)
-            } else {
-                now >= unknown_runs_until
-            };
-            if !has_expired {
+            // The clock has only the leases that this leader granted.
+            let may_have_earlier_leases = worker.is_inherited || !worker.clock.has_sample();
+            if (may_have_earlier_leases && now < unknown_runs_until)
+                || (worker.clock.has_sample() && !worker.clock.has_expired(now))
+            {
                 continue;
             }
             let expired_at = *worker.leases_expired_at.get_or_insert(now);
--- a/crates/core/tests/shard.rs
+++ b/crates/core/tests/shard.rs
@@ -858,3 +858,50 @@
         "{commands:?}"
     );
 }
+
+/// A leader that stalls after the first report of a worker has granted it no lease, but an earlier
+/// leader may have.
+#[test]
+fn a_run_that_an_earlier_leader_started_is_not_lost_before_its_lease_has_expired() {
+    let mut fixture = Fixture::new(&[worker("a", 4_000), worker("b", 4_000)]);
+    let origin = JobOrigin::Stored(Progress::default());
+    let now = fixture.now();
+    fixture
+        .shard
+        .add_job(JOB, job(vec![step(1, 1_000)]), origin, now);
+    let running = RunningRow {
+        task: TaskName {
+            job: JOB,
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        },
+        attempt: 1,
+        checkpoint: String::new(),
+        percent: 10.0,
+        usage: None,
+    };
+    let with_run = Report {
+        running: vec![running],
+        ..report(20)
+    };
+    fixture.now_ms = 20;
+    fixture.report("a", &with_run);
+    fixture.now_ms = 2_800;
+    let limit_ms = Params::default().unknown_run_limit.as_millis() as u64;
+    let mut restarted_ms = None;
+    while restarted_ms.is_none() && fixture.now_ms < 9_000 {
+        fixture.now_ms += 50;
+        let now_ms = fixture.now_ms;
+        fixture.shard.confirm(fixture.now());
+        fixture.report("b", &report(now_ms));
+        if !fixture.starts(0).is_empty() {
+            restarted_ms = Some(now_ms);
+        }
+    }
+    let restarted_ms = restarted_ms.expect("the task restarts");
+    assert!(
+        (limit_ms..limit_ms + 300).contains(&restarted_ms),
+        "{restarted_ms}"
+    );
+}
