Store where long-running tasks run

Cause: after a takeover, any worker that has not answered may run any task that an earlier leader may have started. So one worker that was in the stored list and vanished holds up all of them for 6.2 s, in which the long-running tasks that lost their worker run nowhere.

Change: a job's row names the worker that has confirmed the run of a long-running task, written with the next group commit, not before the start. The task starts again only once a row that names no worker is certainly stored (an urgent write). So a row that names a worker says: there or nowhere. The next leader waits for that worker's answer, or for the limit, and then removes the name by a write before the task starts. Tasks that no row names wait as before. Gangs and speculative tasks are left out, since they have several runs. The attempt is not stored: no rule needs it.

Price: for each running long-running task 4 bytes and the worker's id, in rows with such tasks also 2 bytes (5, 21, 35 bytes for none, one, two); one more write for each move; and no restart of a recorded task while the store can't be written. That includes evacuations of drained workers; it has no sound bound but the outage, since the next leader trusts the record. The names follow the losses in the row: rows without them decode, and earlier versions read rows with them, but leave them in place when they move a task, so an earlier version must not lead in between.

Evidence: each rule left out by hand fails the new tests: no wait for the removal (both tests of shard.rs), no start after the named worker's answer (the second). The model has a third mode, with long-running jobs; it detects that tasks restart before the removal is stored, or before the named worker has answered.

Conclusion: a worker that vanished holds up the long-running tasks it had, and those that no row names, but no others.

--- a/crates/core/src/sched/progress.rs
+++ b/crates/core/src/sched/progress.rs
@@ -1,7 +1,7 @@
 //! The stored progress of a job.
 //!
-//! Each job has one progress row, which is small and written whole at each change. The row doesn't
-//! say which tasks run where, because the workers report that.
+//! Each job has one progress row, which is small and written whole at each change. The row says only
+//! of long-running tasks where they run; the workers report the rest.
 
 use {
     crate::sched::job::{JobId, TaskName},
@@ -105,6 +105,19 @@
     pub unresolved: Vec<LostProcess>,
 }
 
+/// Where a long-running task runs: on the named worker or nowhere.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct PlacementRecord {
+    /// The occurrence of the job, from zero.
+    pub occurrence: u32,
+    /// The index of the step.
+    pub step: u16,
+    /// The index of the task within the step.
+    pub index: u32,
+    /// The id of the worker.
+    pub worker: String,
+}
+
 impl LossRecord {
     /// Returns the name of the task, which is one of the job `id`.
     pub fn task(&self, id: JobId) -> TaskName {
@@ -134,6 +147,9 @@
     /// only if there are any, so that earlier versions of this program can read it.
     #[serde(skip)]
     pub losses: Vec<LossRecord>,
+    /// Where long-running tasks run. They follow the losses in the row, and only if there are any.
+    #[serde(skip)]
+    pub placements: Vec<PlacementRecord>,
 }
 
 impl Progress {
@@ -141,10 +157,14 @@
     pub fn encode(&self) -> Vec<u8> {
         // Encoding plain data into a growing buffer can't fail.
         let row = postcard::to_stdvec(self).unwrap_or_default();
-        if self.losses.is_empty() {
+        if self.losses.is_empty() && self.placements.is_empty() {
+            return row;
+        }
+        let row = postcard::to_extend(&self.losses, row).unwrap_or_default();
+        if self.placements.is_empty() {
             return row;
         }
-        postcard::to_extend(&self.losses, row).unwrap_or_default()
+        postcard::to_extend(&self.placements, row).unwrap_or_default()
     }
 
     /// Decodes a row.
@@ -156,7 +176,11 @@
         let (mut progress, rest): (Self, _) =
             postcard::take_from_bytes(buf).map_err(|_| ProgressError)?;
         if !rest.is_empty() {
-            progress.losses = postcard::from_bytes(rest).map_err(|_| ProgressError)?;
+            let (losses, rest) = postcard::take_from_bytes(rest).map_err(|_| ProgressError)?;
+            progress.losses = losses;
+            if !rest.is_empty() {
+                progress.placements = postcard::from_bytes(rest).map_err(|_| ProgressError)?;
+            }
         }
         Ok(progress)
     }
--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -15,6 +15,7 @@
 //! - `leases`: the expiry of leases, and the resending of commands.
 //! - `losses`: lost processes of workers, and the tasks that ran on them.
 //! - `moves`: moves jobs to less loaded shards before they start.
+//! - `placements`: the stored placements of long-running tasks.
 //! - `queries`: states of jobs, counts and loads, for callers and other instances.
 //! - `runs`: adds and removes runs on workers, and accounts for their resources.
 //! - `summary`: what waits and what is free, for the log and the metrics.
@@ -34,6 +35,7 @@
 mod leases;
 mod losses;
 mod moves;
+mod placements;
 mod queries;
 mod runs;
 mod state;
--- a/crates/core/src/sched/shard/commits.rs
+++ b/crates/core/src/sched/shard/commits.rs
@@ -39,7 +39,8 @@
         let mut batch = Batch::default();
         for id in ids {
             self.dirty.remove(&id);
-            if let Some(job) = self.jobs.get(&id) {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.on_placements_taken(id, &mut batch.placed);
                 batch.rows.push((id, job.progress().encode()));
                 batch.outcomes.push((id, job.outcome));
             }
@@ -93,6 +94,7 @@
         for (id, outcome) in &batch.outcomes {
             if let Some(job) = self.jobs.get_mut(id) {
                 job.stored_outcome = *outcome;
+                self.changed |= job.on_placements_stored(*id, &batch.placed);
                 if !self.dirty.contains(id) {
                     job.on_stored();
                     self.changed |= job.has_losses;
--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -53,6 +53,7 @@
             self.stop_draining_runs(now);
             self.stop_stuck(now);
             self.add_due_occurrences(unix_ms);
+            self.resolve_placements(now);
         }
         self.count_crashes(now, unix_ms);
         if !self.resigning && self.next_dispatch_at() <= now {
@@ -193,13 +194,14 @@
     fn dispatch_step(&mut self, name: TaskName, service: &str, step: &Step, now: Instant) {
         let mut ranking = Ranking::default();
         let placement_key = PlacementKey::new(service, step);
+        let is_held = self.is_held(name.job);
         for index in 0..step.count {
             let name = TaskName { index, ..name };
             let job = self.jobs.get_mut(&name.job);
             let Some(task) = job.and_then(|j| j.task(&name)) else {
                 return;
             };
-            if !task.is_startable(now) {
+            if !task.is_startable(is_held, now) {
                 continue;
             }
             let avoid_worker = task.avoid_worker.clone();
@@ -365,7 +367,14 @@
 
 impl Task {
     /// Returns whether the task is not done, has no run and may start at `now`.
-    pub(super) fn is_startable(&self, now: Instant) -> bool {
-        !self.done && self.workers.is_empty() && self.not_before.is_none_or(|at| at <= now)
+    ///
+    /// If `is_held`, an earlier leader may have started it on a worker that has not answered, unless
+    /// it is known where its run was.
+    pub(super) fn is_startable(&self, is_held: bool, now: Instant) -> bool {
+        !self.done
+            && self.workers.is_empty()
+            && self.placement.is_none()
+            && (!is_held || self.is_located)
+            && self.not_before.is_none_or(|at| at <= now)
     }
 }
--- a/crates/core/src/sched/shard/gangs.rs
+++ b/crates/core/src/sched/shard/gangs.rs
@@ -20,6 +20,7 @@
     ) {
         let members = (0..step.count).map(|index| TaskName { index, ..name });
         let members: Vec<_> = members.collect();
+        let is_held = self.is_held(name.job);
         let Some(job) = self.jobs.get_mut(&name.job) else {
             return;
         };
@@ -29,7 +30,7 @@
             let Some(task) = job.task(member) else {
                 return;
             };
-            if !task.is_startable(now) {
+            if !task.is_startable(is_held, now) {
                 return;
             }
             attempt = attempt.max(task.attempt);
--- a/crates/core/src/sched/shard/jobs.rs
+++ b/crates/core/src/sched/shard/jobs.rs
@@ -118,6 +118,7 @@
             occurrences_done: self.occurrences_done.clone(),
             tasks,
             losses: self.loss_records(),
+            placements: self.placement_records(),
         }
     }
 }
@@ -223,6 +224,19 @@
                 task.restore_losses(record);
             }
         }
+        for record in self
+            .stored_placements
+            .iter()
+            .filter(|r| r.occurrence == number)
+        {
+            let tasks_of_step = occurrence.tasks.get_mut(usize::from(record.step));
+            if let Some(task) = tasks_of_step.and_then(|s| s.get_mut(record.index as usize)) {
+                task.placement = Some(record.worker.clone());
+                task.is_located = true;
+                task.awaits_worker = true;
+            }
+        }
+        self.stored_placements.retain(|r| r.occurrence != number);
         self.stored_losses.retain(|r| r.occurrence != number);
         self.records.retain(|r| r.occurrence != number);
         self.occurrences.push(occurrence);
--- a/crates/core/src/sched/shard/leases.rs
+++ b/crates/core/src/sched/shard/leases.rs
@@ -89,7 +89,7 @@
 
     /// Returns the time by which runs of an earlier leader have ended on workers that have sent no
     /// report to this one.
-    fn unknown_runs_until(&self) -> Instant {
+    pub(super) fn unknown_runs_until(&self) -> Instant {
         self.leader_since + self.params.unknown_run_limit
     }
 
--- a/crates/core/src/sched/shard/runs.rs
+++ b/crates/core/src/sched/shard/runs.rs
@@ -36,18 +36,23 @@
     pub(super) fn remove_run(
         &mut self,
         worker_id: &str,
-        task: TaskName,
+        name: TaskName,
         now: Instant,
     ) -> Option<Run> {
         self.changed = true;
-        if let Some(task) = self.jobs.get_mut(&task.job).and_then(|j| j.task(&task)) {
+        if let Some(task) = self.jobs.get_mut(&name.job).and_then(|j| j.task(&name)) {
             task.workers.retain(|w| w != worker_id);
             if let Some(losses) = task.losses.as_mut() {
                 losses.current = None;
             }
+            let was_here = task.confirmed_on.as_deref() == Some(worker_id);
+            task.confirmed_on.take_if(|_| was_here);
+            if was_here && task.placement.is_some() {
+                self.mark_dirty(name.job, true, now);
+            }
         }
         let worker = self.workers.get_mut(worker_id)?;
-        let run = worker.runs.remove(&task)?;
+        let run = worker.runs.remove(&name)?;
         worker.free.add(&run.reserved);
         worker.best_effort_cpu -= run.best_effort_cpu;
         if run.latency_target_ms > 0.0 {
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -13,7 +13,7 @@
         sched::{
             interference::{Image, Interference, PairEstimate, Pressure},
             job::{JobId, JobSpec, Resources, TaskName},
-            progress::{JobOutcome, LossRecord, Progress, TaskRecord},
+            progress::{JobOutcome, LossRecord, PlacementRecord, Progress, TaskRecord},
             size_fairness::SizeFairness,
             throttle::Throttle,
             worker::{LeaseClock, WorkerInfo},
@@ -147,6 +147,8 @@
     /// Run ends that may be acknowledged once the batch is stored: worker id, the worker's
     /// `started_ms`, and the number of its newest run end.
     pub(super) acks: Vec<(String, u64, u64)>,
+    /// The tasks whose workers `rows` name.
+    pub(super) placed: HashSet<TaskName>,
     /// The outcome in each of `rows`, by job id.
     pub(super) outcomes: Vec<(JobId, JobOutcome)>,
 }
@@ -305,6 +307,15 @@
     pub avoid_worker: Option<String>,
     /// The earliest time of the next start; `None` if there is no limit.
     pub not_before: Option<Instant>,
+    /// The worker that the stored row may name; see [`PlacementRecord`]. The task starts only while
+    /// there is none.
+    pub placement: Option<String>,
+    /// Whether the row that this leader read at its takeover named a worker.
+    pub is_located: bool,
+    /// Whether that worker may still have a run of an earlier leader.
+    pub awaits_worker: bool,
+    /// The worker that has confirmed a run of a long-running task; `None` if there is none.
+    pub confirmed_on: Option<String>,
     /// The workers that the task has lost; `None` if none.
     pub losses: Option<Box<Losses>>,
 }
@@ -343,6 +354,10 @@
     pub records: Vec<TaskRecord>,
     /// The stored losses of tasks whose occurrences have not been added yet.
     pub stored_losses: Vec<LossRecord>,
+    /// The stored placements of tasks whose occurrences have not been added yet.
+    pub stored_placements: Vec<PlacementRecord>,
+    /// Whether any task may await the worker that its stored placement names.
+    pub has_awaiting_tasks: bool,
     /// Whether any task may have lost a worker.
     pub has_losses: bool,
     /// When the job was accepted; approximate for jobs of earlier leaders.
@@ -415,6 +430,9 @@
     pub(super) urgent: bool,
     /// Whether the last batch has no result yet.
     pub(super) storing: bool,
+    /// Whether any worker may have runs of an earlier leader that this one does not know, as of the
+    /// last dispatch.
+    pub(super) has_unknown_runs: bool,
     /// Whether the list of workers in use has changed since it was last part of a batch.
     pub(super) workers_in_use_dirty: bool,
     /// Whether workers were added or removed, or their addresses changed, since the last call of
@@ -465,6 +483,7 @@
             dirty_since: None,
             urgent: false,
             storing: false,
+            has_unknown_runs: true,
             workers_in_use_dirty: true,
             worker_addresses_changed: true,
             interference_stored_at: now,
@@ -517,6 +536,8 @@
             records: progress.tasks,
             has_losses: !progress.losses.is_empty(),
             stored_losses: progress.losses,
+            has_awaiting_tasks: !progress.placements.is_empty(),
+            stored_placements: progress.placements,
             accepted_at: accepted,
             moving: false,
             idle_since: None,
--- a/crates/core/src/sched/shard/waiting.rs
+++ b/crates/core/src/sched/shard/waiting.rs
@@ -71,15 +71,17 @@
     /// Returns the jobs to dispatch, in order.
     ///
     /// Inherited jobs, which an earlier leader may have started, are left out while a worker that
-    /// has sent no report may still have runs of that leader.
+    /// has sent no report may still have runs of that leader, unless it is known of a waiting task
+    /// where its run was.
     pub(super) fn dispatch_order(&mut self, now: Instant) -> Vec<JobId> {
         self.count_useless_jobs(now);
-        let may_have_unknown_runs = self.may_have_unknown_runs(now);
+        self.has_unknown_runs = self.may_have_unknown_runs(now);
+        let has_unknown_runs = self.has_unknown_runs;
         let reserved_cpu = self.reserved_cpu();
         let brought_forward = self.jobs_brought_forward(now);
         let jobs = self.jobs.iter().filter(|(_, job)| {
             job.outcome == JobOutcome::Open
-                && !(job.inherited && may_have_unknown_runs)
+                && !(job.inherited && has_unknown_runs && !job.has_located_tasks())
                 && job.needs_dispatch()
         });
         let mut order: Vec<_> = jobs
@@ -187,6 +189,7 @@
         if step.long_running && !self.long_running_first(service) {
             return;
         }
+        let is_held = self.is_held(name.job);
         let Some(job) = self.jobs.get_mut(&name.job) else {
             return;
         };
@@ -197,7 +200,8 @@
         let occurrence = job.occurrences.iter().find(|o| o.number == name.occurrence);
         let tasks = occurrence.and_then(|o| o.tasks.get(usize::from(name.step)));
         let startable = tasks.map_or(0, |tasks| {
-            tasks.iter().filter(|t| t.is_startable(now)).count()
+            let startable = tasks.iter().filter(|t| t.is_startable(is_held, now));
+            startable.count()
         });
         self.held_back_for = Some(name.job);
         let max_held_back = self.workers.len() / HELD_BACK_DIVISOR + 1;
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -254,6 +254,7 @@
                 {
                     job.started = true;
                 }
+                self.on_run_confirmed(worker_id, task, now);
                 return;
             }
             CommandReply::Silent => {
@@ -397,7 +398,8 @@
         if let Some(run) = worker.runs.get_mut(&row.task)
             && run.attempt == row.attempt
         {
-            if run.phase == RunPhase::Sent {
+            let is_unconfirmed = run.phase == RunPhase::Sent;
+            if is_unconfirmed {
                 run.phase = RunPhase::Running(now);
                 run.in_doubt = false;
                 if let Some(job) = self.jobs.get_mut(&row.task.job) {
@@ -411,6 +413,9 @@
             if !row.checkpoint.is_empty() {
                 row.checkpoint.clone_into(&mut run.checkpoint);
             }
+            if is_unconfirmed {
+                self.on_run_confirmed(worker_id, row.task, now);
+            }
             return;
         }
         if let Some(run) = worker.runs.get_mut(&row.task) {
@@ -449,6 +454,7 @@
             if let Some(job) = self.jobs.get_mut(&row.task.job) {
                 job.started = true;
             }
+            self.on_run_confirmed(worker_id, row.task, now);
             return;
         }
         // Stop commands are idempotent. If this one gets lost, the next report lists the run again
--- a/crates/core/tests/shard.rs
+++ b/crates/core/tests/shard.rs
@@ -3,7 +3,7 @@
 use {
     marigoldbend_core::sched::{
         job::{JobId, JobSpec, Resources, Step, TaskName},
-        progress::{JobOutcome, JobState, Progress, TaskRecord},
+        progress::{JobOutcome, JobState, LossRecord, PlacementRecord, Progress, TaskRecord},
         shard::{Command, JobOrigin, Params, Shard},
         worker::{
             Availability, CommandReply, EndReason, FinishedRow, Report, RunningRow, WorkerInfo,
@@ -859,6 +859,112 @@
     );
 }
 
+fn long_running_job() -> JobSpec {
+    let step = Step {
+        long_running: true,
+        ..step(1, 1_000)
+    };
+    job(vec![step])
+}
+
+/// Stores the next batch and returns the workers that its rows name; `None` if no batch is due.
+fn store_placements(fixture: &mut Fixture) -> Option<Vec<String>> {
+    let batch = fixture.shard.take_batch(90, fixture.now())?;
+    fixture.shard.on_batch_result(&batch, true, fixture.now());
+    let rows = batch.rows.iter().flat_map(|(_, row)| {
+        let progress = Progress::decode(row).expect("a row that was just encoded");
+        progress.placements
+    });
+    Some(rows.map(|placement| placement.worker).collect())
+}
+
+#[test]
+fn a_long_running_task_restarts_once_its_stored_placement_is_removed() {
+    let mut fixture = Fixture::new(&[worker("a", 4_000), worker("b", 4_000)]);
+    store_placements(&mut fixture);
+    fixture
+        .shard
+        .add_job(JOB, long_running_job(), JobOrigin::New, fixture.now());
+    let (task, on) = fixture.starts(20)[0].clone();
+    fixture.now_ms += 150;
+    assert_eq!(store_placements(&mut fixture), Some(vec![on.clone()]));
+    let now_ms = fixture.now_ms;
+    let end = Report {
+        finished: vec![finished_row(1, task, EndReason::Failed)],
+        ..report(now_ms)
+    };
+    fixture.report(&on, &end);
+    assert_eq!(fixture.starts(100), []);
+    let batch = fixture.shard.take_batch(90, fixture.now());
+    let batch = batch.expect("the removal is urgent");
+    assert_eq!(fixture.starts(100), []);
+    // Without a result, the removal may not be stored.
+    fixture.shard.on_batch_result(&batch, false, fixture.now());
+    assert_eq!(fixture.starts(100), []);
+    assert_eq!(store_placements(&mut fixture), Some(vec![]));
+    assert_eq!(fixture.starts(100).len(), 1);
+}
+
+#[test]
+fn a_long_running_task_waits_only_for_the_worker_that_its_stored_placement_names() {
+    let mut fixture = Fixture::new(&[worker("b", 4_000)]);
+    for id in ["a", "silent"] {
+        let now = fixture.now();
+        fixture.shard.add_worker_in_use(id, "127.0.0.1:2", now);
+    }
+    store_placements(&mut fixture);
+    let stored = |placements| {
+        JobOrigin::Stored(Progress {
+            started: true,
+            placements,
+            ..Progress::default()
+        })
+    };
+    let on_a = PlacementRecord {
+        worker: "a".to_owned(),
+        ..PlacementRecord::default()
+    };
+    let now = fixture.now();
+    fixture
+        .shard
+        .add_job(JOB, long_running_job(), stored(vec![on_a]), now);
+    fixture
+        .shard
+        .add_job(JobId(8), long_running_job(), stored(vec![]), now);
+    assert_eq!(fixture.starts(100), []);
+    assert_eq!(store_placements(&mut fixture), None);
+    let now_ms = fixture.now_ms;
+    fixture.report("a", &report(now_ms));
+    assert_eq!(fixture.starts(50), []);
+    assert_eq!(store_placements(&mut fixture), Some(vec![]));
+    let starts = fixture.starts(50);
+    let jobs: Vec<_> = starts.iter().map(|(task, _)| task.job).collect();
+    assert_eq!(jobs, [JOB], "job 8 may run on the silent worker");
+}
+
+#[test_case(false; "without losses")]
+#[test_case(true; "with losses")]
+fn placements_follow_the_fields_that_earlier_versions_read(has_losses: bool) {
+    let earlier = Progress {
+        started: true,
+        losses: vec![LossRecord::default(); usize::from(has_losses)],
+        ..Progress::default()
+    };
+    let progress = Progress {
+        placements: vec![PlacementRecord {
+            worker: "a".to_owned(),
+            ..PlacementRecord::default()
+        }],
+        ..earlier.clone()
+    };
+    let row = progress.encode();
+    assert_eq!(Progress::decode(&row), Ok(progress));
+    assert_eq!(Progress::decode(&earlier.encode()), Ok(earlier.clone()));
+    // Earlier versions read the losses by `postcard::from_bytes`.
+    let (_, rest): (Progress, _) = postcard::take_from_bytes(&row).expect("the fixed fields");
+    assert_eq!(postcard::from_bytes(rest), Ok(earlier.losses));
+}
+
 /// A leader that stalls after the first report of a worker has granted it no lease, but an earlier
 /// leader may have.
 #[test]
--- a/crates/core/tests/shard_model/main.rs
+++ b/crates/core/tests/shard_model/main.rs
@@ -9,7 +9,7 @@
 
 use {
     test_case::test_case,
-    world::{Mutant, World},
+    world::{Mutant, Scenario, World},
 };
 
 /// The number of seeds that are simulated with all rules in force.
@@ -19,32 +19,18 @@
 const MUTANT_SEEDS: u64 = 4_000;
 
 /// Simulates one seed; returns the violation that it found, if any.
-fn run_world(seed: u64, mutant: Mutant) -> Option<String> {
-    let mut world = World::new(seed, mutant, false);
+fn run_world(seed: u64, mutant: Mutant, scenario: Scenario) -> Option<String> {
+    let mut world = World::new(seed, mutant, scenario);
     world.run();
     world.violation
 }
 
-/// The same while workers are replaced.
-fn run_world_with_replacements(seed: u64, mutant: Mutant) -> Option<String> {
-    let mut world = World::new(seed, mutant, true);
-    world.run();
-    world.violation
-}
-
-#[test]
-fn no_task_runs_twice_and_every_job_is_completed() {
-    for seed in 0..SEEDS {
-        if let Some(violation) = run_world(seed, Mutant::None) {
-            panic!("seed {seed}: {violation}");
-        }
-    }
-}
-
-#[test]
-fn no_task_runs_twice_while_workers_are_replaced() {
+#[test_case(Scenario::Crashes; "while workers crash")]
+#[test_case(Scenario::Replacements; "while workers are replaced")]
+#[test_case(Scenario::LongRunningJobs; "while long_running jobs move")]
+fn no_task_runs_twice_and_every_job_is_completed(scenario: Scenario) {
     for seed in 0..SEEDS {
-        if let Some(violation) = run_world_with_replacements(seed, Mutant::None) {
+        if let Some(violation) = run_world(seed, Mutant::None, scenario) {
             panic!("seed {seed}: {violation}");
         }
     }
@@ -54,7 +40,7 @@
 #[test_case(2675; "a late duplicate of a start after the end")]
 #[test_case(4749; "another late duplicate of a start after the end")]
 fn a_seed_that_failed_is_clean(seed: u64) {
-    assert_eq!(run_world(seed, Mutant::None), None);
+    assert_eq!(run_world(seed, Mutant::None, Scenario::Crashes), None);
 }
 
 /// Seeds beyond [`SEEDS`] in which a job waits too long, since its task may have crashed workers;
@@ -68,28 +54,24 @@
 #[test_case(5167)]
 #[test_case(5673)]
 fn a_seed_with_a_delayed_job_is_clean(seed: u64) {
-    assert_eq!(run_world(seed, Mutant::None), None);
-}
-
-#[test_case(Mutant::AckBeforeStore; "ended attempts are acknowledged before they are stored")]
-#[test_case(Mutant::AckAcrossRestart; "ended attempts are acknowledged by a stale number")]
-#[test_case(Mutant::UnconditionalWrites; "writes are applied after newer ones")]
-#[test_case(Mutant::InheritedAsNew; "jobs of an earlier leader are treated as new")]
-#[test_case(Mutant::IgnoreJobToken; "jobs that were accepted by a later leader are started")]
-#[test_case(Mutant::NoFencing; "commands of a replaced leader are carried out")]
-fn mutant_is_detected(mutant: Mutant) {
-    let detected = (0..MUTANT_SEEDS).any(|seed| run_world(seed, mutant).is_some());
-    assert!(
-        detected,
-        "{mutant:?} is not detected by {MUTANT_SEEDS} seeds"
-    );
+    assert_eq!(run_world(seed, Mutant::None, Scenario::Crashes), None);
 }
 
-#[test_case(Mutant::RemoveWorkersWithRuns; "draining workers with runs are removed from the list")]
-#[test_case(Mutant::StartOnUnstoredWorkers; "tasks start on workers that are not in the list")]
-fn mutant_is_detected_while_workers_are_replaced(mutant: Mutant) {
+#[test_case(Mutant::AckBeforeStore, Scenario::Crashes; "ended attempts are acknowledged before they are stored")]
+#[test_case(Mutant::AckAcrossRestart, Scenario::Crashes; "ended attempts are acknowledged by a stale number")]
+#[test_case(Mutant::UnconditionalWrites, Scenario::Crashes; "writes are applied after newer ones")]
+#[test_case(Mutant::InheritedAsNew, Scenario::Crashes; "jobs of an earlier leader are treated as new")]
+#[test_case(Mutant::IgnoreJobToken, Scenario::Crashes; "jobs that were accepted by a later leader are started")]
+#[test_case(Mutant::NoFencing, Scenario::Crashes; "commands of a replaced leader are carried out")]
+#[test_case(Mutant::RemoveWorkersWithRuns, Scenario::Replacements; "draining workers with runs are removed from the list")]
+#[test_case(Mutant::StartOnUnstoredWorkers, Scenario::Replacements; "tasks start on workers that are not in the list")]
+#[test_case(Mutant::RestartBeforeStore, Scenario::LongRunningJobs; "long_running tasks restart before that is stored")]
+#[test_case(Mutant::IgnorePlacedWorker, Scenario::LongRunningJobs; "long_running tasks restart beside an unanswered worker")]
+fn mutant_is_detected(mutant: Mutant, scenario: Scenario) {
+    // Some seeds fail with all rules in force.
+    let is_violated = |seed, mutant| run_world(seed, mutant, scenario).is_some();
     let detected =
-        (0..MUTANT_SEEDS).any(|seed| run_world_with_replacements(seed, mutant).is_some());
+        (0..MUTANT_SEEDS).any(|seed| is_violated(seed, mutant) && !is_violated(seed, Mutant::None));
     assert!(
         detected,
         "{mutant:?} is not detected by {MUTANT_SEEDS} seeds"
--- a/crates/core/tests/shard_model/world.rs
+++ b/crates/core/tests/shard_model/world.rs
@@ -45,10 +45,26 @@
     /// Workers that drain or are not listed are removed from the stored list of workers in use,
     /// though they may have runs.
     RemoveWorkersWithRuns,
+    /// Long-running tasks restart before the removal of their stored placement is stored.
+    RestartBeforeStore,
+    /// Long-running tasks restart before the worker that their stored placement names has answered.
+    IgnorePlacedWorker,
     /// Tasks start on workers that are not in the stored list of workers in use.
     StartOnUnstoredWorkers,
 }
 
+/// What happens beside the faults of messages and leaders.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Scenario {
+    /// Workers crash.
+    Crashes,
+    /// Workers crash, drain, leave, and lose their entries in the platform's list.
+    Replacements,
+    /// The same, while some jobs are long-running. Until the faults end, a worker that has crashed
+    /// returns after all messages to its previous process.
+    LongRunningJobs,
+}
+
 /// The time between two steps of the simulation, in milliseconds.
 const STEP_MS: u64 = 5;
 
@@ -68,6 +84,9 @@
 /// The same while workers are replaced.
 const REPLACED_WORKERS: u64 = 4;
 
+/// The maximum number of long-running jobs, which run until the end.
+const MAX_LONG_RUNNING_JOBS: u32 = 3;
+
 /// The share of the jobs with a task that crashes its workers, in thousandths.
 const CRASHING_JOBS_PER_MILLE: u32 = 80;
 
@@ -75,8 +94,7 @@
 pub struct World {
     rng: SmallRng,
     mutant: Mutant,
-    /// Whether workers drain, leave, and lose their entries in the platform's list.
-    replaces_workers: bool,
+    scenario: Scenario,
     /// The instant of simulated time zero.
     base: Instant,
     now_ms: u64,
@@ -97,10 +115,14 @@
     workers_in_use: Vec<(String, String)>,
     /// The accepted jobs, in the order of their acceptance.
     jobs: Vec<(JobId, JobSpec)>,
+    /// The number of long-running jobs among them.
+    long_running_jobs: u32,
     /// The tasks that crash each worker on which they start.
     crashing: HashSet<TaskName>,
     /// The number of workers that have crashed while they ran a task, by task.
     crashes: HashMap<TaskName, u32>,
+    /// When a worker crashed last; zero if none has.
+    last_crash_ms: u64,
     /// By task: the number of starts, and the token of the leader at the first one.
     starts: HashMap<TaskName, (u64, u64)>,
     /// The tasks whose successful end was acknowledged to the worker.
@@ -109,6 +131,14 @@
     pub violation: Option<String>,
 }
 
+/// Returns a job of one long-running step with `tasks` tasks.
+fn long_running_spec(token: u64, tasks: u32) -> JobSpec {
+    let mut spec = spec(token, tasks);
+    spec.steps.truncate(1);
+    spec.steps[0].long_running = true;
+    spec
+}
+
 /// Returns a job of two steps with `tasks` tasks each, accepted while the newest leader had
 /// `token`.
 fn spec(token: u64, tasks: u32) -> JobSpec {
@@ -140,7 +170,7 @@
 
 impl World {
     /// Creates a world with one leader.
-    pub fn new(seed: u64, mutant: Mutant, replaces_workers: bool) -> Self {
+    pub fn new(seed: u64, mutant: Mutant, scenario: Scenario) -> Self {
         let worker = |i: u64| Worker {
             up: true,
             listing: Listing::Ready,
@@ -153,15 +183,15 @@
             highest_attempts: HashMap::default(),
             unreachable_until_ms: HashMap::default(),
         };
-        let worker_count = if replaces_workers {
-            REPLACED_WORKERS
-        } else {
+        let worker_count = if scenario == Scenario::Crashes {
             WORKERS
+        } else {
+            REPLACED_WORKERS
         };
         let mut world = Self {
             rng: SmallRng::seed_from_u64(seed),
             mutant,
-            replaces_workers,
+            scenario,
             base: Instant::now(),
             now_ms: 1_000,
             workers: (0..worker_count).map(worker).collect(),
@@ -173,8 +203,10 @@
             rows: HashMap::default(),
             workers_in_use: (0..worker_count as usize).map(worker_in_use).collect(),
             jobs: Vec::new(),
+            long_running_jobs: 0,
             crashing: HashSet::default(),
             crashes: HashMap::default(),
+            last_crash_ms: 0,
             starts: HashMap::default(),
             acknowledged: HashSet::default(),
             violation: None,
@@ -211,16 +243,20 @@
     /// Returns a description of a job that is not completed at the newest living leader; `None` if
     /// there is none. Jobs with a task under which `max_crashes` workers have crashed don't count.
     ///
-    /// A job may have failed instead if two workers have crashed while they ran one of its tasks.
+    /// A long-running job counts as completed if all its tasks run, or a worker has crashed lately. A
+    /// job may have failed instead if two workers have crashed while they ran one of its tasks.
     fn unfinished_job(&self, max_crashes: u32) -> Option<String> {
         let leader = self.leaders.iter().rev().find(|l| l.alive)?;
-        self.jobs.iter().find_map(|(id, _)| {
+        self.jobs.iter().find_map(|(id, spec)| {
             let state = leader.shard.job_state(*id);
             let crashes = self.crashes.iter().filter(|(task, _)| task.job == *id);
             let crashes = crashes.map(|(_, count)| *count).max().unwrap_or(0);
             let is_finished = match state {
                 Some(JobState::Completed) => true,
                 Some(JobState::Failed) => crashes >= 2,
+                _ if spec.steps[0].long_running => {
+                    self.now_ms < self.last_crash_ms + CALM_MS || self.runs_all_tasks(*id, spec)
+                }
                 _ => false,
             };
             (crashes < max_crashes && !is_finished)
@@ -228,6 +264,17 @@
         })
     }
 
+    /// Returns whether all tasks of a long-running job run.
+    fn runs_all_tasks(&self, id: JobId, spec: &JobSpec) -> bool {
+        let mut tasks = (0..spec.steps[0].count).map(|index| TaskName {
+            job: id,
+            occurrence: 0,
+            step: 0,
+            index,
+        });
+        tasks.all(|task| self.workers.iter().any(|w| w.running.contains_key(&task)))
+    }
+
     /// Returns true with a probability of `per_mille` thousandths.
     fn chance_per_mille(&mut self, per_mille: u32) -> bool {
         self.rng.random_range(0..1_000) < per_mille
@@ -268,7 +315,12 @@
                 leader.paused_until_ms = self.now_ms + pause_ms;
             }
         }
-        if self.chance_per_mille(2) {
+        // Workers that leave add to the crashes, and long-running tasks are lost with each.
+        let crashes_per_mille = match self.scenario {
+            Scenario::Crashes | Scenario::Replacements => 2,
+            Scenario::LongRunningJobs => 1,
+        };
+        if self.chance_per_mille(crashes_per_mille) {
             let i = self.rng.random_range(0..self.workers.len());
             self.crash(i);
         }
@@ -284,7 +336,17 @@
         if !self.leaders.iter().any(|l| l.alive) && self.chance_per_mille(20) {
             self.take_over();
         }
-        if self.replaces_workers {
+        if self.scenario != Scenario::Crashes {
+            if self.scenario == Scenario::LongRunningJobs
+                && self.long_running_jobs < MAX_LONG_RUNNING_JOBS
+                && self.chance_per_mille(2)
+            {
+                let id = JobId(self.jobs.len() as u64 + 1);
+                let tasks = self.rng.random_range(1..3);
+                let spec = long_running_spec(self.lease_token, tasks);
+                self.jobs.push((id, spec));
+                self.long_running_jobs += 1;
+            }
             for i in 0..self.workers.len() {
                 self.change_listing(i);
             }
--- a/crates/core/tests/shard_model/world/leaders.rs
+++ b/crates/core/tests/shard_model/world/leaders.rs
@@ -85,9 +85,14 @@
         }
         for (id, spec) in &self.jobs {
             let row = self.rows.get(id);
-            let progress = row.map_or_else(Progress::default, |row| {
+            let mut progress = row.map_or_else(Progress::default, |row| {
                 Progress::decode(row).expect("a stored row decodes")
             });
+            if self.mutant == Mutant::IgnorePlacedWorker {
+                for placement in &mut progress.placements {
+                    placement.worker = "unknown".to_owned();
+                }
+            }
             let origin = if self.mutant == Mutant::InheritedAsNew && !self.rows.contains_key(id) {
                 JobOrigin::New
             } else {
--- a/crates/core/tests/shard_model/world/network.rs
+++ b/crates/core/tests/shard_model/world/network.rs
@@ -9,14 +9,18 @@
         workers::{Listing, Running},
     },
     marigoldbend_core::sched::{
-        job::TaskName,
+        job::{JobId, TaskName},
         journal::{Write, WriteResult},
+        progress::{PlacementRecord, Progress},
         shard::Command,
         worker::{CommandReply, EndReason, Report, RunningRow},
     },
     rand::RngExt,
 };
 
+/// The maximum delay of a message, in milliseconds.
+pub(super) const MAX_DELAY_MS: u64 = 6_100;
+
 /// A leader's request for a worker's report, which also renews the worker's leases and acknowledges
 /// ended attempts.
 #[derive(Clone, Debug)]
@@ -195,7 +199,9 @@
         {
             self.store_version += 1;
             self.head_row = (self.store_version, Some(write.mark));
-            self.rows.extend(write.batch.rows.iter().cloned());
+            for (id, row) in &write.batch.rows {
+                self.store_row(*id, row);
+            }
             if let Some(workers_in_use) = &write.batch.workers_in_use {
                 self.workers_in_use.clone_from(workers_in_use);
                 self.workers_in_use.sort();
@@ -218,6 +224,26 @@
         }
     }
 
+    /// Stores the progress row of a job.
+    fn store_row(&mut self, id: JobId, row: &[u8]) {
+        let mut row = row.to_vec();
+        if self.mutant == Mutant::RestartBeforeStore
+            && let Some(stored) = self.rows.get(&id)
+        {
+            // The leader believes that the removal of a placement is stored.
+            let stored = Progress::decode(stored).expect("a stored row decodes");
+            let mut progress = Progress::decode(&row).expect("a row decodes");
+            for placement in stored.placements {
+                let is_same = |p: &PlacementRecord| p.index == placement.index;
+                if !progress.placements.iter().any(is_same) {
+                    progress.placements.push(placement);
+                }
+            }
+            row = progress.encode();
+        }
+        self.rows.insert(id, row);
+    }
+
     /// Carries out a command on a worker and sends the reply, which may be lost.
     pub(super) fn handle_command(
         &mut self,
--- a/crates/core/tests/shard_model/world/workers.rs
+++ b/crates/core/tests/shard_model/world/workers.rs
@@ -2,7 +2,7 @@
 //! after its completion was acknowledged.
 
 use {
-    super::{Mutant, World},
+    super::{Mutant, Scenario, World, network::MAX_DELAY_MS},
     marigoldbend_core::{
         hash::HashMap,
         sched::{
@@ -121,6 +121,7 @@
         token: u64,
     ) -> CommandReply {
         let run_ms = self.rng.random_range(50..1_500);
+        let is_long_running = self.is_long_running(task);
         let is_fenced =
             self.mutant != Mutant::NoFencing && token < self.workers[worker_index].highest_token;
         let worker = &mut self.workers[worker_index];
@@ -149,7 +150,11 @@
         }
         let running = Running {
             attempt,
-            ends_at_ms: self.now_ms + run_ms,
+            ends_at_ms: if is_long_running {
+                u64::MAX
+            } else {
+                self.now_ms + run_ms
+            },
             lease_until_ms,
         };
         worker.running.insert(task, running);
@@ -160,9 +165,20 @@
         CommandReply::Ok
     }
 
+    /// Returns whether a task is long-running.
+    pub(super) fn is_long_running(&self, task: TaskName) -> bool {
+        let job = self.jobs.iter().find(|(id, _)| *id == task.job);
+        job.is_some_and(|(_, spec)| spec.steps[usize::from(task.step)].long_running)
+    }
+
     /// Crashes a worker, which runs nothing afterwards.
     pub(super) fn crash(&mut self, worker_index: usize) {
-        let down_ms = self.rng.random_range(50..6_000);
+        let down_ms = match self.scenario {
+            Scenario::Crashes | Scenario::Replacements => 50..6_000,
+            Scenario::LongRunningJobs => MAX_DELAY_MS..2 * MAX_DELAY_MS,
+        };
+        let down_ms = self.rng.random_range(down_ms);
+        self.last_crash_ms = self.now_ms;
         let worker = &mut self.workers[worker_index];
         worker.up = false;
         worker.restarts_at_ms = self.now_ms + down_ms;
