--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -15,6 +15,7 @@
 //! - `leases`: the expiry of leases, and the resending of commands.
 //! - `losses`: lost processes of workers, and the tasks that ran on them.
 //! - `moves`: moves jobs to less loaded shards before they start.
+//! - `placements`: the stored placements of long-running tasks.
 //! - `queries`: states of jobs, counts and loads, for callers and other instances.
 //! - `restoring`: a new leader, before it has dispatched the work of earlier leaders.
 //! - `runs`: adds and removes runs on workers, and accounts for their resources.
@@ -35,6 +36,7 @@
 mod leases;
 mod losses;
 mod moves;
+mod placements;
 mod queries;
 mod restoring;
 mod runs;
