Judge a leader by what is read of its heartbeat in the store now

Cause: an instance that hears only a minority of its peers reads the leader's heartbeat in the store while the leader is silent. The time of the last change that it saw outlived that occasion. So when it next heard only a minority, it counted as stale what it had not read since, and took over at once, even from a leader that it heard.

Change: the time is forgotten whenever the heartbeat is not read.

Evidence: heard_leader_is_left_alone_by_an_instance_that_is_in_a_minority_again fails on the code before ("the leader is heard") and passes now. A first form of that test, with a small leader, failed on both, as a small leader is replaced by design; its peers have the size of the instance now.

--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -106,7 +106,8 @@
     takeover_delay: TakeoverDelay,
     /// The value of the leader's heartbeat row in the store, as last read; empty if there is none.
     store_heartbeat: Vec<u8>,
-    /// When a read last returned a changed value of that row.
+    /// When a read last returned a changed value of that row, or when it was first read since this
+    /// instance reads it repeatedly; `None` while it does not.
     store_heartbeat_changed: Option<Instant>,
     /// When a read of that row was last requested.
     store_heartbeat_requested: Option<Instant>,
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -81,9 +81,8 @@
             let Some(leadership) = self.leadership.get(&shard) else {
                 continue;
             };
-            if leadership.taking_over || !leadership.takeover_delay.has_passed(now) {
-                continue;
-            }
+            let may_take_over =
+                !leadership.taking_over && leadership.takeover_delay.has_passed(now);
             let view = LeadershipView {
                 own_name: &self.settings.name,
                 cpu_share: self.settings.cpu_share,
@@ -109,13 +108,19 @@
                     silent_leaders.push(shard.clone());
                 }
             }
-            if let Some(reason) = takeover_reason(&view, now) {
+            if may_take_over && let Some(reason) = takeover_reason(&view, now) {
                 self.take_over(&shard, reason);
             }
         }
         if impaired {
             self.impaired_at = Some(now);
         }
+        for (shard, leadership) in &mut self.leadership {
+            // While it is not read, nothing is known about whether it changes.
+            if !silent_leaders.contains(shard) {
+                leadership.store_heartbeat_changed = None;
+            }
+        }
         for shard in silent_leaders {
             self.check_store_heartbeat(&shard, now);
         }
--- a/crates/scheduler/tests/leadership.rs
+++ b/crates/scheduler/tests/leadership.rs
@@ -30,6 +30,9 @@
 /// The fencing token of the peer's leadership.
 const PEER_TOKEN: u64 = 3;
 
+/// The processor share of the instance, in thousandths of a core.
+const OWN_CPU_SHARE: u32 = 500;
+
 /// The interval of the peer's heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -49,7 +52,7 @@
             name: SHARD.to_owned(),
             domains: vec!["z".to_owned()],
         }],
-        cpu_share: 500,
+        cpu_share: OWN_CPU_SHARE,
         peers,
         store,
         advice: None,
@@ -71,9 +74,9 @@
     }
 }
 
-fn heartbeat(peer: PeerState, address: SocketAddr) -> Heartbeat {
+fn heartbeat(name: &str, peer: PeerState, address: SocketAddr) -> Heartbeat {
     Heartbeat {
-        name: "peer".to_owned(),
+        name: name.to_owned(),
         domain: "z".to_owned(),
         incarnation: 5,
         address,
@@ -154,13 +157,7 @@
     /// Starts an instance whose peer leads, and stops the store for it until it has noticed that.
     async fn start_in_outage() -> Self {
         let instance = Self::start().await;
-        let lease = LeaseRow {
-            holder: "peer".to_owned(),
-            incarnation: 5,
-            token: PEER_TOKEN,
-        };
-        let lease = postcard::to_stdvec(&lease).expect("a lease can be encoded");
-        instance.store.put(keys::lease(SHARD), lease);
+        instance.store_peer_lease();
         let started_at = Instant::now();
         let state = |_| PeerState {
             store_reachable: true,
@@ -179,6 +176,17 @@
         instance
     }
 
+    /// Stores the lease row of the peer.
+    fn store_peer_lease(&self) {
+        let lease = LeaseRow {
+            holder: "peer".to_owned(),
+            incarnation: 5,
+            token: PEER_TOKEN,
+        };
+        let lease = postcard::to_stdvec(&lease).expect("a lease can be encoded");
+        self.store.put(keys::lease(SHARD), lease);
+    }
+
     fn leads(&self) -> bool {
         let view = self.view.load();
         let leaders: &HashMap<String, LeaderView> = &view.leaders;
@@ -195,7 +203,7 @@
         let started_at = Instant::now();
         let mut lost_after = None;
         while started_at.elapsed() < duration {
-            let heartbeat = heartbeat(state(started_at.elapsed()), self.peer);
+            let heartbeat = heartbeat("peer", state(started_at.elapsed()), self.peer);
             deliver_urgent_event(&self.address, Event::Heartbeat(heartbeat)).await;
             sleep(HEARTBEAT_INTERVAL).await;
             if !self.leads() {
@@ -205,6 +213,31 @@
         lost_after
     }
 
+    /// Sends heartbeats of these peers, which are as large as this instance, for some time; the one
+    /// named "peer" leads. Returns whether this
+    /// instance led meanwhile.
+    async fn hear(&self, names: &[&str], duration: Duration) -> bool {
+        let started_at = Instant::now();
+        let mut led = false;
+        while started_at.elapsed() < duration {
+            for name in names {
+                let state = PeerState {
+                    store_reachable: true,
+                    served_at: Instant::now(),
+                    leads: *name == "peer",
+                };
+                let heartbeat = Heartbeat {
+                    cpu_share: OWN_CPU_SHARE,
+                    ..heartbeat(name, state, self.peer)
+                };
+                deliver_urgent_event(&self.address, Event::Heartbeat(heartbeat)).await;
+            }
+            sleep(HEARTBEAT_INTERVAL).await;
+            led |= self.leads();
+        }
+        led
+    }
+
     /// Makes the store refuse all calls of this instance, or none.
     fn set_down(&self, down: bool) {
         self.store.set_faults(Faults {
@@ -298,3 +331,19 @@
         "taken_over_after={taken_over_after:?}"
     );
 }
+
+/// Guards against an instance that judges a leader by what it read of its heartbeats in the store when
+/// it last heard only a minority.
+#[tokio::test]
+async fn heard_leader_is_left_alone_by_an_instance_that_is_in_a_minority_again() {
+    let instance = Instance::start().await;
+    instance.store_peer_lease();
+    let all = ["peer", "p1", "p2", "p3"];
+    assert!(!instance.hear(&all, Duration::from_millis(1_500)).await);
+    assert!(!instance.hear(&["peer"], Duration::from_millis(1_800)).await);
+    // The leader is silent as well, so its heartbeat in the store is read.
+    assert!(!instance.hear(&[], Duration::from_millis(1_600)).await);
+    assert!(!instance.hear(&all, Duration::from_millis(2_500)).await);
+    let led = instance.hear(&["peer"], Duration::from_millis(3_000)).await;
+    assert!(!led, "the leader is heard");
+}
