--- a/stand-ins/src/job_workers.rs
+++ b/stand-ins/src/job_workers.rs
@@ -28,6 +28,7 @@
     parking_lot::Mutex,
     std::{
         collections::{BTreeMap, HashMap},
+        future::pending,
         io,
         sync::Arc,
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
@@ -81,6 +82,8 @@
     last_number: u64,
     /// The highest attempt of each task that was stopped or ended here.
     ended: HashMap<TaskName, u32>,
+    /// Whether the worker was removed.
+    is_removed: bool,
 }
 
 /// One worker.
@@ -99,6 +102,8 @@
 pub struct JobWorkers {
     /// The record of what ran on the workers.
     pub record: JobRecord,
+    workers: Vec<Arc<Worker>>,
+    store: RowStore,
 }
 
 impl JobWorkers {
@@ -109,6 +114,7 @@
     /// Returns an error if no port can be bound.
     pub async fn start(cfg: &JobWorkersConfig, store: &RowStore) -> io::Result<Self> {
         let record = JobRecord::default();
+        let mut workers = Vec::new();
         for index in 0..cfg.count {
             let listener = TcpListener::bind("127.0.0.1:0").await?;
             let info = WorkerInfo {
@@ -132,9 +138,34 @@
             });
             tokio::spawn(write_entries(worker.clone(), store.clone(), cfg.heartbeat));
             tokio::spawn(end_runs_in_time(worker.clone()));
-            start_server(listener, worker);
+            start_server(listener, worker.clone());
+            workers.push(worker);
+        }
+        Ok(Self {
+            record,
+            workers,
+            store: store.clone(),
+        })
+    }
+
+    /// Returns the shortest remaining lease of a worker with running tasks; `None` if there is no such
+    /// worker.
+    pub fn shortest_lease(&self) -> Option<Duration> {
+        let now = Instant::now();
+        let states = self.workers.iter().map(|worker| worker.state.lock());
+        let busy = states.filter(|state| !state.running.is_empty());
+        let ends = busy.filter_map(|state| state.leased_until);
+        ends.map(|end| end.saturating_duration_since(now)).min()
+    }
+
+    /// Removes a worker for good: its attempts end as failed, it answers no call any more, and its
+    /// entry in the list of workers is deleted.
+    pub fn remove(&self, id: &str) {
+        let worker = self.workers.iter().find(|worker| worker.info.id == id);
+        if let Some(worker) = worker {
+            worker.remove(Instant::now());
+            self.store.delete(RowKey::new(WORKERS_TABLE, "", id));
         }
-        Ok(Self { record })
     }
 }
 
@@ -153,6 +184,11 @@
     let mut ticks = interval(heartbeat);
     for number in 1.. {
         ticks.tick().await;
+        // The lock is held during the write so that no entry is written after a removal.
+        let state = worker.state.lock();
+        if state.is_removed {
+            return;
+        }
         store.put(name.clone(), wire::write_entry(&worker.info, number));
     }
 }
@@ -174,7 +210,14 @@
     let (stop, stopped) = watch::channel(false);
     let handler = move |_, req| {
         let worker = worker.clone();
-        async move { worker.handle(req).await }
+        async move {
+            let response = worker.handle(req).await;
+            let is_removed = worker.state.lock().is_removed;
+            if is_removed {
+                pending::<()>().await;
+            }
+            response
+        }
     };
     tokio::spawn(async move {
         serve(listener, Limits::default(), handler, stopped).await;
@@ -226,6 +269,9 @@
         let now = Instant::now();
         self.advance(now);
         let mut state = self.state.lock();
+        if state.is_removed {
+            return CommandReply::Refused;
+        }
         if call.token < state.token {
             return CommandReply::Fenced;
         }
@@ -301,6 +347,16 @@
         }
     }
 
+    fn remove(&self, now: Instant) {
+        self.advance(now);
+        let mut state = self.state.lock();
+        state.is_removed = true;
+        let running: Vec<_> = state.running.keys().copied().collect();
+        for task in running {
+            self.end(&mut state, task, EndReason::Failed, now);
+        }
+    }
+
     /// Ends the attempts whose time or lease has ended, each at the time at which it was due;
     /// returns when the next one is due.
     fn advance(&self, now: Instant) -> Option<Instant> {
--- a/stand-ins/src/rows.rs
+++ b/stand-ins/src/rows.rs
@@ -148,10 +148,21 @@
 
     /// Writes a row regardless of faults; returns its new version.
     pub fn put(&self, name: RowKey, value: Vec<u8>) -> u64 {
-        let tx = Tx {
+        self.apply(Tx {
             puts: vec![(name, value)],
             ..Tx::default()
-        };
+        })
+    }
+
+    /// Deletes a row regardless of faults; returns the version of its deletion.
+    pub fn delete(&self, name: RowKey) -> u64 {
+        self.apply(Tx {
+            deletes: vec![name],
+            ..Tx::default()
+        })
+    }
+
+    fn apply(&self, tx: Tx) -> u64 {
         let mut state = self.state.lock();
         state.apply(tx);
         self.newest.send_replace(state.version);
