Read the changes of the job table before the first dispatch of a takeover

Change: a takeover ends with a read of the changes since the first page of the job table, without a wait; if the store has deleted them, with a second read of all rows. They are applied before the first dispatch, and the watch continues from there. The line with the times of a takeover is logged 1 s later: in a trial it was missing, since it came among the thousands of lines about adopted runs, of which the log drops those that it can't write in time.

Evidence: a_cancellation_during_a_takeover_precedes_the_first_dispatch, for both cases, fails without the read ("a task of the cancelled job has started").

Conclusion: a cancellation that precedes the end of reading is known to the first dispatch; between that reply and the dispatch lies the event queue.

--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -267,7 +267,7 @@
             return;
         };
         leadership.taking_over = false;
-        let state = match result {
+        let mut state = match result {
             Ok(state) => state,
             Err(e) => {
                 log::info!("lead: shard={shard} takeover failed: {e}.");
@@ -315,6 +315,7 @@
         let after_version = state.watch_from;
         let params = self.params();
         let cancelled = state.cancelled.clone();
+        let changed_jobs = std::mem::take(&mut state.changed_jobs);
         let mut leader = ShardLeader::new(restoring, state, &self.workers, params, now, unix_ms());
         for job in cancelled
             .into_iter()
@@ -322,8 +323,15 @@
         {
             self.forward_cancel(shard, job);
         }
+        let cancels_to_forward = leader.on_job_rows(&changed_jobs, now, unix_ms());
         leader.job_watch = self.watch_jobs(shard, token, after_version);
         self.led_shards.insert(shard.to_owned(), leader);
+        let Some(cancels_to_forward) = cancels_to_forward else {
+            return self.resign(shard, "a job row has a higher fencing token");
+        };
+        for job in cancels_to_forward {
+            self.forward_cancel(shard, job);
+        }
         self.led_since.insert(shard.to_owned(), now);
         self.metrics.led_shards.set(self.led_shards.len() as i64);
         self.advance_shard(shard, now);
--- a/crates/scheduler/src/shard_leader.rs
+++ b/crates/scheduler/src/shard_leader.rs
@@ -47,6 +47,10 @@
 /// The time since the last report request after which the next one is not postponed any more.
 const MAX_REPORT_DELAY: Duration = Duration::from_millis(300);
 
+/// How long after a takeover its times are logged. At its end thousands of lines about runs are
+/// logged, and the log drops lines that it can't write in time.
+const TIMES_LOG_DELAY: Duration = Duration::from_secs(1);
+
 /// The maximum age that a job from an earlier leader is given, in milliseconds; older jobs count as
 /// equally old.
 const MAX_JOB_AGE_MS: u64 = 60_000;
@@ -83,6 +87,8 @@
     pub wake_scheduled: bool,
     /// How long the parts of the takeover took.
     times: TakeoverTimes,
+    /// When these times are logged; `None` before the takeover has ended, and afterwards.
+    log_times_at: Option<Instant>,
     /// The links to the workers, by name.
     links: HashMap<String, WorkerLink>,
     /// When a report was last requested, by worker.
@@ -150,6 +156,7 @@
             max_intake_ms: 0,
             wake_scheduled: false,
             times,
+            log_times_at: None,
             links,
             report_requested_at: HashMap::default(),
             journal: Journal::new(lease.token, state.head_version),
@@ -301,9 +308,13 @@
             let ended = self.times.record(Part::FirstReport, now, &self.metrics)
                 | self.times.record(Part::Dispatch, now, &self.metrics);
             if ended {
-                log::info!("lead: shard={} takeover times: {}.", self.name, self.times);
+                self.log_times_at = Some(now + TIMES_LOG_DELAY);
             }
         }
+        if self.log_times_at.is_some_and(|at| at <= now) {
+            self.log_times_at = None;
+            log::info!("lead: shard={} takeover times: {}.", self.name, self.times);
+        }
         for command in commands {
             let (Command::Start { worker, .. }
             | Command::Stop { worker, .. }
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -4,7 +4,7 @@
 //! grows with each takeover.
 
 use {
-    crate::{commands::BoxFuture, keys},
+    crate::{commands::BoxFuture, keys, watch},
     marigoldbend_core::sched::{
         interference::PairEstimate,
         job::{JobId, JobSpec},
@@ -12,6 +12,7 @@
         progress::{JobOutcome, Progress},
     },
     marigoldbend_platform::{
+        backoff::Backoff,
         rows::{Page, Range, Row, RowKey, Tx, TxOutcome},
         store::{Store, StoreError},
     },
@@ -21,7 +22,11 @@
         collections::BTreeMap,
         time::{Duration, Instant},
     },
-    tokio::{join, time::timeout, try_join},
+    tokio::{
+        join,
+        time::{sleep, timeout},
+        try_join,
+    },
 };
 
 /// A result of a takeover.
@@ -52,6 +57,9 @@
 /// The maximum duration of a takeover; meanwhile no other instance tries.
 const MAX_TAKEOVER_TIME: Duration = Duration::from_secs(8);
 
+/// How often a failed call for the changes of the job table is repeated.
+const FEED_RETRIES: u32 = 3;
+
 /// The lease row of a leadership by this instance, and how it was obtained.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Lease {
@@ -95,7 +103,9 @@
     pub workers_in_use: Vec<(String, String)>,
     /// The interference estimates of the previous leader.
     pub interference: Vec<PairEstimate>,
-    /// The version at which the job table was read; a watch delivers the later changes.
+    /// Rows of the job table that have changed while the tables were read, such as cancellations.
+    pub changed_jobs: Vec<Row>,
+    /// The version up to which the job table was read; a watch delivers the later changes.
     pub watch_from: u64,
 }
 
@@ -215,6 +225,7 @@
         cancelled: Vec::new(),
         workers_in_use: Vec::new(),
         interference: Vec::new(),
+        changed_jobs: Vec::new(),
         watch_from: jobs.version,
     };
     let mut stored_progress = BTreeMap::new();
@@ -261,9 +272,46 @@
             state.finished.push((id, progress));
         }
     }
+    // A cancellation that was stored meanwhile must be known before the first dispatch; the watch
+    // would deliver it after that.
+    (state.changed_jobs, state.watch_from) = read_changes(store, shard, state.watch_from).await?;
     Ok(state)
 }
 
+/// Reads the rows of the job table that have changed since a version; returns them and the version
+/// up to which they were read. If the store has deleted changes, all rows are read.
+async fn read_changes(store: &Store, shard: &str, after: u64) -> Result<(Vec<Row>, u64)> {
+    let table = keys::jobs_table(shard);
+    let mut rows = Vec::new();
+    let mut after = after;
+    let mut failures = 0;
+    let mut backoff = Backoff::new();
+    loop {
+        match store.feed(&table, after, Duration::ZERO).await {
+            Ok(page) => {
+                failures = 0;
+                after = page.version.max(after);
+                let is_cut_short = watch::may_be_cut_short(&page.rows, after);
+                rows.extend(page.rows);
+                if !is_cut_short {
+                    return Ok((rows, after));
+                }
+            }
+            Err(StoreError::HistoryDeleted) => {
+                let page = store.part(&table, shard).await?;
+                return Ok((page.rows, page.version));
+            }
+            Err(e) if failures < FEED_RETRIES => {
+                failures += 1;
+                log::info!("lead: shard={shard} reading changes failed, retrying: {e}.");
+                let wait = backoff.next(&mut rand::rng());
+                sleep(wait).await;
+            }
+            Err(e) => return Err(e.into()),
+        }
+    }
+}
+
 /// Decodes a row that the leader can do without; if it is invalid, logs that and returns the
 /// default.
 fn read_or_default<T: Default + DeserializeOwned>(row: &Row) -> T {
--- a/crates/scheduler/src/watch.rs
+++ b/crates/scheduler/src/watch.rs
@@ -186,7 +186,7 @@
 
 /// Returns whether the store may have more changes than `rows`, after which it continues at
 /// `version`. A reply that was cut short continues at its last row.
-fn may_be_cut_short(rows: &[Row], version: u64) -> bool {
+pub(crate) fn may_be_cut_short(rows: &[Row], version: u64) -> bool {
     let Some(last) = rows.last() else {
         return false;
     };
--- a/crates/scheduler/tests/restoring.rs
+++ b/crates/scheduler/tests/restoring.rs
@@ -11,6 +11,7 @@
         sched::{
             job::{JobId, JobSpec, Resources, Step, TaskName},
             leadership::LeaseRow,
+            progress::{JobOutcome, Progress},
             worker::{Availability, CommandReply, Report, RunningRow, WorkerInfo},
         },
     },
@@ -35,6 +36,7 @@
     },
     stand_ins::rows::RowStore,
     std::{
+        future::pending,
         net::{SocketAddr, UdpSocket},
         sync::{
             Arc,
@@ -63,12 +65,33 @@
 const WAITING: JobId = JobId(7);
 const UNKNOWN: JobId = JobId(8);
 
-/// What the store does with reads of the job table.
-struct JobReads {
-    /// Reads wait until this is true.
+/// What the store does with reads of the tables.
+struct TableReads {
+    /// The table whose reads are held up or fail.
+    table: String,
+    /// Reads of that table wait until this is true.
     open: watch::Sender<bool>,
-    /// How many reads still fail.
+    /// How many reads of that table still fail.
     failures: AtomicU32,
+    /// Whether calls that wait for changes of the job table get no reply.
+    is_watch_silent: bool,
+    /// Whether the store has deleted the changes of the job table.
+    is_history_deleted: bool,
+    /// How many pages of the job table were read.
+    job_pages: watch::Sender<u32>,
+}
+
+impl Default for TableReads {
+    fn default() -> Self {
+        Self {
+            table: keys::jobs_table(SHARD),
+            open: watch::Sender::new(false),
+            failures: AtomicU32::new(0),
+            is_watch_silent: false,
+            is_history_deleted: false,
+            job_pages: watch::Sender::new(0),
+        }
+    }
 }
 
 fn reply(status: StatusCode, body: Bytes) -> HttpResponse {
@@ -101,15 +124,15 @@
     address
 }
 
-/// Starts a proxy before the store that holds up or fails reads of the job table.
-async fn start_proxy(store: SocketAddr, reads: Arc<JobReads>) -> SocketAddr {
+/// Starts a proxy before the store that holds up or fails reads.
+async fn start_proxy(store: SocketAddr, reads: Arc<TableReads>) -> SocketAddr {
     let pool = Arc::new(ConnectionPool::new(store));
     start(move |req| {
         let (pool, reads) = (pool.clone(), reads.clone());
         async move {
             let uri = req.uri().clone();
             let path = uri.path_and_query().map_or("", |p| p.as_str()).to_owned();
-            if path.starts_with("/v1/rows-get") && path.contains(&keys::jobs_table(SHARD)) {
+            if path.starts_with("/v1/rows-get") && path.contains(&reads.table) {
                 let relaxed = Ordering::Relaxed;
                 let count_down = |left: u32| left.checked_sub(1);
                 if reads
@@ -124,13 +147,29 @@
                     return reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
                 }
             }
+            let jobs_table = keys::jobs_table(SHARD);
+            let is_job_call = path.contains(&jobs_table);
+            if is_job_call && path.starts_with("/v1/rows-feed") {
+                if reads.is_watch_silent && !path.ends_with("wait_ms=0") {
+                    return pending().await;
+                }
+                if reads.is_history_deleted {
+                    return reply(StatusCode::GONE, Bytes::new());
+                }
+            }
             let method = req.method().clone();
             let Ok(body) = read_whole(req.into_body(), 1 << 20).await else {
                 return reply(StatusCode::BAD_REQUEST, Bytes::new());
             };
+            let is_job_page = is_job_call && path.starts_with("/v1/rows-get");
             let outgoing = Outgoing::new(method, path, body);
             match pool.exchange(outgoing, TimeLimits::total(LIMIT)).await {
-                Ok(r) => reply(r.status, r.body),
+                Ok(r) => {
+                    if is_job_page {
+                        reads.job_pages.send_modify(|pages| *pages += 1);
+                    }
+                    reply(r.status, r.body)
+                }
                 Err(_) => reply(StatusCode::BAD_GATEWAY, Bytes::new()),
             }
         }
@@ -138,8 +177,8 @@
     .await
 }
 
-/// Starts a worker that passes each call to `calls`, and reports one run.
-async fn start_worker(calls: mpsc::UnboundedSender<WorkerCall>) -> SocketAddr {
+/// Starts a worker that passes each call to `calls`, and reports a run if it `is_busy`.
+async fn start_worker(calls: mpsc::UnboundedSender<WorkerCall>, is_busy: bool) -> SocketAddr {
     let epoch = Instant::now();
     start(move |req| {
         let calls = calls.clone();
@@ -157,16 +196,17 @@
             // The test may have ended.
             let _ = calls.send(call);
             if is_report {
+                let run = RunningRow {
+                    task: task(UNKNOWN),
+                    attempt: 300,
+                    checkpoint: String::new(),
+                    percent: 10.0,
+                    usage: None,
+                };
                 let report = Report {
                     started_ms: 1,
                     clock_ms,
-                    running: vec![RunningRow {
-                        task: task(UNKNOWN),
-                        attempt: 300,
-                        checkpoint: String::new(),
-                        percent: 10.0,
-                        usage: None,
-                    }],
+                    running: is_busy.then_some(run).into_iter().collect(),
                     ..Report::default()
                 };
                 return reply(StatusCode::OK, wire::write_report(&report));
@@ -194,24 +234,20 @@
 /// An instance that takes the shard of a silent leader over.
 struct Deployment {
     store: RowStore,
-    job_reads: Arc<JobReads>,
+    reads: Arc<TableReads>,
     calls: mpsc::UnboundedReceiver<WorkerCall>,
     control: xtra::Address<Control>,
 }
 
 impl Deployment {
-    /// Starts the instance, its worker and the store, where `failures` reads of the job table fail
-    /// and the others wait.
-    async fn start(failures: u32, is_worker_listed: bool) -> Self {
+    /// Starts the instance, its worker and the store.
+    async fn start(reads: TableReads, is_worker_listed: bool, is_worker_busy: bool) -> Self {
+        let reads = Arc::new(reads);
         let store = RowStore::start(Duration::ZERO)
             .await
             .expect("starting the store failed");
-        let job_reads = Arc::new(JobReads {
-            open: watch::Sender::new(false),
-            failures: AtomicU32::new(failures),
-        });
         let (to_test, calls) = mpsc::unbounded_channel();
-        let worker = start_worker(to_test).await.to_string();
+        let worker = start_worker(to_test, is_worker_busy).await.to_string();
         let step = Step {
             count: 1,
             request: Resources {
@@ -260,7 +296,7 @@
                 wire::write_entry(&info, 1),
             );
         }
-        let address = start_proxy(store.address(), job_reads.clone()).await;
+        let address = start_proxy(store.address(), reads.clone()).await;
         let socket = UdpSocket::bind("127.0.0.1:0").expect("binding a port failed");
         let settings = Settings {
             name: "next".to_owned(),
@@ -299,7 +335,7 @@
         });
         Self {
             store,
-            job_reads,
+            reads,
             calls,
             control,
         }
@@ -333,7 +369,7 @@
 #[test_case::test_case(false; "a worker that only the previous leader has used")]
 #[tokio::test]
 async fn leases_are_renewed_before_the_rows_are_read(is_worker_listed: bool) {
-    let mut deployment = Deployment::start(0, is_worker_listed).await;
+    let mut deployment = Deployment::start(TableReads::default(), is_worker_listed, true).await;
     let (call, has_commands) = deployment.call_until(renews_leases).await;
     assert_eq!(call.token, WORKER_TOKEN);
     assert!(
@@ -347,7 +383,7 @@
     assert_eq!(heartbeat, None, "counts were stored before they were known");
 
     // The report that was kept meanwhile shows a run that no stored job needs.
-    deployment.job_reads.open.send_replace(true);
+    deployment.reads.open.send_replace(true);
     let is_stop = |call: &WorkerCall| matches!(call.action, WorkerAction::Stop { .. });
     let (call, _) = deployment.call_until(is_stop).await;
     let stop = WorkerAction::Stop {
@@ -361,18 +397,26 @@
 /// failed once its lease row was written.
 #[tokio::test]
 async fn leases_are_renewed_until_the_next_takeover_by_the_same_instance() {
-    let mut deployment = Deployment::start(u32::MAX, true).await;
-    deployment.job_reads.open.send_replace(true);
+    let mut deployment = Deployment::start(
+        TableReads {
+            failures: AtomicU32::new(u32::MAX),
+            ..TableReads::default()
+        },
+        true,
+        true,
+    )
+    .await;
+    deployment.reads.open.send_replace(true);
     // A takeover repeats a failed read three times, so the fifth is that of the next takeover.
     let failed = |deployment: &Deployment| {
-        let left = deployment.job_reads.failures.load(Ordering::Relaxed);
+        let left = deployment.reads.failures.load(Ordering::Relaxed);
         u32::MAX - left
     };
     while failed(&deployment) < 5 {
         let (call, _) = deployment.call_until(renews_leases).await;
         assert_eq!(call.token, WORKER_TOKEN);
     }
-    deployment.job_reads.failures.store(0, Ordering::Relaxed);
+    deployment.reads.failures.store(0, Ordering::Relaxed);
     let is_stop = |call: &WorkerCall| matches!(call.action, WorkerAction::Stop { .. });
     let (call, _) = deployment.call_until(is_stop).await;
     assert_eq!(call.token, WORKER_TOKEN);
@@ -382,7 +426,7 @@
 /// replaced, while it still reads.
 #[tokio::test]
 async fn leases_are_not_renewed_under_a_replaced_lease_row() {
-    let mut deployment = Deployment::start(0, true).await;
+    let mut deployment = Deployment::start(TableReads::default(), true, true).await;
     deployment.call_until(renews_leases).await;
     let successor = LeaseRow {
         holder: "successor".to_owned(),
@@ -424,3 +468,37 @@
         .expect("the takeover failed");
     assert_eq!(state.lease.token, expected);
 }
+
+/// Guards against tasks that start seconds after the cancellation of their job was acknowledged,
+/// since it was stored between the reading of the jobs and the first dispatch (UNASKED).
+#[test_case::test_case(false; "read as a change")]
+#[test_case::test_case(true; "read with all rows")]
+#[tokio::test]
+async fn a_cancellation_during_a_takeover_precedes_the_first_dispatch(is_history_deleted: bool) {
+    let reads = TableReads {
+        table: keys::progress_table(SHARD),
+        is_watch_silent: true,
+        is_history_deleted,
+        ..TableReads::default()
+    };
+    let mut deployment = Deployment::start(reads, true, false).await;
+    deployment.call_until(renews_leases).await;
+    let mut job_pages = deployment.reads.job_pages.subscribe();
+    let read = timeout(LIMIT, job_pages.wait_for(|pages| *pages > 0)).await;
+    read.expect("the jobs are not read").expect("a page");
+    deployment
+        .store
+        .put(keys::cancel(SHARD, WAITING), Vec::new());
+    deployment.reads.open.send_replace(true);
+    let is_cancelled = |store: &RowStore| {
+        let row = store.row(&keys::progress(SHARD, WAITING));
+        let progress = row.and_then(|row| Progress::decode(&row.value).ok());
+        progress.is_some_and(|progress| progress.outcome == JobOutcome::Cancelled)
+    };
+    while !is_cancelled(&deployment.store) {
+        let is_any = |_: &WorkerCall| true;
+        let (call, _) = deployment.call_until(is_any).await;
+        let is_start = matches!(call.action, WorkerAction::Start { .. });
+        assert!(!is_start, "a task of the cancelled job has started");
+    }
+}
