Tell a leader of a newer lease row through any peer that it hears

Cause: the wait for unknown runs counts from the reply to the lease row's write, which is sound if the predecessor stops soon after that. A predecessor that reaches neither the store nor its successor, but most other instances, learned of a successor only by that one's heartbeats, which name it after it has read all rows: it could renew leases for seconds longer than its successor assumed.

Change: heartbeats tell the newest fencing token of each lease row that changed in the last 10 s; whoever learns a newer one passes it on at once, and a leader with an older one resigns.

Evidence: leader_resigns_once_a_peer_knows_a_newer_lease_row fails for the newer row if what the heartbeat tells is ignored. A leader all of whose peers are cut off from the successor as well is still not told.

--- a/crates/peer/src/heartbeat.rs
+++ b/crates/peer/src/heartbeat.rs
@@ -77,6 +77,10 @@
     /// whole milliseconds; `None` if the store has served none, or from a sender of an earlier version.
     #[serde(skip)]
     pub store_age: Option<Duration>,
+    /// The newest fencing token that the sender knows of each shard whose lease row has changed
+    /// lately, also if its holder does not lead yet; empty from a sender of an earlier version.
+    #[serde(skip)]
+    pub newest_tokens: Vec<(String, u64)>,
 }
 
 impl Heartbeat {
@@ -89,7 +93,7 @@
         let store_age_ms = self
             .store_age
             .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
-        let message = (self, self.cpu_share, store_age_ms);
+        let message = (self, self.cpu_share, store_age_ms, &self.newest_tokens);
         frame::encode(MAGIC, MAX_BYTES, &message).ok_or(HeartbeatError::TooLong)
     }
 
@@ -102,11 +106,13 @@
         let body = buf.strip_prefix(MAGIC).ok_or(HeartbeatError::Damaged)?;
         let decoded = postcard::take_from_bytes::<Self>(body);
         let (heartbeat, rest) = decoded.map_err(|_| HeartbeatError::Damaged)?;
-        // Earlier versions end after the first or the second part.
+        // Earlier versions end after the first, the second or the third part.
         let (cpu_share, rest) = take_or_default::<u32>(rest)?;
-        let (store_age_ms, _) = take_or_default::<Option<u32>>(rest)?;
+        let (store_age_ms, rest) = take_or_default::<Option<u32>>(rest)?;
+        let (newest_tokens, _) = take_or_default(rest)?;
         Ok(Self {
             cpu_share,
+            newest_tokens,
             store_age: store_age_ms.map(|ms| Duration::from_millis(ms.into())),
             ..heartbeat
         })
--- a/crates/peer/tests/heartbeat.rs
+++ b/crates/peer/tests/heartbeat.rs
@@ -28,6 +28,7 @@
         }],
         cpu_share,
         store_age,
+        newest_tokens: Vec::new(),
     }
 }
 
@@ -35,13 +36,17 @@
 #[test_case(Some(Duration::from_secs(90)); "a sender that the store served long ago")]
 #[test_case(None; "a sender that the store has not served")]
 fn heartbeat_is_decoded(store_age: Option<Duration>) {
-    let sent = heartbeat(69, store_age);
+    let sent = Heartbeat {
+        newest_tokens: vec![("all".to_owned(), 3)],
+        ..heartbeat(69, store_age)
+    };
     let buf = sent.encode().expect("a short heartbeat");
     assert_eq!(Heartbeat::decode(&buf), Ok(sent));
 }
 
-#[test_case(2, heartbeat(69, None); "without the age of the newest call")]
-#[test_case(3, heartbeat(0, None); "without the processor share")]
+#[test_case(1, heartbeat(69, Some(STORE_AGE)); "without the newest tokens")]
+#[test_case(3, heartbeat(69, None); "without the age of the newest call")]
+#[test_case(4, heartbeat(0, None); "without the processor share")]
 fn heartbeat_of_an_earlier_version_is_decoded(missing_bytes: usize, expected: Heartbeat) {
     let buf = heartbeat(69, Some(STORE_AGE)).encode();
     let buf = buf.expect("a short heartbeat");
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -100,8 +100,12 @@
     leader_since: Option<Instant>,
     /// The leader's state from its last heartbeat, if another instance leads the shard.
     view: Option<LeaderView>,
-    /// The highest fencing token seen.
+    /// The highest fencing token of an instance that has led the shard.
     token: u64,
+    /// The highest fencing token that a lease row is known to have, also if its holder still reads
+    /// the rows; and when this instance learned it, `None` before the first.
+    newest_token: u64,
+    newest_token_at: Option<Instant>,
     /// Whether this instance is taking the shard over.
     taking_over: bool,
     /// When this instance may take the shard over.
@@ -115,6 +119,13 @@
     store_heartbeat_requested: Option<Instant>,
 }
 
+impl ShardLeadership {
+    /// Returns the highest fencing token that the lease row is known to have had.
+    fn newest_token(&self) -> u64 {
+        self.token.max(self.newest_token)
+    }
+}
+
 /// The actor that holds the control state of one instance.
 pub struct Control {
     settings: Settings,
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -327,11 +327,11 @@
         let token = state.lease.token;
         let restoring = self.restoring.remove(shard);
         let restoring = restoring.filter(|r| r.lease.token == token);
-        let is_current = leadership.token <= token && !self.shutting_down;
+        let is_current = leadership.newest_token() <= token && !self.shutting_down;
         let Some(restoring) = restoring.filter(|_| is_current) else {
             log::info!(
                 "lead: shard={shard} takeover dropped token={token} newest={} shutting_down={}.",
-                leadership.token,
+                leadership.newest_token(),
                 self.shutting_down
             );
             if is_current {
--- a/crates/scheduler/src/control/peers.rs
+++ b/crates/scheduler/src/control/peers.rs
@@ -14,6 +14,9 @@
 /// only every 5 s, a sixth of this time.
 const LOST_PEER_SILENCE: Duration = Duration::from_secs(30);
 
+/// How long heartbeats tell of a changed lease row: longer than a cut-off leader goes on.
+const TOKEN_RELAY_TIME: Duration = Duration::from_secs(10);
+
 /// The minimum time between two rounds in which calls to the store are sent again; longer than the
 /// time limit of a call that the store answers slowly.
 const STORE_RETRY_INTERVAL: Duration = Duration::from_millis(2_500);
@@ -72,6 +75,7 @@
             taking_over: taking_over.map(|(shard, _)| shard.clone()).collect(),
             led_shards: led_shards.collect(),
             cpu_share: self.settings.cpu_share,
+            newest_tokens: self.recent_tokens(now),
             store_age: health.served_at.map(|at| now.saturating_duration_since(at)),
         };
         let buf = match heartbeat.encode() {
@@ -139,6 +143,9 @@
             log::info!("peers: {} has restarted.", heartbeat.name);
         }
         self.retry_store_calls(now);
+        for (shard, token) in &heartbeat.newest_tokens {
+            self.on_newest_token(shard, *token, now);
+        }
         let rival_takeovers = heartbeat.taking_over.into_iter();
         for shard in rival_takeovers.filter(|_| heartbeat.store_reachable) {
             if let Some(leadership) = self.leadership.get_mut(&shard) {
@@ -178,6 +185,10 @@
                 loads: loads.collect(),
                 pending: led_shard.pending.into_iter().collect(),
             });
+            if led_shard.token > leadership.newest_token {
+                leadership.newest_token = led_shard.token;
+                leadership.newest_token_at = Some(now);
+            }
             let is_replaced = self
                 .led_shards
                 .get(&led_shard.shard)
@@ -194,6 +205,35 @@
         }
     }
 
+    /// Returns the newest fencing tokens that this instance has learned lately, by shard.
+    fn recent_tokens(&self, now: Instant) -> Vec<(String, u64)> {
+        let is_recent = |at| now.duration_since(at) < TOKEN_RELAY_TIME;
+        let recent = self.leadership.iter();
+        let recent = recent.filter(|(_, l)| l.newest_token_at.is_some_and(is_recent));
+        recent
+            .map(|(shard, l)| (shard.clone(), l.newest_token))
+            .collect()
+    }
+
+    /// Records that the lease row of a shard has this fencing token. If this instance leads with a
+    /// lower one, it resigns: its successor may not lead yet, or may be unable to reach it.
+    pub(super) fn on_newest_token(&mut self, shard: &str, token: u64, now: Instant) {
+        let Some(leadership) = self.leadership.get_mut(shard) else {
+            return;
+        };
+        if token <= leadership.newest_token {
+            return;
+        }
+        leadership.newest_token = token;
+        leadership.newest_token_at = Some(now);
+        if self.led_shards.get(shard).is_some_and(|l| l.token < token) {
+            self.resign(shard, "a peer knows of a newer lease row");
+        } else {
+            // Peers that do not hear the new holder learn it from this instance.
+            self.send_heartbeats(now, true);
+        }
+    }
+
     /// Has the calls to the store that are in flight sent again if a peer was served after calls of
     /// this instance began to fail, since they may wait for a reply that was lost.
     fn retry_store_calls(&mut self, now: Instant) {
--- a/crates/scheduler/src/control/restoring.rs
+++ b/crates/scheduler/src/control/restoring.rs
@@ -11,7 +11,8 @@
     /// After a takeover that failed, the next one by this instance finds the same lease row, and
     /// the leadership of the first continues.
     pub(super) fn on_lease_taken(&mut self, shard: &str, lease: Lease, now: Instant) {
-        let newest = self.leadership.get(shard).map_or(0, |l| l.token);
+        let leadership = self.leadership.get(shard);
+        let newest = leadership.map_or(0, ShardLeadership::newest_token);
         if newest > lease.token || self.shutting_down || self.led_shards.contains_key(shard) {
             return;
         }
@@ -41,6 +42,7 @@
             now.saturating_duration_since(lease.started_at).as_millis()
         );
         self.restoring.insert(shard.to_owned(), restoring);
+        self.on_newest_token(shard, lease.token, now);
     }
 
     /// Returns the restoring leader of a shard; `None` if there is none with this fencing token.
@@ -66,7 +68,9 @@
         let in_minority = is_minority(&self.peer_views, now);
         let (leadership, shutting_down) = (&self.leadership, self.shutting_down);
         self.restoring.retain(|shard, restoring| {
-            let newest = leadership.get(shard).map_or(0, |l| l.token);
+            let newest = leadership
+                .get(shard)
+                .map_or(0, ShardLeadership::newest_token);
             let confirmed_at = restoring.shard.confirmed_at();
             let reason = if shutting_down {
                 "the process is shutting down"
--- a/crates/scheduler/tests/leadership.rs
+++ b/crates/scheduler/tests/leadership.rs
@@ -86,6 +86,7 @@
         taking_over: Vec::new(),
         led_shards: peer.leads.then(led_shard).into_iter().collect(),
         cpu_share: 69,
+        newest_tokens: Vec::new(),
         store_age: Some(peer.served_at.elapsed()),
     }
 }
@@ -289,6 +290,29 @@
     );
 }
 
+/// Guards against a leader that renews leases for longer than its successor assumes, since it reaches
+/// neither the store nor the successor.
+#[test_case(1, true; "a newer lease row")]
+#[test_case(0, false; "its own lease row")]
+#[tokio::test]
+async fn leader_resigns_once_a_peer_knows_a_newer_lease_row(newer_by: u64, resigns: bool) {
+    let instance = Instance::start_leader().await;
+    let token = instance.view.load().leaders[SHARD].token;
+    instance.set_down(true);
+    let state = PeerState {
+        store_reachable: false,
+        served_at: Instant::now(),
+        leads: false,
+    };
+    let heartbeat = Heartbeat {
+        newest_tokens: vec![(SHARD.to_owned(), token + newer_by)],
+        ..heartbeat("peer", state, instance.peer)
+    };
+    deliver_urgent_event(&instance.address, Event::Heartbeat(heartbeat)).await;
+    let lost_after = instance.run(Duration::from_secs(1), |_| state).await;
+    assert_eq!(lost_after.is_some(), resigns, "lost_after={lost_after:?}");
+}
+
 /// Guards against a candidate that takes over from a leader which the store serves a moment later.
 #[tokio::test]
 async fn heard_leader_gets_time_to_reach_a_store_that_returns() {
