Send stuck calls again as soon as one call of the instance has been served

Cause: after a silent outage the list of workers was read at once, but the call for the configuration, sent 0.3 s before the store's return, waited for its time limit of 1 s. Until then work was refused since the configuration was out of date.

Change: the first success after the store counted as unreachable ends the other calls of watches, as a peer's success does.

--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -354,6 +354,8 @@
                 health.served_at = health.served_at.max(Some(sent_at));
                 if std::mem::take(&mut health.reported_unreachable) {
                     log::info!("platform: the store is reachable again.");
+                    // Other calls may still wait for replies that were lost in the outage.
+                    self.request_retry();
                 }
             }
             Some(failure) => {
