--- a/crates/entry/tests/jobs/outages.rs
+++ b/crates/entry/tests/jobs/outages.rs
@@ -421,11 +421,8 @@
         problems.extend(self.long_task_problems(fault_end).await);
         for instance in &self.deployment.instances {
             let log = instance.log();
-            let is_change = |line: &&str| {
-                ["taking over", "taken over", "resign"]
-                    .iter()
-                    .any(|w| line.contains(w))
-            };
+            // All but the summaries.
+            let is_change = |line: &&str| line.contains(" lead: ") && !line.contains(" open=");
             for line in log.lines().filter(is_change) {
                 println!("{}: {line}", instance.name);
             }
