--- a/crates/core/tests/shard.rs
+++ b/crates/core/tests/shard.rs
@@ -1011,3 +1011,56 @@
         "{restarted_ms}"
     );
 }
+
+/// A job of two occurrences, of which an earlier leader has started both; to this leader, whose clock is
+/// behind, the second is not due yet. The batch that is in progress while it is added names its worker.
+#[test]
+fn a_placement_of_an_occurrence_that_is_added_during_a_write_stays_in_force() {
+    let mut fixture = Fixture::new(&[worker("b", 4_000)]);
+    let now = fixture.now();
+    fixture
+        .shard
+        .add_worker_in_use("silent", "127.0.0.1:2", now);
+    store_placements(&mut fixture);
+    let placement = |occurrence, worker: &str| PlacementRecord {
+        occurrence,
+        worker: worker.to_owned(),
+        ..PlacementRecord::default()
+    };
+    let origin = JobOrigin::Stored(Progress {
+        started: true,
+        placements: vec![placement(0, "b"), placement(1, "silent")],
+        ..Progress::default()
+    });
+    let spec = JobSpec {
+        occurrences: 2,
+        first_ms: 0,
+        interval_ms: 500,
+        ..long_running_job()
+    };
+    fixture.shard.add_job(JOB, spec, origin, now);
+    // The worker `b` has answered and runs nothing.
+    assert_eq!(fixture.starts(60), []);
+    let batch = fixture.shard.take_batch(90, fixture.now());
+    let batch = batch.expect("the removal of the first placement is urgent");
+    let row = Progress::decode(&batch.rows[0].1).expect("a row that was just encoded");
+    assert_eq!(row.placements, [placement(1, "silent")]);
+    fixture.now_ms = 500;
+    let now_ms = fixture.now_ms;
+    fixture.report("b", &report(now_ms));
+    assert_eq!(fixture.starts(10), []);
+    fixture.shard.on_batch_result(&batch, true, fixture.now());
+    let mut started = Vec::new();
+    for _ in 0..10 {
+        started.extend(fixture.starts(50));
+        store_placements(&mut fixture);
+    }
+    let limit = Params::default().unknown_run_limit.as_millis() as u64;
+    assert!(fixture.now_ms < limit);
+    let occurrences: Vec<_> = started.iter().map(|(task, _)| task.occurrence).collect();
+    assert_eq!(
+        occurrences,
+        [0],
+        "the second may run on the silent worker, which the stored row names"
+    );
+}
--- a/crates/core/tests/store_outages.rs
+++ b/crates/core/tests/store_outages.rs
@@ -4,7 +4,12 @@
 use {
     marigoldbend_core::{
         hash::HashMap,
-        sched::leadership::{PeerView, RejectionCheck, StoreHealth},
+        sched::{
+            leadership::{
+                LeadershipView, PeerView, RejectionCheck, StoreHealth, is_minority, takeover_reason,
+            },
+            shard::Params,
+        },
     },
     std::{
         ops::Range,
@@ -208,3 +213,85 @@
         );
     }
 }
+
+/// How long a leader that hears only a minority leads after its last confirmation; see
+/// `UNCONFIRMED_LIMIT` of the crate `marigoldbend-scheduler`.
+const UNCONFIRMED_LIMIT: Duration = Duration::from_secs(2);
+
+/// A partition: the leader and seven of ten instances on one side, two instances and the store on the
+/// other. To the leader the store serves nobody; to the others its heartbeat in the store is stale.
+#[test]
+fn no_successor_restarts_what_a_leader_beyond_a_partition_still_renews() {
+    let base = Instant::now();
+    let at = |ms| base + Duration::from_millis(ms);
+    let cut = 20_000;
+    let peer = |heard: u64, store_reachable: bool, served: u64| PeerView {
+        domain: "z".to_owned(),
+        incarnation: 5,
+        last_heard: at(heard),
+        store_reachable,
+        unreachable_since: (!store_reachable).then(|| at(cut + UNREACHABLE_AFTER)),
+        served_at: Some(at(served)),
+        shutting_down: false,
+        cpu_share: 500,
+    };
+    let domains = ["z".to_owned()];
+    let mut check = RejectionCheck::default();
+    let (mut taken_over, mut given_up) = (None, None);
+    for now in (cut..cut + 20_000).step_by(50) {
+        let is_reachable = now < cut + UNREACHABLE_AFTER;
+        let mut peers: HashMap<_, _> = (1..7)
+            .map(|i| (format!("near{i}"), peer(now, is_reachable, cut - 100)))
+            .collect();
+        peers.extend((0..2).map(|i| (format!("far{i}"), peer(cut, true, cut - 100))));
+        let health = StoreHealth {
+            reachable: is_reachable,
+            served_at: Some(at(cut - 50)),
+            failing_since: Some(at(cut)),
+            failed_call_sent: Some(at(now - 50)),
+            reachable_since: None,
+        };
+        check.update(&health, &peers, None, at(now));
+        let is_unconfirmed = at(now) - at(cut - 50) > UNCONFIRMED_LIMIT;
+        if check.rejected_unlike().is_some() || is_unconfirmed && is_minority(&peers, at(now)) {
+            given_up.get_or_insert(now);
+        }
+
+        let mut peers: HashMap<_, _> = (0..7)
+            .map(|i| (format!("near{i}"), peer(cut, true, cut - 100)))
+            .collect();
+        peers.insert("far1".to_owned(), peer(now, true, now - 100));
+        let view = LeadershipView {
+            own_name: "far0",
+            cpu_share: 500,
+            incarnation: 1,
+            domain: "z",
+            shard: "all",
+            domains: &domains,
+            store: StoreHealth {
+                reachable: true,
+                served_at: Some(at(now - 100)),
+                ..StoreHealth::default()
+            },
+            peers: &peers,
+            since: base,
+            leader: Some(("near0", 5)),
+            leader_updated_at: Some(at(cut)),
+            leader_since: Some(base),
+            impaired_at: is_minority(&peers, at(now)).then(|| at(now)),
+            store_heartbeat_changed: Some(at(cut)),
+        };
+        if takeover_reason(&view, at(now)).is_some() {
+            taken_over.get_or_insert(now);
+        }
+    }
+    let taken_over = taken_over.expect("the leader's heartbeat in the store is stale");
+    // A worker's clock may be 2% slow.
+    let params = Params::default();
+    let margin = params.unknown_run_limit - params.lease * 102 / 100;
+    let latest = taken_over + margin.as_millis() as u64;
+    assert!(
+        given_up.is_some_and(|at| at <= latest),
+        "cut={cut} taken_over={taken_over} given_up={given_up:?} latest={latest}"
+    );
+}
