--- a/crates/scheduler/tests/restoring.rs
+++ b/crates/scheduler/tests/restoring.rs
@@ -20,6 +20,7 @@
         connection::{ConnectionPool, Outgoing, TimeLimits},
         server::{Limits, serve},
     },
+    marigoldbend_peer::heartbeat::Heartbeat,
     marigoldbend_platform::{rows::RowKey, store::Store},
     marigoldbend_scheduler::{
         commands::BoxFuture,
@@ -39,15 +40,15 @@
         future::pending,
         net::{SocketAddr, UdpSocket},
         sync::{
-            Arc,
-            atomic::{AtomicU32, Ordering},
+            Arc, Mutex,
+            atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
         },
         time::{Duration, Instant},
     },
     tokio::{
         net::TcpListener,
         sync::{mpsc, watch},
-        time::timeout,
+        time::{sleep, timeout},
     },
     xtra::Mailbox,
 };
@@ -79,6 +80,10 @@
     is_history_deleted: bool,
     /// How many pages of the job table were read.
     job_pages: watch::Sender<u32>,
+    /// Whether all calls are refused.
+    is_down: AtomicBool,
+    /// When the worker's process started, on its clock.
+    worker_started_ms: AtomicU64,
 }
 
 impl Default for TableReads {
@@ -90,6 +95,8 @@
             is_watch_silent: false,
             is_history_deleted: false,
             job_pages: watch::Sender::new(0),
+            is_down: AtomicBool::new(false),
+            worker_started_ms: AtomicU64::new(1),
         }
     }
 }
@@ -130,6 +137,9 @@
     start(move |req| {
         let (pool, reads) = (pool.clone(), reads.clone());
         async move {
+            if reads.is_down.load(Ordering::Relaxed) {
+                return reply(StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+            }
             let uri = req.uri().clone();
             let path = uri.path_and_query().map_or("", |p| p.as_str()).to_owned();
             if path.starts_with("/v1/rows-get") && path.contains(&reads.table) {
@@ -177,11 +187,18 @@
     .await
 }
 
-/// Starts a worker that passes each call to `calls`, and reports a run if it `is_busy`.
-async fn start_worker(calls: mpsc::UnboundedSender<WorkerCall>, is_busy: bool) -> SocketAddr {
+/// Starts a worker that passes each call to `calls`, reports a run if it `is_busy`, and refuses lower
+/// fencing tokens than the highest that its process has seen.
+async fn start_worker(
+    calls: mpsc::UnboundedSender<WorkerCall>,
+    is_busy: bool,
+    reads: Arc<TableReads>,
+) -> SocketAddr {
     let epoch = Instant::now();
+    let highest = Arc::new(Mutex::new((0, 0)));
     start(move |req| {
         let calls = calls.clone();
+        let (reads, highest) = (reads.clone(), highest.clone());
         async move {
             let path = req.uri().path().to_owned();
             let body = read_whole(req.into_body(), 1 << 20)
@@ -193,8 +210,22 @@
                 return reply(status, body);
             };
             let is_report = matches!(call.action, WorkerAction::Report { .. });
+            let token = call.token;
             // The test may have ended.
             let _ = calls.send(call);
+            let started_ms = reads.worker_started_ms.load(Ordering::Relaxed);
+            let is_fenced = {
+                let mut highest = highest.lock().expect("no thread panics");
+                if highest.0 != started_ms {
+                    *highest = (started_ms, 0);
+                }
+                highest.1 = highest.1.max(token);
+                token < highest.1
+            };
+            if is_fenced {
+                let (status, body) = wire::write_reply(CommandReply::Fenced, clock_ms);
+                return reply(status, body);
+            }
             if is_report {
                 let run = RunningRow {
                     task: task(UNKNOWN),
@@ -204,7 +235,7 @@
                     usage: None,
                 };
                 let report = Report {
-                    started_ms: 1,
+                    started_ms,
                     clock_ms,
                     running: is_busy.then_some(run).into_iter().collect(),
                     ..Report::default()
@@ -247,7 +278,9 @@
             .await
             .expect("starting the store failed");
         let (to_test, calls) = mpsc::unbounded_channel();
-        let worker = start_worker(to_test, is_worker_busy).await.to_string();
+        let worker = start_worker(to_test, is_worker_busy, reads.clone())
+            .await
+            .to_string();
         let step = Step {
             count: 1,
             request: Resources {
@@ -502,3 +535,53 @@
         assert!(!is_start, "a task of the cancelled job has started");
     }
 }
+
+/// Guards against a worker that refuses every report request of a leader, since the leader has forgotten
+/// the higher fencing token that it used after the worker's restart: it dropped its state while the store
+/// rejected it, and its lease row is still in force.
+#[tokio::test]
+async fn a_takeover_that_continues_uses_no_lower_fencing_token() {
+    let mut deployment = Deployment::start(TableReads::default(), true, true).await;
+    deployment.call_until(renews_leases).await;
+    let reads = deployment.reads.clone();
+    reads.worker_started_ms.store(2, Ordering::Relaxed);
+    let (call, _) = deployment
+        .call_until(|call| call.token == WORKER_TOKEN + 1)
+        .await;
+    assert!(matches!(call.action, WorkerAction::Report { .. }));
+    reads.is_down.store(true, Ordering::Relaxed);
+    let rejected_at = Instant::now();
+    while rejected_at.elapsed() < Duration::from_secs(6) {
+        let heartbeat = Heartbeat {
+            name: "peer".to_owned(),
+            domain: "z".to_owned(),
+            incarnation: 5,
+            address: "127.0.0.1:1".parse().expect("an address"),
+            config_version: 0,
+            store_reachable: true,
+            shutting_down: false,
+            taking_over: Vec::new(),
+            led_shards: Vec::new(),
+            cpu_share: 69,
+            newest_tokens: Vec::new(),
+            store_age: Some(Duration::from_millis(100)),
+        };
+        deliver_urgent_event(&deployment.control, Event::Heartbeat(heartbeat)).await;
+        sleep(Duration::from_millis(150)).await;
+    }
+    while deployment.calls.try_recv().is_ok() {}
+    let is_any = |_: &WorkerCall| true;
+    let silent = timeout(Duration::from_millis(500), deployment.calls.recv()).await;
+    assert!(silent.is_err(), "the leases are still renewed");
+    reads.is_down.store(false, Ordering::Relaxed);
+    reads.open.send_replace(true);
+    let (call, _) = deployment.call_until(is_any).await;
+    let lease = deployment.store.row(&keys::lease(SHARD)).expect("a lease");
+    let lease: LeaseRow = postcard::from_bytes(&lease.value).expect("a lease");
+    assert!(
+        call.token > WORKER_TOKEN,
+        "token={} lease={lease:?}, the worker has seen {}",
+        call.token,
+        WORKER_TOKEN + 1
+    );
+}
