Count a placement of an occurrence that is added during a write as stored

Cause: an occurrence can be added while a batch is in flight whose row names its worker by the records of the earlier leader. Its tasks were not among those that the batch names, so the placement was cleared when the batch was stored, and the task could start beside a run on a worker that has not answered.

Evidence: a_placement_of_an_occurrence_that_is_added_during_a_write_stays_in_force starts [0, 1] before and [0] now.

--- a/crates/core/src/sched/shard/placements.rs
+++ b/crates/core/src/sched/shard/placements.rs
@@ -127,6 +127,13 @@
     /// Records that a row of the job, whose id is `id`, is about to be stored; adds the tasks whose
     /// workers it names to `placed`.
     pub(super) fn on_placements_taken(&mut self, id: JobId, placed: &mut HashSet<TaskName>) {
+        // Their occurrences may be added before the row is stored.
+        placed.extend(self.stored_placements.iter().map(|record| TaskName {
+            job: id,
+            occurrence: record.occurrence,
+            step: record.step,
+            index: record.index,
+        }));
         for (name, task) in self.named_tasks(id) {
             if let Some(worker) = task.next_placement().cloned() {
                 task.placement = Some(worker);
