Never continue a takeover with lower fencing tokens than workers have seen

Cause: a restoring leader whose worker restarted had used the next fencing token for it. When it gave up (the store rejected it, or it heard a minority) and later found its lease row unchanged, it began with the first token again, which that worker refused for the whole leadership.

Change: a leadership that was given up is not continued; the next takeover writes the lease row anew.

--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -106,6 +106,9 @@
     /// the rows; and when this instance learned it, `None` before the first.
     newest_token: u64,
     newest_token_at: Option<Instant>,
+    /// The highest fencing token with which this instance has renewed leases and given up since;
+    /// workers may have seen higher tokens of that leadership than a new one would begin with.
+    given_up_token: u64,
     /// Whether this instance is taking the shard over.
     taking_over: bool,
     /// When this instance may take the shard over.
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -242,7 +242,7 @@
             let view = l.view.as_ref();
             view.is_some_and(|view| now.duration_since(view.last_heard) < LEADER_TIMEOUT)
         });
-        let led_token = leadership.map_or(0, |l| l.token);
+        let led_token = leadership.map_or(0, |l| l.token.max(l.given_up_token));
         let store = self.store.clone();
         let name = self.settings.name.clone();
         let incarnation = self.incarnation;
--- a/crates/scheduler/src/control/restoring.rs
+++ b/crates/scheduler/src/control/restoring.rs
@@ -87,6 +87,9 @@
                 "lead: shard={shard} token={} renews no leases any more: {reason}.",
                 restoring.lease.token
             );
+            if let Some(leadership) = leadership.get_mut(shard) {
+                leadership.given_up_token = restoring.lease.token;
+            }
             false
         });
         let Some(to) = &self.address else {
