Let no successor rely on a leader's resignation that may not come

Cause: a leader beyond a partition that hears most instances, while the store serves only the others, sees no peer that is served and is no minority. It would renew leases for as long as the partition lasts, while a successor in the minority restarts what runs on workers that it can't reach, 6.2 s after its lease row.

Change: a leader resigns at the latest 11.3 s after the last confirmation it has sent: an outage of 10 s and the interval of confirmations. While a successor does not hear a majority, its wait for unknown runs begins anew; two instances that hear a majority share a peer, which passes the newest fencing token on. A peer is expected for 10 s after its last heartbeat, so the successor's wait ends after the predecessor's leases: 9.55 + 6.2 s against 11.3 + 4.08 s.

Left: an instance that restarted during the partition expects only those that it has heard since.

--- a/crates/core/src/sched/leadership.rs
+++ b/crates/core/src/sched/leadership.rs
@@ -35,6 +35,15 @@
 /// How long after its last heartbeat a peer counts among those that this instance should hear.
 const EXPECTED_PEER_WINDOW: Duration = Duration::from_secs(10);
 
+/// The maximum age of the last confirmation with which a leader that hears only a minority of its
+/// peers continues to lead.
+const UNCONFIRMED_LIMIT: Duration = Duration::from_millis(2_000);
+
+/// The same for a leader that hears more of them: an outage of the store of 10 s, and the interval of
+/// confirmations before it. The leases that it grants until then end before a successor beyond a
+/// partition, which expects the others for [`EXPECTED_PEER_WINDOW`], has waited for unknown runs.
+const MAX_UNCONFIRMED_LIMIT: Duration = Duration::from_millis(11_300);
+
 /// How long before its handling a heartbeat may have been sent. If this process was delayed for longer, it
 /// notices that it has stalled.
 pub const MAX_HEARTBEAT_DELAY: Duration = Duration::from_millis(450);
@@ -290,16 +299,39 @@
 ///
 /// In that case the instance may be cut off, alone or with a few others, from a healthy leader.
 pub fn is_minority(peers: &HashMap<String, PeerView>, now: Instant) -> bool {
-    let heard_within = |p: &&PeerView, period| now.duration_since(p.last_heard) < period;
-    let expected = peers
-        .values()
-        .filter(|p| heard_within(p, EXPECTED_PEER_WINDOW))
-        .count();
-    let heard = peers
-        .values()
-        .filter(|p| heard_within(p, PEER_TIMEOUT))
-        .count();
-    (heard + 1) * 2 < expected + 1
+    let (heard, expected) = count_instances(peers, now);
+    heard * 2 < expected
+}
+
+/// Returns whether this instance hears from more than half of the instances, itself included.
+///
+/// Of two instances that do, at least one other instance hears both and passes the newest fencing
+/// token on.
+pub fn is_majority(peers: &HashMap<String, PeerView>, now: Instant) -> bool {
+    let (heard, expected) = count_instances(peers, now);
+    heard * 2 > expected
+}
+
+/// Returns how many instances this one hears, and how many it should hear, itself included in both.
+fn count_instances(peers: &HashMap<String, PeerView>, now: Instant) -> (usize, usize) {
+    let count = |period| {
+        let heard_within = |p: &&PeerView| now.duration_since(p.last_heard) < period;
+        peers.values().filter(heard_within).count() + 1
+    };
+    (count(PEER_TIMEOUT), count(EXPECTED_PEER_WINDOW))
+}
+
+/// Returns whether a leader whose leadership the store last confirmed at `confirmed_at` must resign.
+///
+/// A successor relies on these limits before it restarts tasks that may still run elsewhere. It
+/// counts them from its lease row's write if it hears a majority, and else from when it does.
+pub fn is_unconfirmed(confirmed_at: Instant, in_minority: bool, now: Instant) -> bool {
+    let limit = if in_minority {
+        UNCONFIRMED_LIMIT
+    } else {
+        MAX_UNCONFIRMED_LIMIT
+    };
+    now.saturating_duration_since(confirmed_at) > limit
 }
 
 /// A call of a peer that the store served while it failed those of this instance.
--- a/crates/core/src/sched/shard/leases.rs
+++ b/crates/core/src/sched/shard/leases.rs
@@ -90,7 +90,15 @@
     /// Returns the time by which runs of an earlier leader have ended on workers that have sent no
     /// report to this one.
     pub(super) fn unknown_runs_until(&self) -> Instant {
-        self.leader_since + self.params.unknown_run_limit
+        self.unknown_runs_since + self.params.unknown_run_limit
+    }
+
+    /// Lets the wait for unknown runs begin anew, unless it is over: an earlier leader may still
+    /// renew leases.
+    pub fn extend_unknown_runs(&mut self, now: Instant) {
+        if now < self.unknown_runs_until() {
+            self.unknown_runs_since = self.unknown_runs_since.max(now);
+        }
     }
 
     /// Queues again, for responsive workers, the start and stop commands that got no reply.
--- a/crates/core/src/sched/shard/restoring.rs
+++ b/crates/core/src/sched/shard/restoring.rs
@@ -159,6 +159,11 @@
         });
     }
 
+    /// Lets the wait for unknown runs begin anew, as [`Shard::extend_unknown_runs`].
+    pub fn extend_unknown_runs(&mut self, now: Instant) {
+        self.leased_at = self.leased_at.max(now);
+    }
+
     /// Records that a store call sent at `sent_at` found this leader's lease row unchanged.
     pub fn confirm(&mut self, sent_at: Instant) {
         self.confirmed_at = self.confirmed_at.max(sent_at);
@@ -177,6 +182,7 @@
     /// `unix_ms` is the current Unix time in milliseconds.
     pub fn restore_workers(&mut self, restoring: RestoringShard, now: Instant, unix_ms: u64) {
         self.leader_since = restoring.leased_at;
+        self.unknown_runs_since = restoring.leased_at;
         self.confirmed_at = restoring.confirmed_at;
         for (id, restored) in restoring.workers {
             let Some(last) = restored.last else {
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -393,6 +393,8 @@
     pub(super) token: u64,
     /// When this instance became leader.
     pub(super) leader_since: Instant,
+    /// Since when no earlier leader renews leases, but for the time that it may take to resign.
+    pub(super) unknown_runs_since: Instant,
     pub(super) jobs: HashMap<JobId, Job>,
     /// The outcome of each finished job, and when it finished, in milliseconds of Unix time.
     pub(super) finished: HashMap<JobId, (JobOutcome, u64)>,
@@ -464,6 +466,7 @@
             params,
             token,
             leader_since: now,
+            unknown_runs_since: now,
             jobs: HashMap::default(),
             finished: HashMap::default(),
             workers: HashMap::default(),
--- a/crates/core/tests/restoring.rs
+++ b/crates/core/tests/restoring.rs
@@ -216,3 +216,36 @@
     let request = shard.prepare_report_request("a", base + ms(3_000));
     assert_eq!(request, Some((0, None)));
 }
+
+/// Guards against a successor that hears only a minority, and restarts what a leader that doesn't know of
+/// it still keeps running on workers that only that leader reaches.
+#[test]
+fn the_wait_for_unknown_runs_begins_anew_while_an_earlier_leader_may_lead() {
+    let base = Instant::now();
+    let limit_ms = Params::default().unknown_run_limit.as_millis() as u64;
+    let mut restoring = RestoringShard::new(TOKEN, ms(4_000), base, base);
+    restoring.add_worker("silent", "127.0.0.1:6");
+    restoring.add_worker("a", "127.0.0.1:1");
+    restoring.extend_unknown_runs(base + ms(300));
+    let mut shard = restored(restoring, &["silent", "a"], base, 1_000);
+    let mut extended_ms = 300;
+    let mut clock_ms = 1_000;
+    while started(&shard.poll(base + ms(clock_ms), clock_ms)).is_empty() {
+        clock_ms += 10;
+        assert!(clock_ms < 20_000, "the task never starts");
+        let at = base + ms(clock_ms);
+        if clock_ms < 5_000 {
+            shard.extend_unknown_runs(at);
+            extended_ms = clock_ms;
+        }
+        shard.on_report("a", &report(1, clock_ms), at, at, clock_ms);
+    }
+    let earliest = extended_ms + limit_ms;
+    assert!(
+        (earliest..earliest + 200).contains(&clock_ms),
+        "{clock_ms} instead of {earliest}"
+    );
+    // A wait that is over does not begin anew.
+    shard.extend_unknown_runs(base + ms(clock_ms));
+    assert!(!shard.awaits_unknown_runs(base + ms(clock_ms)));
+}
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -33,7 +33,7 @@
             job::{JobId, JobSpec, TaskName},
             leadership::{
                 LeadershipView, MAX_HEARTBEAT_DELAY, PeerView, RejectionCheck, TakeoverDelay,
-                TakeoverReason, is_minority, takeover_reason,
+                TakeoverReason, is_majority, is_minority, is_unconfirmed, takeover_reason,
             },
             progress::JobState,
             queues::Queues,
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -10,11 +10,6 @@
 /// fail: the leader must notice soon that the store serves it again, and that it still does not.
 const AWAITED_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
 
-/// The maximum age of the last confirmation with which a leader that hears only a minority of its
-/// peers continues to lead. A successor relies on this limit before it restarts tasks that may
-/// still run elsewhere.
-pub(super) const UNCONFIRMED_LIMIT: Duration = Duration::from_millis(2_000);
-
 /// The interval of a leader's store heartbeats.
 const STORE_HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -57,6 +52,7 @@
             self.resign_all(now);
         }
         self.resign_unconfirmed(now);
+        self.extend_unknown_runs(now);
         self.return_foreign_shards(now);
         if self.shutting_down {
             let stored: Vec<_> = self
@@ -126,22 +122,35 @@
         }
     }
 
-    /// Resigns shards whose leadership the store has not confirmed in time, if this instance hears
-    /// only a minority of its peers: the others may have chosen a new leader.
+    /// Resigns shards whose leadership the store has not confirmed in time: the others may have
+    /// chosen a new leader.
     fn resign_unconfirmed(&mut self, now: Instant) {
-        let is_unconfirmed =
-            |l: &&ShardLeader| now.duration_since(l.shard.confirmed_at()) > UNCONFIRMED_LIMIT;
-        let unconfirmed = self
-            .led_shards
-            .values()
-            .filter(is_unconfirmed)
-            .map(|l| l.name.clone());
-        let unconfirmed: Vec<_> = unconfirmed.collect();
-        if unconfirmed.is_empty() || !is_minority(&self.peer_views, now) {
+        let in_minority = is_minority(&self.peer_views, now);
+        let unconfirmed = self.led_shards.values();
+        let unconfirmed =
+            unconfirmed.filter(|l| is_unconfirmed(l.shard.confirmed_at(), in_minority, now));
+        let unconfirmed: Vec<_> = unconfirmed.map(|l| l.name.clone()).collect();
+        let reason = if in_minority {
+            "neither the store nor most peers are reachable"
+        } else {
+            "the store has been unreachable for too long"
+        };
+        for shard in unconfirmed {
+            self.resign(&shard, reason);
+        }
+    }
+
+    /// While this instance does not hear a majority, an earlier leader that does may be unaware of
+    /// it, so the wait for its runs begins anew.
+    fn extend_unknown_runs(&mut self, now: Instant) {
+        if is_majority(&self.peer_views, now) {
             return;
         }
-        for shard in unconfirmed {
-            self.resign(&shard, "neither the store nor most peers are reachable");
+        for leader in self.led_shards.values_mut() {
+            leader.shard.extend_unknown_runs(now);
+        }
+        for restoring in self.restoring.values_mut() {
+            restoring.shard.extend_unknown_runs(now);
         }
     }
 
--- a/crates/scheduler/src/control/restoring.rs
+++ b/crates/scheduler/src/control/restoring.rs
@@ -1,6 +1,6 @@
 //! Leaderships whose lease row is written, while the rows of their shards are read.
 
-use super::{leadership::UNCONFIRMED_LIMIT, *};
+use super::*;
 
 /// The interval at which the lease row is read to confirm that this instance still holds it.
 const CONFIRMATION_INTERVAL: Duration = Duration::from_secs(1);
@@ -66,7 +66,7 @@
         }
         let is_rejected = self.rejection.rejected_unlike().is_some();
         let in_minority = is_minority(&self.peer_views, now);
-        let (leadership, shutting_down) = (&self.leadership, self.shutting_down);
+        let (leadership, shutting_down) = (&mut self.leadership, self.shutting_down);
         self.restoring.retain(|shard, restoring| {
             let newest = leadership
                 .get(shard)
@@ -78,8 +78,8 @@
                 "another instance leads the shard"
             } else if is_rejected {
                 "the store rejects this instance but serves a peer"
-            } else if in_minority && now.duration_since(confirmed_at) > UNCONFIRMED_LIMIT {
-                "neither the store nor most peers are reachable"
+            } else if is_unconfirmed(confirmed_at, in_minority, now) {
+                "the store has not confirmed the leadership"
             } else {
                 return true;
             };
