Ask a worker again whose address changes while the rows are read

A report from its former address counted as its answer, so that inherited work did not wait for it. a_worker_at_a_new_address_has_not_reported fails before.

--- a/crates/core/src/sched/shard/restoring.rs
+++ b/crates/core/src/sched/shard/restoring.rs
@@ -77,6 +77,9 @@
         if let Some(worker) = self.workers.get_mut(worker_id) {
             if worker.address != address {
                 address.clone_into(&mut worker.address);
+                // The process at the new address has not reported yet.
+                worker.last = None;
+                worker.clock = LeaseClock::default();
                 self.addresses_changed = true;
             }
             return;
--- a/crates/core/tests/restoring.rs
+++ b/crates/core/tests/restoring.rs
@@ -249,3 +249,19 @@
     shard.extend_unknown_runs(base + ms(clock_ms));
     assert!(!shard.awaits_unknown_runs(base + ms(clock_ms)));
 }
+
+/// Guards against a worker that counts as having answered by a report of the process at its former
+/// address.
+#[test]
+fn a_worker_at_a_new_address_has_not_reported() {
+    let base = Instant::now();
+    let mut restoring = RestoringShard::new(TOKEN, ms(4_000), base, base);
+    restoring.add_worker("a", "127.0.0.1:9");
+    restoring.on_report("a", report(1, 10), base + ms(2_400), base + ms(2_900));
+    restoring.add_worker("a", "127.0.0.1:1");
+    let request = restoring.prepare_report_request("a", base + ms(2_950));
+    assert_eq!(request, Some((WORKER_TOKEN, None)));
+    let mut shard = restored(restoring, &["a"], base, 3_000);
+    assert!(shard.awaits_unknown_runs(base + ms(3_000)));
+    assert_eq!(shard.poll(base + ms(3_000), 3_000), []);
+}
