--- a/crates/scheduler/src/takeover_times.rs
+++ b/crates/scheduler/src/takeover_times.rs
@@ -8,7 +8,7 @@
     },
 };
 
-/// A part of a takeover; each ends later than the one before, or at the same time.
+/// A part of a takeover. A worker may report before the rows are read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Part {
     /// The lease row is written.
