Simulate leaders that read rows in the model of a shard

Cause: the model's leaders know all rows at once, so it says nothing about a leader that renews leases and keeps reports while it reads.

Change: a world may have leaders that read for some time.

--- a/crates/core/tests/shard_model/world/network.rs
+++ b/crates/core/tests/shard_model/world/network.rs
@@ -163,7 +163,11 @@
                 if let Some(leader) = self.active_leader(leader_token) {
                     leader.incarnations[worker_index] = Some(report.started_ms);
                     let id = format!("w{worker_index}");
-                    leader.shard.on_report(&id, &report, sent_at, now, unix_ms);
+                    if let Some((restoring, _)) = &mut leader.restoring {
+                        restoring.on_report(&id, report, sent_at, now);
+                    } else {
+                        leader.shard.on_report(&id, &report, sent_at, now, unix_ms);
+                    }
                 }
             }
             Message::Written(leader_token, write, result) => {
