--- a/crates/core/src/sched/shard/restoring.rs
+++ b/crates/core/src/sched/shard/restoring.rs
@@ -182,8 +182,8 @@
             let Some(last) = restored.last else {
                 continue;
             };
-            // A worker that is not listed any more may run tasks all the same.
-            self.add_worker_in_use(&id, &restored.address, now);
+            // Its entry may have been removed meanwhile.
+            self.add_unlisted_worker(&id, &restored.address, now);
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.incarnations = restored.incarnations;
             }
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -13,7 +13,7 @@
         sched::{
             interference::{Image, Interference, PairEstimate, Pressure},
             job::{JobId, JobSpec, Resources, TaskName},
-            progress::{JobOutcome, LossRecord, Progress, TaskRecord},
+            progress::{JobOutcome, LossRecord, PlacementRecord, Progress, TaskRecord},
             size_fairness::SizeFairness,
             throttle::Throttle,
             worker::{LeaseClock, WorkerInfo},
@@ -139,13 +139,16 @@
 pub struct Batch {
     /// Job ids and their encoded [`Progress`] rows.
     pub rows: Vec<(JobId, Vec<u8>)>,
-    /// Ids and addresses of all workers in use; `None` if they have not changed.
+    /// Ids and addresses of all workers that may have runs or get some; `None` if they have not
+    /// changed.
     pub workers_in_use: Option<Vec<(String, String)>>,
     /// Interference estimates; `None` if none are due to be stored.
     pub interference: Option<Vec<PairEstimate>>,
     /// Run ends that may be acknowledged once the batch is stored: worker id, the worker's
     /// `started_ms`, and the number of its newest run end.
     pub(super) acks: Vec<(String, u64, u64)>,
+    /// The tasks whose workers `rows` name.
+    pub(super) placed: HashSet<TaskName>,
     /// The outcome in each of `rows`, by job id.
     pub(super) outcomes: Vec<(JobId, JobOutcome)>,
 }
@@ -222,6 +225,11 @@
     pub info: WorkerInfo,
     /// Whether the platform lists the worker.
     pub listed: bool,
+    /// Whether the stored list of workers in use certainly contains the worker with its current
+    /// address. No task starts on the worker before.
+    pub is_stored_in_use: bool,
+    /// Whether an earlier leader may have started tasks on the worker.
+    pub is_inherited: bool,
     /// When the platform stopped listing the worker; `None` while it lists it.
     pub unlisted_at: Option<Instant>,
     /// Since when the worker counts as draining; `None` while the platform lists it as ready.
@@ -299,6 +307,15 @@
     pub avoid_worker: Option<String>,
     /// The earliest time of the next start; `None` if there is no limit.
     pub not_before: Option<Instant>,
+    /// The worker that the stored row may name; see [`PlacementRecord`]. The task starts only while
+    /// there is none.
+    pub placement: Option<String>,
+    /// Whether the row that this leader read at its takeover named a worker.
+    pub is_located: bool,
+    /// Whether that worker may still have a run of an earlier leader.
+    pub awaits_worker: bool,
+    /// The worker that has confirmed a run of a long-running task; `None` if there is none.
+    pub confirmed_on: Option<String>,
     /// The workers that the task has lost; `None` if none.
     pub losses: Option<Box<Losses>>,
 }
@@ -337,6 +354,10 @@
     pub records: Vec<TaskRecord>,
     /// The stored losses of tasks whose occurrences have not been added yet.
     pub stored_losses: Vec<LossRecord>,
+    /// The stored placements of tasks whose occurrences have not been added yet.
+    pub stored_placements: Vec<PlacementRecord>,
+    /// Whether any task may await the worker that its stored placement names.
+    pub has_awaiting_tasks: bool,
     /// Whether any task may have lost a worker.
     pub has_losses: bool,
     /// When the job was accepted; approximate for jobs of earlier leaders.
@@ -409,6 +430,9 @@
     pub(super) urgent: bool,
     /// Whether the last batch has no result yet.
     pub(super) storing: bool,
+    /// Whether any worker may have runs of an earlier leader that this one does not know, as of the
+    /// last dispatch.
+    pub(super) has_unknown_runs: bool,
     /// Whether the list of workers in use has changed since it was last part of a batch.
     pub(super) workers_in_use_dirty: bool,
     /// Whether workers were added or removed, or their addresses changed, since the last call of
@@ -459,6 +483,7 @@
             dirty_since: None,
             urgent: false,
             storing: false,
+            has_unknown_runs: true,
             workers_in_use_dirty: true,
             worker_addresses_changed: true,
             interference_stored_at: now,
@@ -511,6 +536,8 @@
             records: progress.tasks,
             has_losses: !progress.losses.is_empty(),
             stored_losses: progress.losses,
+            has_awaiting_tasks: !progress.placements.is_empty(),
+            stored_placements: progress.placements,
             accepted_at: accepted,
             moving: false,
             idle_since: None,
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -12,7 +12,7 @@
         rows::{Page, Range, Tx, TxOutcome, Wire, WireError},
     },
     hyper::StatusCode,
-    marigoldbend_core::clock::Clock,
+    marigoldbend_core::{clock::Clock, sched::leadership::StoreHealth},
     marigoldbend_http::{
         client::Reply,
         connection::{ConnectionError, ConnectionPool, Outgoing, TimeLimits},
@@ -27,7 +27,7 @@
         },
         time::{Duration, Instant},
     },
-    tokio::time::sleep,
+    tokio::{sync::Notify, time::sleep},
 };
 
 /// The time limit of a write. A store at a hundredth of its normal speed takes 0.8 s for a write
@@ -112,12 +112,23 @@
     /// The moving average of the write time, and when it was last updated; `None` before the first
     /// write.
     write_time: Mutex<Option<(Duration, Instant)>>,
+    /// Wakes the callers of [`Store::retry_requested`].
+    retry: Notify,
 }
 
 #[derive(Debug, Default)]
 struct Health {
-    /// When the first call after the last success failed; `None` after a success.
+    /// When the first call after the last success failed; `None` after a success. The store may
+    /// have served calls until then, however long before the failed call was sent.
     failing_since: Option<Instant>,
+    /// When the newest of the calls that have failed since the last success was sent; `None` after
+    /// a success.
+    failed_call_sent: Option<Instant>,
+    /// When the newest call that succeeded was sent; `None` if none has succeeded.
+    served_at: Option<Instant>,
+    /// When a call first succeeded after the store had last been unreachable; `None` if it never
+    /// was.
+    reachable_since: Option<Instant>,
     /// Whether the log says that the store is unreachable.
     reported_unreachable: bool,
 }
@@ -132,6 +143,7 @@
             counters: Counters::default(),
             health: Mutex::new(Health::default()),
             write_time: Mutex::default(),
+            retry: Notify::new(),
         }
     }
 
@@ -149,8 +161,32 @@
     /// have failed for less than
     /// `UNREACHABLE_AFTER`.
     pub fn is_reachable(&self) -> bool {
-        let since = self.health.lock().failing_since;
-        since.is_none_or(|since| self.clock.now().duration_since(since) < UNREACHABLE_AFTER)
+        self.health().reachable
+    }
+
+    /// Returns the state of the calls to the store.
+    pub fn health(&self) -> StoreHealth {
+        let health = self.health.lock();
+        let is_short = |since| self.clock.now().duration_since(since) < UNREACHABLE_AFTER;
+        StoreHealth {
+            reachable: health.failing_since.is_none_or(is_short),
+            served_at: health.served_at,
+            failing_since: health.failing_since,
+            failed_call_sent: health.failed_call_sent,
+            reachable_since: health.reachable_since,
+        }
+    }
+
+    /// Ends the pending [`Store::retry_requested`] calls. To be called when the store is known to
+    /// serve a peer while calls from here fail: those in flight may be stuck until their time limit.
+    pub fn request_retry(&self) {
+        self.retry.notify_waiters();
+    }
+
+    /// Waits until a call in flight should be given up and sent again; see
+    /// [`Store::request_retry`].
+    pub async fn retry_requested(&self) {
+        self.retry.notified().await;
     }
 
     /// Sends a transaction once.
@@ -284,6 +320,7 @@
     }
 
     async fn call(&self, out: Outgoing, limits: TimeLimits) -> Result<Reply> {
+        let sent_at = self.clock.now();
         let reply = self.pool.exchange(out, limits).await;
         let result = match reply {
             Ok(reply) => match reply.status {
@@ -300,23 +337,31 @@
             Err(ConnectionError::Unsent) => Err(StoreError::NotApplied),
             Err(ConnectionError::Lost | ConnectionError::TimedOut) => Err(StoreError::Unknown),
         };
-        self.record_result(result.as_ref().err());
+        self.record_result(sent_at, result.as_ref().err());
         result
     }
 
-    fn record_result(&self, failure: Option<&StoreError>) {
+    fn record_result(&self, sent_at: Instant, failure: Option<&StoreError>) {
         let now = self.clock.now();
         let mut health = self.health.lock();
         match failure {
             None | Some(StoreError::HistoryDeleted) => {
-                health.failing_since = None;
+                let failing_since = health.failing_since.take();
+                if failing_since.is_some_and(|at| now.duration_since(at) >= UNREACHABLE_AFTER) {
+                    health.reachable_since = Some(now);
+                }
+                health.failed_call_sent = None;
+                health.served_at = health.served_at.max(Some(sent_at));
                 if std::mem::take(&mut health.reported_unreachable) {
                     log::info!("platform: the store is reachable again.");
+                    // Other calls may still wait for replies that were lost in the outage.
+                    self.request_retry();
                 }
             }
             Some(failure) => {
                 self.counters.failures.fetch_add(1, Ordering::Relaxed);
                 let since = *health.failing_since.get_or_insert(now);
+                health.failed_call_sent = health.failed_call_sent.max(Some(sent_at));
                 if now.duration_since(since) >= UNREACHABLE_AFTER && !health.reported_unreachable {
                     health.reported_unreachable = true;
                     log::warn!("platform: the store is unreachable: {failure}.");
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -32,8 +32,8 @@
         sched::{
             job::{JobId, JobSpec, TaskName},
             leadership::{
-                LeadershipView, PeerView, TakeoverDelay, is_minority, is_rejected_by_store,
-                should_take_over,
+                LeadershipView, MAX_HEARTBEAT_DELAY, PeerView, RejectionCheck, TakeoverDelay,
+                TakeoverReason, is_minority, takeover_reason,
             },
             progress::JobState,
             queues::Queues,
@@ -66,7 +66,7 @@
 const LEADER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// The gap between two ticks above which this process counts as stalled.
-const STALL_THRESHOLD: Duration = Duration::from_millis(450);
+const STALL_THRESHOLD: Duration = MAX_HEARTBEAT_DELAY;
 
 /// The interval of the summary log lines of the led shards.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(2);
@@ -100,20 +100,32 @@
     leader_since: Option<Instant>,
     /// The leader's state from its last heartbeat, if another instance leads the shard.
     view: Option<LeaderView>,
-    /// The highest fencing token seen.
+    /// The highest fencing token of an instance that has led the shard.
     token: u64,
+    /// The highest fencing token that a lease row is known to have, also if its holder still reads
+    /// the rows; and when this instance learned it, `None` before the first.
+    newest_token: u64,
+    newest_token_at: Option<Instant>,
     /// Whether this instance is taking the shard over.
     taking_over: bool,
     /// When this instance may take the shard over.
     takeover_delay: TakeoverDelay,
     /// The value of the leader's heartbeat row in the store, as last read; empty if there is none.
     store_heartbeat: Vec<u8>,
-    /// When a read last returned a changed value of that row.
+    /// When a read last returned a changed value of that row, or when it was first read since this
+    /// instance reads it repeatedly; `None` while it does not.
     store_heartbeat_changed: Option<Instant>,
     /// When a read of that row was last requested.
     store_heartbeat_requested: Option<Instant>,
 }
 
+impl ShardLeadership {
+    /// Returns the highest fencing token that the lease row is known to have had.
+    fn newest_token(&self) -> u64 {
+        self.token.max(self.newest_token)
+    }
+}
+
 /// The actor that holds the control state of one instance.
 pub struct Control {
     settings: Settings,
@@ -160,6 +172,14 @@
     busy: Duration,
     /// When this instance last stalled or heard from only a minority of its peers.
     impaired_at: Option<Instant>,
+    /// When this process last stalled.
+    stalled_at: Option<Instant>,
+    /// What the last heartbeats said about whether the store is reachable.
+    sent_store_reachable: bool,
+    /// Whether the store rejects this instance.
+    rejection: RejectionCheck,
+    /// When calls to the store were last sent again because it serves a peer; `None` if never.
+    store_retried_at: Option<Instant>,
 }
 
 impl Actor for Control {
@@ -220,6 +240,10 @@
             max_event_wait: Duration::ZERO,
             busy: Duration::ZERO,
             impaired_at: None,
+            stalled_at: None,
+            sent_store_reachable: true,
+            rejection: RejectionCheck::default(),
+            store_retried_at: None,
         }
     }
 
@@ -230,9 +254,14 @@
         if gap > STALL_THRESHOLD {
             log::warn!("entry: the process stalled for {} ms.", gap.as_millis());
             self.impaired_at = Some(now);
+            self.stalled_at = Some(now);
         }
         self.last_tick = now;
-        self.send_heartbeats(now, false);
+        // Peers wait with their decisions until they hear that this instance reaches the store again.
+        let store_reachable = self.store.is_reachable();
+        let has_changed = store_reachable != self.sent_store_reachable;
+        self.sent_store_reachable = store_reachable;
+        self.send_heartbeats(now, has_changed);
         self.check_leadership(now);
         self.check_restoring(now);
         self.write_store_heartbeats(now);
--- a/crates/scheduler/src/control/peers.rs
+++ b/crates/scheduler/src/control/peers.rs
@@ -14,6 +14,13 @@
 /// only every 5 s, a sixth of this time.
 const LOST_PEER_SILENCE: Duration = Duration::from_secs(30);
 
+/// How long heartbeats tell of a changed lease row: longer than a cut-off leader goes on.
+const TOKEN_RELAY_TIME: Duration = Duration::from_secs(10);
+
+/// The minimum time between two rounds in which calls to the store are sent again; longer than the
+/// time limit of a call that the store answers slowly.
+const STORE_RETRY_INTERVAL: Duration = Duration::from_millis(2_500);
+
 impl Control {
     /// Sends heartbeats to the peers for which one is due, or to all peers if `send_all` is true.
     pub(super) fn send_heartbeats(&mut self, now: Instant, send_all: bool) {
@@ -56,17 +63,20 @@
             .leadership
             .iter()
             .filter(|(_, leadership)| leadership.taking_over);
+        let health = self.store.health();
         let heartbeat = Heartbeat {
             name: self.settings.name.clone(),
             domain: domain.clone(),
             incarnation: self.incarnation,
             address: self.settings.peers,
             config_version: self.config.as_ref().map_or(0, |c| c.version),
-            store_reachable: self.store.is_reachable(),
+            store_reachable: health.reachable,
             shutting_down: self.shutting_down,
             taking_over: taking_over.map(|(shard, _)| shard.clone()).collect(),
             led_shards: led_shards.collect(),
             cpu_share: self.settings.cpu_share,
+            newest_tokens: self.recent_tokens(now),
+            store_age: health.served_at.map(|at| now.saturating_duration_since(at)),
         };
         let buf = match heartbeat.encode() {
             Ok(buf) => buf,
@@ -111,6 +121,11 @@
                 heartbeat.cpu_share
             );
         }
+        let unreachable_since = (!heartbeat.store_reachable).then(|| {
+            let previous = self.peer_views.get(&heartbeat.name);
+            let previous = previous.filter(|p| p.incarnation == heartbeat.incarnation);
+            previous.and_then(|p| p.unreachable_since).unwrap_or(now)
+        });
         let previous = self.peer_views.insert(
             heartbeat.name.clone(),
             PeerView {
@@ -118,6 +133,8 @@
                 incarnation: heartbeat.incarnation,
                 last_heard: now,
                 store_reachable: heartbeat.store_reachable,
+                unreachable_since,
+                served_at: heartbeat.store_age.and_then(|age| now.checked_sub(age)),
                 shutting_down: heartbeat.shutting_down,
                 cpu_share: heartbeat.cpu_share,
             },
@@ -125,6 +142,10 @@
         if previous.is_some_and(|p| p.incarnation != heartbeat.incarnation) {
             log::info!("peers: {} has restarted.", heartbeat.name);
         }
+        self.retry_store_calls(now);
+        for (shard, token) in &heartbeat.newest_tokens {
+            self.on_newest_token(shard, *token, now);
+        }
         let rival_takeovers = heartbeat.taking_over.into_iter();
         for shard in rival_takeovers.filter(|_| heartbeat.store_reachable) {
             if let Some(leadership) = self.leadership.get_mut(&shard) {
@@ -164,6 +185,10 @@
                 loads: loads.collect(),
                 pending: led_shard.pending.into_iter().collect(),
             });
+            if led_shard.token > leadership.newest_token {
+                leadership.newest_token = led_shard.token;
+                leadership.newest_token_at = Some(now);
+            }
             let is_replaced = self
                 .led_shards
                 .get(&led_shard.shard)
@@ -180,6 +205,53 @@
         }
     }
 
+    /// Returns the newest fencing tokens that this instance has learned lately, by shard.
+    fn recent_tokens(&self, now: Instant) -> Vec<(String, u64)> {
+        let is_recent = |at| now.duration_since(at) < TOKEN_RELAY_TIME;
+        let recent = self.leadership.iter();
+        let recent = recent.filter(|(_, l)| l.newest_token_at.is_some_and(is_recent));
+        recent
+            .map(|(shard, l)| (shard.clone(), l.newest_token))
+            .collect()
+    }
+
+    /// Records that the lease row of a shard has this fencing token. If this instance leads with a
+    /// lower one, it resigns: its successor may not lead yet, or may be unable to reach it.
+    pub(super) fn on_newest_token(&mut self, shard: &str, token: u64, now: Instant) {
+        let Some(leadership) = self.leadership.get_mut(shard) else {
+            return;
+        };
+        if token <= leadership.newest_token {
+            return;
+        }
+        leadership.newest_token = token;
+        leadership.newest_token_at = Some(now);
+        if self.led_shards.get(shard).is_some_and(|l| l.token < token) {
+            self.resign(shard, "a peer knows of a newer lease row");
+        } else {
+            // Peers that do not hear the new holder learn it from this instance.
+            self.send_heartbeats(now, true);
+        }
+    }
+
+    /// Has the calls to the store that are in flight sent again if a peer was served after calls of
+    /// this instance began to fail, since they may wait for a reply that was lost.
+    fn retry_store_calls(&mut self, now: Instant) {
+        let Some(failing_since) = self.store.health().failing_since else {
+            return;
+        };
+        let is_due = |at| now.duration_since(at) >= STORE_RETRY_INTERVAL;
+        let is_evidence = |p: &PeerView| p.served_at > Some(failing_since);
+        if self.store_retried_at.is_none_or(is_due) && self.peer_views.values().any(is_evidence) {
+            log::info!(
+                "platform: the store serves a peer, calls are sent again: failing_ms={}.",
+                now.saturating_duration_since(failing_since).as_millis()
+            );
+            self.store_retried_at = Some(now);
+            self.store.request_retry();
+        }
+    }
+
     /// Applies the instances and leases that were read from the store at the start.
     pub(super) fn on_known_instances(
         &mut self,
