Keep runs whose ends a report may leave out

Cause: a worker's report lists the oldest 500 ends that are not acknowledged, and none can be acknowledged while the store is down. A run that is neither listed as running nor among these ends was taken for lost, although its end may be a later one.

Change: a report with as many ends as fit says nothing of the runs that it does not list. Such a run keeps its resources until its end is listed or a complete report lacks it; it does not count as stuck. This also holds for the first report of a worker's new process. Long-running tasks restart at once as before: they do so however they end. A log line says when a worker's list is full, and when it is complete again.

Why this works: acknowledgements go on as soon as progress is stored, which lets the list move on to the ends that were left out, so each run is resolved by its end.

--- a/crates/core/src/sched/shard/checks.rs
+++ b/crates/core/src/sched/shard/checks.rs
@@ -66,6 +66,7 @@
                 let no_progress = now.duration_since(run.progressed_at) > STUCK_AFTER;
                 if running
                     && no_progress
+                    && !run.has_unlisted_end
                     && run.speed_percent >= MIN_PROGRESS_SPEED_PERCENT
                     && !self.may_report_no_progress(*task)
                 {
--- a/crates/core/src/sched/shard/runs.rs
+++ b/crates/core/src/sched/shard/runs.rs
@@ -120,6 +120,7 @@
             added_at: now,
             resend_at: now,
             in_doubt: false,
+            has_unlisted_end: false,
             on_probation,
             process_started_ms: worker.info.started_ms,
             progress_percent: -1.0,
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -36,7 +36,7 @@
 /// The delay before a failed move of a job to another shard is retried.
 const MOVE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// Durations set by the deployment.
+/// Durations and limits set by the deployment.
 #[derive(Clone, Copy, Debug)]
 pub struct Params {
     /// The length of a worker's lease. Report requests renew it; when it expires, the worker stops
@@ -49,6 +49,9 @@
     pub drain: Duration,
     /// How long a change may wait to be stored, unless it is urgent.
     pub commit_delay: Duration,
+    /// The maximum number of ended attempts in a worker's report, which has the oldest ones. A report
+    /// with as many may leave out newer ones.
+    pub max_listed_ends: usize,
 }
 
 impl Default for Params {
@@ -58,6 +61,7 @@
             unknown_run_limit: Duration::from_millis(6_200),
             drain: Duration::from_secs(2),
             commit_delay: Duration::from_millis(150),
+            max_listed_ends: 500,
         }
     }
 }
@@ -205,6 +209,9 @@
     pub resend_at: Instant,
     /// Whether a start command got no reply, so that the worker may still execute it.
     pub in_doubt: bool,
+    /// Whether the last report leaves out ended attempts and does not list the run, which may thus
+    /// have ended in any way.
+    pub has_unlisted_end: bool,
     /// Whether a worker had crashed under the task before the start.
     pub on_probation: bool,
     /// When the worker's process at the time of the start had started, in milliseconds of Unix time.
@@ -274,6 +281,8 @@
     /// The worker gets no new tasks before this time, after failed or stuck runs or a reply that it
     /// is unhealthy.
     pub ejected_until: Option<Instant>,
+    /// Whether the last report may leave out ended attempts; see [`Params::max_listed_ends`].
+    pub omits_ends: bool,
     /// Whether the last report has runs that are not in `runs`, since they are only stopped. What they
     /// take up is unknown, so the worker gets no new tasks meanwhile.
     pub has_unaccounted_runs: bool,
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -1,7 +1,7 @@
 //! The workers of a shard: updates of their list, their reports, and their replies to commands.
 
 use {
-    super::state::{Command, RunPhase, Shard, Worker},
+    super::state::{Command, Run, RunPhase, Shard, Worker},
     crate::{
         hash::HashSet,
         sched::{
@@ -219,6 +219,7 @@
             let is_unaccounted = |row: &RunningRow| !worker.runs.contains_key(&row.task);
             worker.has_unaccounted_runs = report.running.iter().any(is_unaccounted);
         }
+        self.note_omitted_ends(worker_id, report);
         self.lose_unreported_runs(worker_id, report, sent_at, now);
         self.observe_tails(worker_id, report, now);
     }
@@ -341,8 +342,8 @@
 
     /// Handles the first report of a worker after its restart, which was requested at `sent_at`.
     ///
-    /// Runs are treated as lost unless the report lists them or they were confirmed after it was
-    /// requested. Runs whose start command has no reply are stopped.
+    /// Runs are treated as lost unless the report lists them, or leaves out ended attempts, or they were
+    /// confirmed after it was requested. Runs whose start command has no reply are stopped.
     fn on_worker_restarted(
         &mut self,
         worker_id: &str,
@@ -366,11 +367,15 @@
             report.running.iter().any(same)
         };
         // Runs that were confirmed after the report was requested may belong to the new
-        // incarnation.
-        let confirmed_later = |phase| matches!(phase, RunPhase::Running(at) if at >= sent_at);
+        // incarnation, and so may their ends that the report leaves out.
+        let omits_ends = report.finished.len() >= self.params.max_listed_ends;
+        let may_be_new = |run: &Run| match run.phase {
+            RunPhase::Sent => false,
+            RunPhase::Running(at) if at >= sent_at => true,
+            RunPhase::Running(_) | RunPhase::Stopping(_) => omits_ends,
+        };
         let runs = worker.runs.iter_mut();
-        let runs = runs
-            .filter(|(task, run)| !is_reported(task, run.attempt) && !confirmed_later(run.phase));
+        let runs = runs.filter(|(task, run)| !is_reported(task, run.attempt) && !may_be_new(run));
         let runs = runs.map(|(task, run)| {
             run.in_doubt |= run.phase == RunPhase::Sent;
             (*task, run.phase == RunPhase::Sent)
@@ -477,8 +482,30 @@
         );
     }
 
+    /// Records whether a worker's report may leave out ended attempts, as it does while too many are
+    /// not acknowledged.
+    fn note_omitted_ends(&mut self, worker_id: &str, report: &Report) {
+        let limit = self.params.max_listed_ends;
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        let omits_ends = report.finished.len() >= limit;
+        if omits_ends != worker.omits_ends {
+            log::info!(
+                "jobs: worker={worker_id} lists {} ended attempts of at most {limit}, up to n={}: newer ones are {}.",
+                report.finished.len(),
+                worker.last_reported_end,
+                if omits_ends { "unknown" } else { "listed" },
+            );
+        }
+        worker.omits_ends = omits_ends;
+    }
+
     /// Treats runs as lost that were confirmed before the report was requested at `sent_at` but are
     /// not in the report.
+    ///
+    /// If the report may leave out ended attempts, only long-running tasks are treated so, which
+    /// restart however they end. Another run may be done, and stays until its end is listed.
     fn lose_unreported_runs(
         &mut self,
         worker_id: &str,
@@ -486,21 +513,24 @@
         sent_at: Instant,
         now: Instant,
     ) {
-        let Some(worker) = self.workers.get(worker_id) else {
+        let Some(worker) = self.workers.get_mut(worker_id) else {
             return;
         };
+        let omits_ends = worker.omits_ends;
         let reported: HashSet<_> = report.running.iter().map(|r| (r.task, r.attempt)).collect();
-        let lost = worker.runs.iter().filter(|(task, run)| {
+        let mut lost = Vec::new();
+        for (task, run) in &mut worker.runs {
             let confirmed_at = match run.phase {
                 RunPhase::Sent | RunPhase::Stopping(None) => None,
                 RunPhase::Running(at) | RunPhase::Stopping(Some(at)) => Some(at),
             };
-            confirmed_at.is_some_and(|at| at < sent_at)
-                && !reported.contains(&(**task, run.attempt))
-        });
-        let lost: Vec<_> = lost
-            .map(|(task, run)| (*task, run.process_started_ms))
-            .collect();
+            let has_ended = confirmed_at.is_some_and(|at| at < sent_at)
+                && !reported.contains(&(*task, run.attempt));
+            run.has_unlisted_end = has_ended && omits_ends && !run.is_long_running;
+            if has_ended && !run.has_unlisted_end {
+                lost.push((*task, run.process_started_ms));
+            }
+        }
         // The worker confirmed these and restarted before it sent the first report after that.
         let crashed = lost.iter().filter(|(_, ms)| *ms < report.started_ms);
         let crashed: Vec<_> = crashed.map(|(task, _)| *task).collect();
@@ -544,6 +574,7 @@
             over_target_since: None,
             consecutive_failures: 0,
             ejected_until: None,
+            omits_ends: false,
             has_unaccounted_runs: false,
             full_until: None,
             probation_until: None,
--- a/crates/entry/tests/jobs/common.rs
+++ b/crates/entry/tests/jobs/common.rs
@@ -447,6 +447,11 @@
         self.client.send(method, &url, headers, body).await.ok()
     }
 
+    /// Sends no more calls to the instance with this index.
+    pub fn leave_out(&mut self, target: usize) {
+        self.targets.remove(target);
+    }
+
     /// Submits a job through the instance `first`, and after each failure through the next one,
     /// `tries` times at most; returns whether it was accepted.
     pub async fn submit(&self, first: usize, tries: usize, job: Job, body: &bytes::Bytes) -> bool {
--- a/crates/entry/tests/jobs/main.rs
+++ b/crates/entry/tests/jobs/main.rs
@@ -5,6 +5,7 @@
 
 mod common;
 mod config;
+mod many_ends;
 mod outages;
 mod overload;
 mod path;
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -26,6 +26,7 @@
         Params {
             lease: Params::default().lease.min(self.settings.max_lease),
             drain: self.settings.drain,
+            max_listed_ends: worker_wire::MAX_LISTED_ENDS,
             ..Params::default()
         }
     }
