Let inherited work wait while a worker leaves out ends

Callers saw: TWICE after a change of leaders.

Cause: a new leader starts inherited work once each worker has answered. An answer that leaves out ends counted, so a task whose end was beyond the 500th looked as if it had never run. A drained worker whose ends were left out also left the stored list of workers in use, so the leader after that did not ask it.

Change: a worker that may leave out ends of an earlier leader's runs counts as one that has not answered, until its first complete report, and stays in the stored list. There is no time limit while its leases are renewed, since the ends count; once they have expired, the ends count no longer, and the work starts.

Why this works: the new leader stores and acknowledges the listed ends, so the next report lists more, until none is left out.

Tests, which failed before: inherited_work_waits_until_no_end_is_left_out (two cases), inherited_work_does_not_wait_for_a_silent_worker_that_left_out_ends, a_draining_worker_that_leaves_out_ends_stays_in_the_stored_list.

--- a/crates/core/src/sched/shard/leases.rs
+++ b/crates/core/src/sched/shard/leases.rs
@@ -78,13 +78,20 @@
         }
     }
 
-    /// Returns whether any worker that has sent no report to this leader may still have runs of an
-    /// earlier one.
+    /// Returns whether any worker may have runs of an earlier leader that this one does not know, or
+    /// ends of such runs: one that has sent no report to this leader, or only reports that may leave
+    /// out ended attempts.
     ///
     /// Leaders start tasks only on workers in the stored list, so others have none.
     pub(super) fn may_have_unknown_runs(&self, now: Instant) -> bool {
-        let is_unknown = |w: &Worker| w.is_inherited && w.answered_at.is_none();
-        now < self.unknown_runs_until() && self.workers.values().any(is_unknown)
+        let has_passed = now >= self.unknown_runs_until();
+        let is_unknown = |w: &Worker| {
+            // An end counts only while no lease has expired since, granted by this leader or an
+            // earlier one.
+            let has_expired = has_passed && (w.answered_at.is_none() || w.clock.has_expired(now));
+            w.is_inherited && (w.answered_at.is_none() || w.omits_inherited_ends) && !has_expired
+        };
+        self.workers.values().any(is_unknown)
     }
 
     /// Returns the time by which runs of an earlier leader have ended on workers that have sent no
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -283,6 +283,9 @@
     pub ejected_until: Option<Instant>,
     /// Whether the last report may leave out ended attempts; see [`Params::max_listed_ends`].
     pub omits_ends: bool,
+    /// Whether all reports to this leader may leave out ended attempts, so that those of an earlier
+    /// leader may be unknown.
+    pub omits_inherited_ends: bool,
     /// Whether the last report has runs that are not in `runs`, since they are only stopped. What they
     /// take up is unknown, so the worker gets no new tasks meanwhile.
     pub has_unaccounted_runs: bool,
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -219,7 +219,7 @@
             let is_unaccounted = |row: &RunningRow| !worker.runs.contains_key(&row.task);
             worker.has_unaccounted_runs = report.running.iter().any(is_unaccounted);
         }
-        self.note_omitted_ends(worker_id, report);
+        self.note_omitted_ends(worker_id, report, is_first_report);
         self.lose_unreported_runs(worker_id, report, sent_at, now);
         self.observe_tails(worker_id, report, now);
     }
@@ -359,6 +359,7 @@
         worker.clock = LeaseClock::default();
         worker.last_reported_end = 0;
         worker.last_acked_end = 0;
+        worker.omits_inherited_ends = false;
         worker.consecutive_failures = 0;
         worker.ejected_until = None;
         worker.throttles.clear();
@@ -484,7 +485,7 @@
 
     /// Records whether a worker's report may leave out ended attempts, as it does while too many are
     /// not acknowledged.
-    fn note_omitted_ends(&mut self, worker_id: &str, report: &Report) {
+    fn note_omitted_ends(&mut self, worker_id: &str, report: &Report, is_first_report: bool) {
         let limit = self.params.max_listed_ends;
         let Some(worker) = self.workers.get_mut(worker_id) else {
             return;
@@ -499,6 +500,9 @@
             );
         }
         worker.omits_ends = omits_ends;
+        let had_omitted = worker.omits_inherited_ends;
+        worker.omits_inherited_ends = omits_ends && (is_first_report || had_omitted);
+        self.changed |= had_omitted && !omits_ends;
     }
 
     /// Treats runs as lost that were confirmed before the report was requested at `sent_at` but are
@@ -575,6 +579,7 @@
             consecutive_failures: 0,
             ejected_until: None,
             omits_ends: false,
+            omits_inherited_ends: false,
             has_unaccounted_runs: false,
             full_until: None,
             probation_until: None,
@@ -587,13 +592,15 @@
         answered_at.is_some_and(|at| now.duration_since(at) <= UNRESPONSIVE_AFTER)
     }
 
-    /// Returns whether the worker may have runs, or may get some.
+    /// Returns whether the worker may have runs, or ends of runs that are not known, or may get some.
     ///
     /// A worker that has answered this leader executes no commands of earlier ones any more, and
-    /// `runs` has each run that this leader may have started, until its end is certain.
+    /// `runs` has each run that this leader may have started, until its end is certain. The ends that
+    /// it leaves out may be those of runs of an earlier leader.
     pub(super) fn is_in_use(&self, now: Instant) -> bool {
         !self.is_leaving(now)
             || self.answered_at.is_none()
+            || self.omits_ends
             || self.has_unaccounted_runs
             || !self.runs.is_empty()
     }
--- a/crates/core/tests/left_out_ends.rs
+++ b/crates/core/tests/left_out_ends.rs
@@ -4,8 +4,8 @@
 use {
     marigoldbend_core::sched::{
         job::{JobId, JobSpec, Resources, Step, TaskName},
-        progress::JobState,
-        shard::{Command, JobOrigin, Params, Shard},
+        progress::{JobState, Progress},
+        shard::{Command, JobOrigin, Params, RestoringShard, Shard},
         worker::{
             Availability, CommandReply, EndReason, FinishedRow, Report, RunningRow, WorkerInfo,
         },
@@ -295,3 +295,92 @@
     fixture.report("a", &with_end);
     assert_eq!(fixture.starts(50), Vec::<String>::new());
 }
+
+/// Guards against a new leader that starts tasks again which were done under the leader before,
+/// since their ends don't fit into the first reports.
+#[test_case(false; "a new leader")]
+#[test_case(true; "a new leader that has read rows")]
+fn inherited_work_waits_until_no_end_is_left_out(is_restored: bool) {
+    let origin = JobOrigin::Stored(Progress::default());
+    let mut fixture = Fixture::new(origin, false);
+    fixture.now_ms = 10_000;
+    if is_restored {
+        let mut restoring = RestoringShard::new(1, LEASE, fixture.base, fixture.base + ms(100));
+        restoring.add_worker("a", &worker("a").address);
+        let (sent_at, now) = (fixture.now() - ms(5), fixture.now());
+        restoring.on_report("a", full_report(1, 9_990), sent_at, now);
+        fixture
+            .shard
+            .restore_workers(restoring, now, fixture.now_ms);
+    }
+    let limit_ms = Params::default().unknown_run_limit.as_millis() as u64;
+    let until_ms = fixture.now_ms + 2 * limit_ms;
+    while fixture.now_ms < until_ms {
+        let now_ms = fixture.now_ms;
+        fixture.report("a", &full_report(1, now_ms));
+        assert!(fixture.shard.awaits_unknown_runs(fixture.now()));
+        assert_eq!(fixture.starts(50), Vec::<String>::new());
+    }
+    let now_ms = fixture.now_ms;
+    let with_end = Report {
+        finished: vec![end(3, 1, EndReason::Done)],
+        ..report(1, now_ms)
+    };
+    fixture.report("a", &with_end);
+    assert_eq!(fixture.starts(50), Vec::<String>::new());
+    assert!(!fixture.shard.awaits_unknown_runs(fixture.now()));
+}
+
+/// Guards against a wait for ends that can't count any more: the lease has expired since.
+#[test]
+fn inherited_work_does_not_wait_for_a_silent_worker_that_left_out_ends() {
+    let origin = JobOrigin::Stored(Progress::default());
+    let mut fixture = Fixture::new(origin, false);
+    fixture.report("a", &full_report(1, 10));
+    let info = worker("bb");
+    let now = fixture.now();
+    fixture.shard.worker_listed(&info, now);
+    fixture
+        .shard
+        .add_worker_in_use(&info.id, &info.address, now);
+    let mut restarted_ms = None;
+    while restarted_ms.is_none() && fixture.now_ms < 12_000 {
+        let now_ms = fixture.now_ms;
+        fixture.report("bb", &report(1, now_ms));
+        if !fixture.starts(50).is_empty() {
+            restarted_ms = Some(fixture.now_ms);
+        }
+    }
+    let limit_ms = Params::default().unknown_run_limit.as_millis() as u64;
+    let restarted_ms = restarted_ms.expect("the task restarts");
+    assert!(
+        (limit_ms..limit_ms + 300).contains(&restarted_ms),
+        "{restarted_ms}"
+    );
+}
+
+/// Guards against a later leader that does not ask a worker for the ends that it has left out.
+#[test]
+fn a_draining_worker_that_leaves_out_ends_stays_in_the_stored_list() {
+    let origin = JobOrigin::Stored(Progress::default());
+    let mut fixture = Fixture::new(origin, false);
+    let draining = WorkerInfo {
+        availability: Availability::Draining,
+        ..worker("a")
+    };
+    let now = fixture.now();
+    fixture.shard.worker_listed(&draining, now);
+    let stored_workers = |fixture: &mut Fixture, report: &Report| {
+        fixture.report("a", report);
+        fixture.starts(100);
+        fixture.now_ms += 200;
+        let batch = fixture.shard.take_batch(10, fixture.now())?;
+        fixture.shard.on_batch_result(&batch, true, fixture.now());
+        let workers = batch.workers_in_use?.into_iter();
+        Some(workers.map(|(id, _)| id).collect::<Vec<_>>())
+    };
+    let stored = stored_workers(&mut fixture, &full_report(1, 100));
+    assert_eq!(stored, Some(vec!["a".to_owned()]));
+    let stored = stored_workers(&mut fixture, &report(1, 400));
+    assert_eq!(stored, Some(Vec::new()));
+}
--- a/crates/entry/tests/jobs/many_ends.rs
+++ b/crates/entry/tests/jobs/many_ends.rs
@@ -35,6 +35,7 @@
 /// Guards against done tasks that start again, since their ends are not among those that the only
 /// worker lists.
 #[test_case(false; "under the same leader")]
+#[test_case(true; "under the next leader")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn no_task_is_done_twice_if_its_end_is_not_listed(leader_is_lost: bool) {
     let mut deployment = Deployment::start(1).await;
