Blame no task for a crash if its end was left out before

Callers saw: a job waits for seconds or minutes, or is shown as failed, after workers have crashed on which its task was done before (LOST).

If the worker crashes then, the run counted as lost with it, although it had ended while the worker still reported.

Test, which failed before: a_task_whose_end_was_left_out_is_not_blamed_for_a_crash (1 crash counted).

--- a/crates/core/src/sched/shard/crashes.rs
+++ b/crates/core/src/sched/shard/crashes.rs
@@ -162,6 +162,10 @@
             now.duration_since(polled_at) > STALL || self.processes.stalled_at > worker.answered_at;
         let lost = names.iter().filter_map(|name| {
             let run = worker.runs.get(name)?;
+            // It had ended while the worker still reported.
+            if run.has_unlisted_end {
+                return None;
+            }
             let blamed = run.on_probation && worker.is_blamed(run);
             // A worker reports an end at once, so a run has not ended while the connection worked.
             let run_ms = if worker.connection_lost_at > Some(run.added_at) {
--- a/crates/core/tests/left_out_ends.rs
+++ b/crates/core/tests/left_out_ends.rs
@@ -281,6 +281,18 @@
     assert_eq!(started.first().map(String::as_str), Some("bb"));
 }
 
+/// Guards against a task that is blamed for the crash of a worker on which it was done before.
+#[test]
+fn a_task_whose_end_was_left_out_is_not_blamed_for_a_crash() {
+    let mut fixture = Fixture::with_run(false);
+    fixture.run(500, |now_ms| full_report(1, now_ms));
+    let restarted = report(fixture.now_ms, 10);
+    fixture.report("a", &restarted);
+    fixture.now_ms += 50;
+    fixture.shard.poll(fixture.now(), fixture.now_ms);
+    assert_eq!(fixture.shard.take_loss_counts().crashes, 0);
+}
+
 /// Guards against a run of a worker's new process that is taken for one of the process before.
 #[test]
 fn a_run_of_a_restarted_worker_may_have_an_end_that_is_left_out() {
