Confirm a leader by reads while the store refuses its writes

Callers saw: LOST.

Cause: the store carries out the writes of a partition one after the other, and those that it does late take their turns after the disturbance. So it refused each write for 17 s, while it served reads. Only a write confirmed a leader: it resigned after 11.3 s ("the store has been unreachable for too long", 24.9 s), nobody could write the lease row (15 attempts within 6 s), and the leases ended.

Change: a leader whose confirmation is late or awaited, or whose calls fail, reads its lease row each 200 ms. The row unchanged confirms the leadership as of the time at which the read was sent. It takes the place of the store heartbeats that were written each 200 ms then, and which a store with a backlog has to refuse as well.

Why this works: reads are linearizable, so a read that shows the row unchanged was served before any successor's write, and thus sent before. The limits that a successor relies on, 2 s and 11.3 s after the last confirmation was sent, hold as before. A store that confirms by reads and accepts no write for a minute may reject this instance's writes alone; the leader then resigns.

Test, which failed before: a_store_that_refuses_all_writes_ends_no_long_running_task.

--- a/crates/core/src/sched/leadership.rs
+++ b/crates/core/src/sched/leadership.rs
@@ -44,6 +44,10 @@
 /// partition, which expects the others for [`EXPECTED_PEER_WINDOW`], has waited for unknown runs.
 const MAX_UNCONFIRMED_LIMIT: Duration = Duration::from_millis(11_300);
 
+/// How long the store may accept no write of a leader that it confirms by reads: a backlog of writes
+/// ends within this time, and another leader would wait for it as well.
+const MAX_UNWRITTEN: Duration = Duration::from_secs(60);
+
 /// How long before its handling a heartbeat may have been sent. If this process was delayed for longer, it
 /// notices that it has stalled.
 pub const MAX_HEARTBEAT_DELAY: Duration = Duration::from_millis(450);
@@ -334,6 +338,12 @@
     now.saturating_duration_since(confirmed_at) > limit
 }
 
+/// Returns whether a leader of which the store last accepted a write at `written_at` must resign,
+/// although reads confirm it, since the store may accept the writes of another instance.
+pub fn is_unwritten(written_at: Instant, now: Instant) -> bool {
+    now.saturating_duration_since(written_at) > MAX_UNWRITTEN
+}
+
 /// A call of a peer that the store served while it failed those of this instance.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ServedPeer {
--- a/crates/core/tests/leadership.rs
+++ b/crates/core/tests/leadership.rs
@@ -5,7 +5,7 @@
         hash::HashMap,
         sched::leadership::{
             LeadershipView, PeerView, RejectionCheck, StoreHealth, TakeoverDelay, TakeoverReason,
-            rank, takeover_reason,
+            is_unwritten, rank, takeover_reason,
         },
     },
     std::time::{Duration, Instant},
@@ -505,3 +505,12 @@
     failing.on_decided(failed_at);
     assert!(failing.has_passed(failed_at + Duration::from_millis(500)));
 }
+
+/// Guards against a leader that only reads confirm, and that keeps another from trying to write.
+#[test]
+fn a_leader_of_which_the_store_accepts_no_write_resigns_after_a_minute() {
+    let written_at = Instant::now();
+    let is_unwritten = |s| is_unwritten(written_at, written_at + Duration::from_secs(s));
+    assert!(!is_unwritten(59));
+    assert!(is_unwritten(61));
+}
--- a/crates/entry/tests/jobs/outages.rs
+++ b/crates/entry/tests/jobs/outages.rs
@@ -13,7 +13,7 @@
     marigoldbend_wire::stand_in as wire,
     stand_ins::{
         job_record::{JobRecord, RecordedRun},
-        rows::Outage,
+        rows::{Faults, Outage},
     },
     std::{
         collections::{BTreeMap, BTreeSet},
@@ -56,6 +56,9 @@
 /// The duration of an outage that no lease outlasts which is renewed until its end.
 const SHORT_OUTAGE_TIME: Duration = Duration::from_secs(4);
 
+/// How long a store with a backlog refused all writes while it served reads.
+const BACKLOG_TIME: Duration = Duration::from_secs(17);
+
 /// The maximum time for a step that is no part of the claim, such as the start of the first tasks.
 const SETUP_LIMIT: Duration = Duration::from_secs(10);
 
@@ -456,6 +459,24 @@
     job
 }
 
+/// Guards against a leader that gives up its shard because the store confirms it by no write, although
+/// no successor can write the lease row either.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_store_that_refuses_all_writes_ends_no_long_running_task() {
+    let busy = Busy::start(FEW_JOBS, None).await;
+    let start = Instant::now();
+    busy.deployment.set_store_faults(Faults {
+        refuse_writes: true,
+        ..Faults::default()
+    });
+    sleep_until((start + BACKLOG_TIME).into()).await;
+    busy.deployment.set_store_faults(Faults::default());
+    let returned = Instant::now();
+    let placement = busy.placement_problems(&[], returned, PLACEMENT_LIMIT);
+    let problems = placement.await;
+    busy.check(returned, problems).await;
+}
+
 /// Guards against a leader that concludes from its peers' last heartbeats that it alone is rejected by
 /// the store, and stops renewing leases.
 #[test_case(Outage::Busy, OUTAGE_TIME; "busy")]
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -33,7 +33,8 @@
             job::{JobId, JobSpec, TaskName},
             leadership::{
                 LeadershipView, MAX_HEARTBEAT_DELAY, PeerView, RejectionCheck, TakeoverDelay,
-                TakeoverReason, is_majority, is_minority, is_unconfirmed, takeover_reason,
+                TakeoverReason, is_majority, is_minority, is_unconfirmed, is_unwritten,
+                takeover_reason,
             },
             progress::JobState,
             queues::Queues,
@@ -267,6 +268,7 @@
         self.send_heartbeats(now, has_changed);
         self.check_leadership(now);
         self.check_restoring(now);
+        self.read_awaited_leases(now);
         self.write_store_heartbeats(now);
         let shards: Vec<_> = self.led_shards.keys().cloned().collect();
         for shard in shards {
@@ -427,6 +429,12 @@
                     self.advance_shard(&shard, now);
                 }
             }
+            Event::StoreHeartbeatWritten(shard, token, sent_at) => {
+                if let Some(leader) = self.shard_leader(&shard, token) {
+                    leader.shard.confirm(sent_at);
+                    leader.written_at = now;
+                }
+            }
             Event::LeadershipConfirmed(shard, token, sent_at) => {
                 if let Some(leader) = self.shard_leader(&shard, token) {
                     leader.shard.confirm(sent_at);
--- a/crates/scheduler/src/control/events.rs
+++ b/crates/scheduler/src/control/events.rs
@@ -62,6 +62,9 @@
     Approvals(String, u64, TaskName, Vec<(String, String)>, Duration),
     /// The store applied a store heartbeat, which confirms that this instance led the shard when
     /// the heartbeat was sent, at the given time.
+    StoreHeartbeatWritten(String, u64, Instant),
+    /// The lease row was read unchanged, which confirms the same of the time at which the read was
+    /// sent.
     LeadershipConfirmed(String, u64, Instant),
     /// The store rejected a store heartbeat because the lease row names another leader.
     Replaced(String, u64),
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -1,18 +1,22 @@
 //! Takes over, holds and resigns the leadership of shards.
 //!
-//! A leader writes a store heartbeat at least every second, in a transaction that expects its
-//! lease row unchanged. If the store applies the write, the leadership is confirmed as of the time
-//! at which the write was sent.
+//! A leader writes a store heartbeat every second, in a transaction that expects its lease row
+//! unchanged. If the store applies the write, the leadership is confirmed as of the time at which the
+//! write was sent. A read that shows the lease row unchanged confirms it as well.
 
-use super::*;
-
-/// The interval of store heartbeats while a led shard waits for a confirmation, or calls to the store
-/// fail: the leader must notice soon that the store serves it again, and that it still does not.
-const AWAITED_HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+use super::{restoring::confirm_lease, *};
 
 /// The interval of a leader's store heartbeats.
 const STORE_HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The interval at which a leader reads its lease row while it waits for a confirmation, or calls to
+/// the store fail: it must notice soon that the store serves it again, and that it still does not.
+const LEASE_READ_INTERVAL: Duration = Duration::from_millis(200);
+
+/// The age of the last confirmation from which on a leader reads its lease row: the store heartbeat that
+/// was due has no reply yet.
+const LATE_CONFIRMATION: Duration = Duration::from_millis(1_200);
+
 /// The interval at which the store heartbeat of a silent leader is read.
 const STORE_HEARTBEAT_READ_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -124,8 +128,15 @@
     }
 
     /// Resigns shards whose leadership the store has not confirmed in time: the others may have
-    /// chosen a new leader.
+    /// chosen a new leader. Resigns those, too, for which the store has accepted no write for long: it
+    /// may accept those of another instance.
     fn resign_unconfirmed(&mut self, now: Instant) {
+        let unwritten = self.led_shards.values();
+        let unwritten = unwritten.filter(|l| is_unwritten(l.written_at, now));
+        let unwritten: Vec<_> = unwritten.map(|l| l.name.clone()).collect();
+        for shard in unwritten {
+            self.resign(&shard, "the store has accepted no write for too long");
+        }
         let in_minority = is_minority(&self.peer_views, now);
         let unconfirmed = self.led_shards.values();
         let unconfirmed =
@@ -184,19 +195,33 @@
         });
     }
 
+    /// Reads the lease rows of the led shards whose confirmation is awaited or late, which confirms the
+    /// leadership as a write does.
+    ///
+    /// A store with more writes than it can carry out refuses them, but it serves reads. No
+    /// successor can write the lease row then either.
+    pub(super) fn read_awaited_leases(&mut self, now: Instant) {
+        let Some(to) = &self.address else {
+            return;
+        };
+        let is_failing = self.store.health().failing_since.is_some();
+        for leader in self.led_shards.values_mut() {
+            let age = now.saturating_duration_since(leader.shard.confirmed_at());
+            let is_awaited =
+                is_failing || leader.shard.awaits_confirmation() || age > LATE_CONFIRMATION;
+            if !is_awaited || now.duration_since(leader.lease_read_at) < LEASE_READ_INTERVAL {
+                continue;
+            }
+            leader.lease_read_at = now;
+            let lease = (leader.token, leader.lease_version);
+            let read = confirm_lease(self.store.clone(), to.clone(), &leader.name, lease, now);
+            tokio::spawn(read);
+        }
+    }
+
     /// Writes the store heartbeats of the led shards, if they are due.
     pub(super) fn write_store_heartbeats(&mut self, now: Instant) {
-        let is_awaited = self
-            .led_shards
-            .values()
-            .any(|l| l.shard.awaits_confirmation());
-        let is_failing = self.store.health().failing_since.is_some();
-        let interval = if is_awaited || is_failing {
-            AWAITED_HEARTBEAT_INTERVAL
-        } else {
-            STORE_HEARTBEAT_INTERVAL
-        };
-        if now.duration_since(self.store_heartbeat_written) < interval {
+        if now.duration_since(self.store_heartbeat_written) < STORE_HEARTBEAT_INTERVAL {
             return;
         }
         self.store_heartbeat_written = now;
@@ -225,7 +250,7 @@
             tokio::spawn(async move {
                 match store.tx(&tx).await {
                     Ok(TxOutcome::Applied(_)) => {
-                        send_event(&to, Event::LeadershipConfirmed(shard, token, now)).await
+                        send_event(&to, Event::StoreHeartbeatWritten(shard, token, now)).await
                     }
                     Ok(TxOutcome::Conflict(_)) => {
                         send_event(&to, Event::Replaced(shard, token)).await
--- a/crates/scheduler/src/control/restoring.rs
+++ b/crates/scheduler/src/control/restoring.rs
@@ -101,19 +101,29 @@
                 continue;
             }
             restoring.confirmation_requested_at = now;
-            let store = self.store.clone();
-            let to = to.clone();
-            let (shard, lease) = (restoring.name.clone(), restoring.lease);
-            tokio::spawn(async move {
-                let event = match takeover::read_lease(&store, &shard).await {
-                    Ok((_, version)) if version == lease.version => {
-                        Event::LeadershipConfirmed(shard, lease.token, now)
-                    }
-                    Ok(_) => Event::Replaced(shard, lease.token),
-                    Err(e) => return log::debug!("lead: reading the lease row failed: {e}."),
-                };
-                send_event(&to, event).await;
-            });
+            let lease = (restoring.lease.token, restoring.lease.version);
+            let read = confirm_lease(self.store.clone(), to.clone(), &restoring.name, lease, now);
+            tokio::spawn(read);
         }
     }
 }
+
+/// Reads the lease row of a shard, and reports whether it still has the version of this instance's
+/// leadership, whose token and version `lease` holds. `now` is when the read is sent.
+pub(super) fn confirm_lease(
+    store: Arc<Store>,
+    to: Address<Control>,
+    shard: &str,
+    (token, version): (u64, u64),
+    now: Instant,
+) -> impl Future<Output = ()> + use<> {
+    let shard = shard.to_owned();
+    async move {
+        let event = match takeover::read_lease(&store, &shard).await {
+            Ok((_, read)) if read == version => Event::LeadershipConfirmed(shard, token, now),
+            Ok(_) => Event::Replaced(shard, token),
+            Err(e) => return log::debug!("lead: reading the lease row failed: {e}."),
+        };
+        send_event(&to, event).await;
+    }
+}
--- a/crates/scheduler/src/shard_leader.rs
+++ b/crates/scheduler/src/shard_leader.rs
@@ -78,6 +78,10 @@
     pub lease_version: u64,
     /// The state machine.
     pub shard: Shard,
+    /// When the store last accepted a write of this leader; when it became leader, before the first.
+    pub written_at: Instant,
+    /// When the lease row was last read to confirm the leadership.
+    pub lease_read_at: Instant,
     /// The task that watches the shard's job table.
     pub job_watch: Option<AbortHandle>,
     /// The longest time from the acceptance of a job to its arrival here since the last summary, in
@@ -152,6 +156,8 @@
             token: lease.token,
             lease_version: lease.version,
             shard,
+            written_at: now,
+            lease_read_at: now,
             job_watch: None,
             max_intake_ms: 0,
             wake_scheduled: false,
@@ -385,7 +391,10 @@
         now: Instant,
     ) -> bool {
         let write_result = match result {
-            Ok(TxOutcome::Applied(version)) => WriteResult::Applied(*version),
+            Ok(TxOutcome::Applied(version)) => {
+                self.written_at = now;
+                WriteResult::Applied(*version)
+            }
             Ok(TxOutcome::Conflict(rows)) => {
                 let lease = keys::lease(&self.name);
                 if rows
--- a/stand-ins/src/rows.rs
+++ b/stand-ins/src/rows.rs
@@ -45,6 +45,8 @@
     /// The reply to every transaction whose number is a multiple of this is lost, after the
     /// transaction was carried out; zero to lose none.
     pub lose_reply_every: u64,
+    /// Every transaction is refused with status 429; reads are served.
+    pub refuse_writes: bool,
 }
 
 /// How all calls fail at once, those that wait for changes included.
@@ -252,6 +254,9 @@
     }
 
     async fn handle_tx(&self, tx: Tx, faults: Faults) -> HttpResponse {
+        if faults.refuse_writes {
+            return respond(StatusCode::TOO_MANY_REQUESTS, Bytes::new());
+        }
         sleep(self.tx_time).await;
         let (outcome, number) = {
             let mut state = self.state.lock();
