Count refused and unanswered calls to the store by kind, and log them

Cause: a store that has too many writes (429) and one that is away (503) looked alike in logs and metrics, so the hypotheses on the users' LOST report, a backlog of one partition and an outage, could not be told apart.

Change: three counters in mgb_store_calls, and a line with them at most once a second while calls fail.

--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -68,6 +68,9 @@
 /// unreachable.
 const UNREACHABLE_AFTER: Duration = Duration::from_millis(900);
 
+/// The minimum time between two log lines about failed calls.
+const FAILURE_LOG_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A result of a call.
 pub type Result<T, E = StoreError> = std::result::Result<T, E>;
 
@@ -100,6 +103,12 @@
     pub reads: AtomicU64,
     /// Calls that failed.
     pub failures: AtomicU64,
+    /// Calls that the store refused since it has too many (status 429).
+    pub overloaded: AtomicU64,
+    /// Calls that the store refused since it is unavailable (status 503).
+    pub unavailable: AtomicU64,
+    /// Calls without a reply.
+    pub unanswered: AtomicU64,
 }
 
 /// A client of the store.
@@ -131,6 +140,8 @@
     reachable_since: Option<Instant>,
     /// Whether the log says that the store is unreachable.
     reported_unreachable: bool,
+    /// When the counts of failed calls were last logged; `None` if they never were.
+    failures_logged_at: Option<Instant>,
 }
 
 impl Store {
@@ -322,6 +333,7 @@
     async fn call(&self, out: Outgoing, limits: TimeLimits) -> Result<Reply> {
         let sent_at = self.clock.now();
         let reply = self.pool.exchange(out, limits).await;
+        self.count_failure(&reply);
         let result = match reply {
             Ok(reply) => match reply.status {
                 StatusCode::OK | StatusCode::PRECONDITION_FAILED => Ok(reply),
@@ -341,6 +353,35 @@
         result
     }
 
+    /// Counts a call that was refused or has no reply, by its kind.
+    fn count_failure(&self, reply: &std::result::Result<Reply, ConnectionError>) {
+        let counter = match reply {
+            Ok(reply) if reply.status == StatusCode::TOO_MANY_REQUESTS => &self.counters.overloaded,
+            Ok(reply) if reply.status == StatusCode::SERVICE_UNAVAILABLE => {
+                &self.counters.unavailable
+            }
+            Err(ConnectionError::Lost | ConnectionError::TimedOut) => &self.counters.unanswered,
+            _ => return,
+        };
+        counter.fetch_add(1, Ordering::Relaxed);
+        let now = self.clock.now();
+        let mut health = self.health.lock();
+        let is_recent = |at| now.duration_since(at) < FAILURE_LOG_INTERVAL;
+        if health.failures_logged_at.is_some_and(is_recent) {
+            return;
+        }
+        health.failures_logged_at = Some(now);
+        let count = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        log::info!(
+            "platform: calls fail: writes={} reads={} overloaded={} unavailable={} unanswered={} since the start.",
+            count(&self.counters.writes),
+            count(&self.counters.reads),
+            count(&self.counters.overloaded),
+            count(&self.counters.unavailable),
+            count(&self.counters.unanswered),
+        );
+    }
+
     fn record_result(&self, sent_at: Instant, failure: Option<&StoreError>) {
         let now = self.clock.now();
         let mut health = self.health.lock();
--- a/crates/platform/tests/store.rs
+++ b/crates/platform/tests/store.rs
@@ -18,7 +18,7 @@
     std::{
         convert::Infallible,
         net::SocketAddr,
-        sync::Arc,
+        sync::{Arc, atomic::Ordering},
         time::{Duration, Instant},
     },
     test_case::test_case,
@@ -113,6 +113,23 @@
     assert_eq!(store.tx(&transaction(number)).await.err(), expected);
 }
 
+#[tokio::test]
+async fn failed_calls_are_counted_by_kind() {
+    let store = client(serve().await);
+    for number in [0, 1, 2, 2, 3] {
+        let _ = store.tx(&transaction(number)).await;
+    }
+    let counters = store.counters();
+    let counts = [
+        &counters.unavailable,
+        &counters.overloaded,
+        &counters.unanswered,
+        &counters.failures,
+    ];
+    let counts = counts.map(|counter| counter.load(Ordering::Relaxed));
+    assert_eq!(counts, [1, 2, 1, 4]);
+}
+
 #[tokio::test]
 async fn a_write_without_a_connection_is_not_applied() {
     let listener = TcpListener::bind("127.0.0.1:0")
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -200,6 +200,9 @@
             ("writes", &counters.writes),
             ("reads", &counters.reads),
             ("failures", &counters.failures),
+            ("overloaded", &counters.overloaded),
+            ("unavailable", &counters.unavailable),
+            ("unanswered", &counters.unanswered),
         ];
         for (kind, counter) in kinds {
             let value = i64::try_from(counter.load(Ordering::Relaxed)).unwrap_or(i64::MAX);
