--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -17,12 +17,13 @@
 //! - `moves`: moves jobs to less loaded shards before they start.
 //! - `placements`: the stored placements of long-running tasks.
 //! - `queries`: states of jobs, counts and loads, for callers and other instances.
+//! - `reports`: the reports of workers: runs that are confirmed, found or lost.
 //! - `restoring`: a new leader, before it has dispatched the work of earlier leaders.
 //! - `runs`: adds and removes runs on workers, and accounts for their resources.
 //! - `summary`: what waits and what is free, for the log and the metrics.
 //! - `tails`: tail latencies of serving tasks, and the throttles that follow from them.
 //! - `waiting`: which waiting job gets resources first.
-//! - `workers`: the list of workers, their reports, and their replies to commands.
+//! - `workers`: the list of workers, and their replies to commands.
 
 mod approvals;
 mod candidates;
@@ -38,6 +39,7 @@
 mod moves;
 mod placements;
 mod queries;
+mod reports;
 mod restoring;
 mod runs;
 mod state;
--- /dev/null
+++ b/crates/core/src/sched/shard/reports.rs
@@ -0,0 +1,275 @@
+//! The reports of workers: runs that are confirmed, found or lost.
+
+use {
+    super::state::{Command, Run, RunPhase, Shard},
+    crate::{
+        hash::HashSet,
+        sched::{
+            job::TaskName,
+            worker::{LeaseClock, Report, RunningRow},
+        },
+    },
+    std::time::Instant,
+};
+
+impl Shard {
+    /// Processes a worker's report, which was requested at `sent_at` and arrived at `now`.
+    ///
+    /// `unix_ms` is the current Unix time in milliseconds.
+    pub fn on_report(
+        &mut self,
+        worker_id: &str,
+        report: &Report,
+        sent_at: Instant,
+        now: Instant,
+        unix_ms: u64,
+    ) {
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        let is_first_report = worker.answered_at.is_none();
+        if report.started_ms != worker.info.started_ms {
+            let previous = std::mem::replace(&mut worker.info.started_ms, report.started_ms);
+            let address = worker.info.address.clone();
+            self.observe_process(worker_id, &address, report.started_ms);
+            if !is_first_report && previous != report.started_ms {
+                self.on_worker_restarted(worker_id, report, sent_at, now);
+            }
+        }
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        worker.clock.sample(report.clock_ms, now);
+        worker.answered_at = Some(now);
+        worker.connection_lost_at = None;
+        self.changed |= is_first_report;
+        self.processes
+            .add_observation(&worker.info.address, report.started_ms, true);
+        let last_processed = worker.last_reported_end;
+        let ends = report
+            .finished
+            .iter()
+            .filter(|row| row.number > last_processed);
+        for row in ends {
+            self.on_run_ended(worker_id, row, now, unix_ms);
+        }
+        let newest = report.finished.iter().map(|row| row.number).max();
+        if let Some(worker) = self.workers.get_mut(worker_id) {
+            worker.last_reported_end = worker.last_reported_end.max(newest.unwrap_or(0));
+        }
+        for row in &report.running {
+            self.on_run_reported(worker_id, row, sent_at, now);
+        }
+        if let Some(worker) = self.workers.get_mut(worker_id) {
+            let is_unaccounted = |row: &RunningRow| !worker.runs.contains_key(&row.task);
+            worker.has_unaccounted_runs = report.running.iter().any(is_unaccounted);
+        }
+        self.note_omitted_ends(worker_id, report, is_first_report);
+        self.lose_unreported_runs(worker_id, report, sent_at, now);
+        self.observe_tails(worker_id, report, now);
+    }
+
+    /// Handles the first report of a worker after its restart, which was requested at `sent_at`.
+    ///
+    /// Runs are treated as lost unless the report lists them, or leaves out ended attempts, or they were
+    /// confirmed after it was requested. Runs whose start command has no reply are stopped.
+    fn on_worker_restarted(
+        &mut self,
+        worker_id: &str,
+        report: &Report,
+        sent_at: Instant,
+        now: Instant,
+    ) {
+        log::warn!("jobs: worker={worker_id} restarted, its earlier runs are lost.");
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        worker.incarnations += 1;
+        worker.clock = LeaseClock::default();
+        worker.last_reported_end = 0;
+        worker.last_acked_end = 0;
+        worker.omits_inherited_ends = false;
+        worker.consecutive_failures = 0;
+        worker.ejected_until = None;
+        worker.throttles.clear();
+        let is_reported = |task: &TaskName, attempt| {
+            let same = |row: &RunningRow| row.task == *task && row.attempt == attempt;
+            report.running.iter().any(same)
+        };
+        // Runs that were confirmed after the report was requested may belong to the new
+        // incarnation, and so may their ends that the report leaves out.
+        let omits_ends = report.finished.len() >= self.params.max_listed_ends;
+        let may_be_new = |run: &Run| match run.phase {
+            RunPhase::Sent => false,
+            RunPhase::Running(at) if at >= sent_at => true,
+            RunPhase::Running(_) | RunPhase::Stopping(_) => omits_ends,
+        };
+        let runs = worker.runs.iter_mut();
+        let runs = runs.filter(|(task, run)| !is_reported(task, run.attempt) && !may_be_new(run));
+        let runs = runs.map(|(task, run)| {
+            run.in_doubt |= run.phase == RunPhase::Sent;
+            (*task, run.phase == RunPhase::Sent)
+        });
+        let runs: Vec<_> = runs.collect();
+        let names: Vec<_> = runs.iter().map(|(task, _)| *task).collect();
+        self.record_losses(worker_id, &names, now);
+        for (task, unanswered) in runs {
+            if unanswered {
+                // The new incarnation may still execute the start command; the stop prevents that.
+                self.stop_run(worker_id, task);
+            } else {
+                self.lose_run(worker_id, task, "the worker restarted", now);
+            }
+        }
+    }
+
+    /// Processes an entry for a running attempt in a worker's report, which was requested at
+    /// `sent_at`.
+    fn on_run_reported(
+        &mut self,
+        worker_id: &str,
+        row: &RunningRow,
+        sent_at: Instant,
+        now: Instant,
+    ) {
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        if let Some(run) = worker.runs.get_mut(&row.task)
+            && run.attempt == row.attempt
+        {
+            let is_unconfirmed = run.phase == RunPhase::Sent;
+            if is_unconfirmed {
+                run.phase = RunPhase::Running(now);
+                run.in_doubt = false;
+                if let Some(job) = self.jobs.get_mut(&row.task.job) {
+                    job.started = true;
+                }
+            }
+            if row.percent != run.progress_percent {
+                run.progress_percent = row.percent;
+                run.progressed_at = now;
+            }
+            if !row.checkpoint.is_empty() {
+                row.checkpoint.clone_into(&mut run.checkpoint);
+            }
+            if is_unconfirmed {
+                self.on_run_confirmed(worker_id, row.task, now);
+            }
+            return;
+        }
+        if let Some(run) = worker.runs.get_mut(&row.task) {
+            // The worker runs another attempt of the task, such as an earlier one. That attempt
+            // replaces the expected one: it continues, or is stopped if the run is being stopped.
+            run.attempt = row.attempt;
+            if matches!(run.phase, RunPhase::Stopping(_)) {
+                run.phase = RunPhase::Running(now);
+                self.stop_run(worker_id, row.task);
+            } else {
+                run.phase = RunPhase::Running(now);
+            }
+            return;
+        }
+        self.adopt(worker_id, row, sent_at, now);
+    }
+
+    /// Adds a reported run that this leader has not started, or stops it if it is not needed.
+    fn adopt(&mut self, worker_id: &str, row: &RunningRow, sent_at: Instant, now: Instant) {
+        let is_needed = self.needs_run(row.task);
+        self.add_occurrences_up_to(row.task);
+        let token = self.worker_token(worker_id);
+        if is_needed {
+            log::info!(
+                "jobs: task={} attempt={} worker={worker_id} found running, adding it.",
+                row.task,
+                row.attempt,
+            );
+            self.add_run(
+                worker_id,
+                row.task,
+                row.attempt,
+                RunPhase::Running(sent_at),
+                now,
+            );
+            if let Some(job) = self.jobs.get_mut(&row.task.job) {
+                job.started = true;
+            }
+            self.on_run_confirmed(worker_id, row.task, now);
+            return;
+        }
+        // Stop commands are idempotent. If this one gets lost, the next report lists the run again
+        // and the run is stopped again.
+        self.commands.push(Command::Stop {
+            worker: worker_id.to_owned(),
+            task: row.task,
+            attempt: row.attempt,
+            token,
+        });
+        log::info!(
+            "jobs: task={} attempt={} worker={worker_id} is not needed, stopping it.",
+            row.task,
+            row.attempt,
+        );
+    }
+
+    /// Records whether a worker's report may leave out ended attempts, as it does while too many are
+    /// not acknowledged.
+    fn note_omitted_ends(&mut self, worker_id: &str, report: &Report, is_first_report: bool) {
+        let limit = self.params.max_listed_ends;
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        let omits_ends = report.finished.len() >= limit;
+        if omits_ends != worker.omits_ends {
+            log::info!(
+                "jobs: worker={worker_id} lists {} ended attempts of at most {limit}, up to n={}: newer ones are {}.",
+                report.finished.len(),
+                worker.last_reported_end,
+                if omits_ends { "unknown" } else { "listed" },
+            );
+        }
+        worker.omits_ends = omits_ends;
+        let had_omitted = worker.omits_inherited_ends;
+        worker.omits_inherited_ends = omits_ends && (is_first_report || had_omitted);
+        self.changed |= had_omitted && !omits_ends;
+    }
+
+    /// Treats runs as lost that were confirmed before the report was requested at `sent_at` but are
+    /// not in the report.
+    ///
+    /// If the report may leave out ended attempts, only long-running tasks are treated so, which
+    /// restart however they end. Another run may be done, and stays until its end is listed.
+    fn lose_unreported_runs(
+        &mut self,
+        worker_id: &str,
+        report: &Report,
+        sent_at: Instant,
+        now: Instant,
+    ) {
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        let omits_ends = worker.omits_ends;
+        let reported: HashSet<_> = report.running.iter().map(|r| (r.task, r.attempt)).collect();
+        let mut lost = Vec::new();
+        for (task, run) in &mut worker.runs {
+            let confirmed_at = match run.phase {
+                RunPhase::Sent | RunPhase::Stopping(None) => None,
+                RunPhase::Running(at) | RunPhase::Stopping(Some(at)) => Some(at),
+            };
+            let has_ended = confirmed_at.is_some_and(|at| at < sent_at)
+                && !reported.contains(&(*task, run.attempt));
+            run.has_unlisted_end = has_ended && omits_ends && !run.is_long_running;
+            if has_ended && !run.has_unlisted_end {
+                lost.push((*task, run.process_started_ms));
+            }
+        }
+        // The worker confirmed these and restarted before it sent the first report after that.
+        let crashed = lost.iter().filter(|(_, ms)| *ms < report.started_ms);
+        let crashed: Vec<_> = crashed.map(|(task, _)| *task).collect();
+        self.record_losses(worker_id, &crashed, now);
+        for (task, _) in lost {
+            self.lose_run(worker_id, task, "the worker does not list it", now);
+        }
+    }
+}
