Keep tasks out of evacuated failure domains, and add settings for new parts

Operators could not ask that nothing start in a failure domain. The shard now has a set of such domains: their workers get no tasks, an unanswered start there is stopped instead of sent again, and long-running tasks move while there is room elsewhere. Starts are held while the copy of the set may be too old. Nothing reads the set yet.

The new settings name the parts that a deployment may ask for; all are off without them.

--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -10,6 +10,7 @@
 //! - `crashes`: tasks that crash their workers.
 //! - `dispatch`: [`Shard::poll`], which chooses workers for tasks and starts them.
 //! - `ends`: the ends of runs, and their effects on tasks and jobs.
+//! - `evacuations`: evacuated failure domains, where nothing starts and long-running tasks move away.
 //! - `gangs`: steps whose tasks run only together.
 //! - `jobs`: one job, with its occurrences, runs and stored progress.
 //! - `leases`: the expiry of leases, and the resending of commands.
@@ -32,6 +33,7 @@
 mod crashes;
 mod dispatch;
 mod ends;
+mod evacuations;
 mod gangs;
 mod jobs;
 mod leases;
@@ -48,6 +50,7 @@
 mod waiting;
 mod workers;
 
+pub use evacuations::EvacuationStatus;
 pub use losses::LossCounts;
 pub use restoring::RestoringShard;
 pub use state::{Batch, Command, JobOrigin, Params, ServiceLoad, Shard};
--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -51,6 +51,7 @@
             self.update_workers_in_use(now);
             self.resend(now);
             self.stop_draining_runs(now);
+            self.move_evacuated_runs(now);
             self.stop_stuck(now);
             self.add_due_occurrences(unix_ms);
             self.resolve_placements(now);
@@ -59,8 +60,10 @@
         if !self.resigning && self.next_dispatch_at() <= now {
             self.add_due_occurrences(unix_ms);
             self.dispatched_at = Some(now);
-            self.dispatch(now);
-            self.changed = false;
+            if !self.starts_are_held() {
+                self.dispatch(now);
+                self.changed = false;
+            }
         }
         std::mem::take(&mut self.commands)
     }
--- /dev/null
+++ b/crates/core/src/sched/shard/evacuations.rs
@@ -0,0 +1,252 @@
+//! Evacuated failure domains: nothing starts on their workers, and long-running tasks move away.
+//!
+//! Tasks that end by themselves finish where they are: a stop would cost their callers the work done.
+//! Long-running tasks move as fast as there is room for them elsewhere, so that each is away only for
+//! the time of a stop and a start:
+//!
+//! - A task is stopped only if a worker elsewhere can take it now, and no other stopped task is meant
+//!   for that room.
+//! - At most [`MAX_MOVES`] are on their way at a time.
+//! - Of one step as many are away as its limit allows, one if it has none. Gangs, whose members end
+//!   together, stay until their worker leaves.
+//! - Tasks with a checkpoint go first, since they lose least.
+
+use {
+    super::state::{RunPhase, Shard, Worker},
+    crate::{
+        hash::{HashMap, HashSet},
+        sched::{
+            job::{Resources, TaskName},
+            placement::reserved,
+            progress::JobOutcome,
+        },
+    },
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
+};
+
+/// The maximum number of long-running tasks that are on their way out of evacuated domains. Each
+/// stop and start takes a few commands and a write, which must not delay those of other work.
+const MAX_MOVES: usize = 8;
+
+/// The time between two choices of tasks to move; the commands of the one before are answered by
+/// then.
+const MOVE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// How long a stopped task counts as on its way if it finds no room after all.
+const MOVE_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// What still runs in an evacuated failure domain.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct EvacuationStatus {
+    /// The listed workers of the domain.
+    pub workers: u32,
+    /// The runs of tasks that end by themselves.
+    pub short_runs: u32,
+    /// The runs of long-running tasks.
+    pub long_running_runs: u32,
+}
+
+/// The evacuation of failure domains at the leader.
+#[derive(Debug, Default)]
+pub(super) struct Evacuation {
+    domains: HashSet<String>,
+    /// Whether starts are held back everywhere because an evacuation may be unknown.
+    starts_held: bool,
+    /// The tasks that were stopped to move, and when.
+    moving: HashMap<TaskName, Instant>,
+    /// When tasks to move were last chosen; `None` before the first time.
+    chosen_at: Option<Instant>,
+}
+
+impl Shard {
+    /// Sets the evacuated failure domains.
+    pub fn set_evacuations(&mut self, domains: &[&str]) {
+        let domains: HashSet<String> = domains.iter().map(|d| (*d).to_owned()).collect();
+        if domains == self.evacuation.domains {
+            return;
+        }
+        self.evacuation.domains = domains;
+        for worker in self.workers.values_mut() {
+            worker.is_evacuated = self.evacuation.domains.contains(&worker.info.domain);
+        }
+        self.changed = true;
+    }
+
+    /// Sets whether starts are held back everywhere because an evacuation may be unknown; see
+    /// [`must_hold_starts`](crate::sched::evacuation::must_hold_starts).
+    pub fn hold_starts(&mut self, is_held: bool) {
+        if std::mem::replace(&mut self.evacuation.starts_held, is_held) != is_held {
+            log::warn!(
+                "jobs: starts held={is_held}: the copy of the evacuations may be out of date."
+            );
+            self.changed = true;
+        }
+    }
+
+    /// Returns whether starts are held back everywhere.
+    pub(super) fn starts_are_held(&self) -> bool {
+        self.evacuation.starts_held
+    }
+
+    /// Returns whether workers of a failure domain get no new tasks.
+    pub(super) fn is_evacuated(&self, domain: &str) -> bool {
+        self.evacuation.domains.contains(domain)
+    }
+
+    /// Returns what still runs in each evacuated failure domain.
+    pub fn evacuation_status(&self) -> BTreeMap<String, EvacuationStatus> {
+        let domains = self.evacuation.domains.iter();
+        let mut statuses: BTreeMap<_, _> = domains
+            .map(|d| (d.clone(), EvacuationStatus::default()))
+            .collect();
+        for worker in self.workers.values() {
+            let Some(status) = statuses.get_mut(&worker.info.domain) else {
+                continue;
+            };
+            status.workers += u32::from(worker.listed);
+            for run in worker.runs.values() {
+                if run.is_long_running {
+                    status.long_running_runs += 1;
+                } else {
+                    status.short_runs += 1;
+                }
+            }
+        }
+        statuses
+    }
+
+    /// Stops long-running tasks in evacuated domains for which there is room elsewhere.
+    pub(super) fn move_evacuated_runs(&mut self, now: Instant) {
+        if self.evacuation.domains.is_empty() {
+            return;
+        }
+        let last = self.evacuation.chosen_at;
+        if last.is_some_and(|at| now.duration_since(at) < MOVE_INTERVAL) {
+            return;
+        }
+        self.evacuation.chosen_at = Some(now);
+        self.forget_moved_tasks(now);
+        let mut budget = MAX_MOVES.saturating_sub(self.evacuation.moving.len());
+        // Tasks on their way take this room.
+        let mut claimed: HashMap<String, Resources> = HashMap::default();
+        let on_their_way: Vec<_> = self.evacuation.moving.keys().copied().collect();
+        for name in on_their_way {
+            self.claim_room(name, &mut claimed, now);
+        }
+        for (worker_id, name) in self.evacuated_long_runs() {
+            if budget == 0 {
+                return;
+            }
+            if !self.may_be_stopped(name, now) || !self.claim_room(name, &mut claimed, now) {
+                continue;
+            }
+            log::info!(
+                "jobs: task={name} worker={worker_id} moves, its failure domain is evacuated."
+            );
+            self.evacuation.moving.insert(name, now);
+            self.stop_run(&worker_id, name);
+            budget -= 1;
+        }
+    }
+
+    /// Forgets the tasks that run again, have ended or have found no room for long.
+    fn forget_moved_tasks(&mut self, now: Instant) {
+        let jobs = &mut self.jobs;
+        let workers = &self.workers;
+        self.evacuation.moving.retain(|name, since| {
+            if now.duration_since(*since) >= MOVE_TIMEOUT {
+                return false;
+            }
+            let job = jobs.get_mut(&name.job);
+            let job = job.filter(|j| j.outcome == JobOutcome::Open);
+            let Some(task) = job.and_then(|j| j.task(name)) else {
+                return false;
+            };
+            let is_elsewhere = |id: &String| workers.get(id).is_some_and(|w| !w.is_evacuated);
+            !task.workers.iter().any(is_elsewhere)
+        });
+    }
+
+    /// Returns the workers and names of the confirmed long-running tasks in evacuated domains, in the
+    /// order in which they move.
+    fn evacuated_long_runs(&self) -> Vec<(String, TaskName)> {
+        let workers = self.workers.values().filter(|w| w.is_evacuated);
+        let mut runs: Vec<_> = workers
+            .flat_map(|w| w.runs.iter().map(move |(name, run)| (w, name, run)))
+            .filter(|(_, _, run)| run.is_long_running && matches!(run.phase, RunPhase::Running(_)))
+            .map(|(w, name, run)| (run.checkpoint.is_empty(), *name, w.info.id.clone()))
+            .collect();
+        runs.sort_unstable();
+        runs.into_iter().map(|(_, name, id)| (id, name)).collect()
+    }
+
+    /// Returns whether a long-running task may be stopped to move: its step isn't a gang, and fewer of
+    /// its tasks are away than it allows.
+    fn may_be_stopped(&self, name: TaskName, now: Instant) -> bool {
+        let job = self.jobs.get(&name.job);
+        let step = job.and_then(|j| Some((j, j.spec.steps.get(usize::from(name.step))?)));
+        let Some((job, step)) = step else {
+            return false;
+        };
+        let occurrence = job.occurrences.iter().find(|o| o.number == name.occurrence);
+        let tasks = occurrence.and_then(|o| o.tasks.get(usize::from(name.step)));
+        let Some(tasks) = tasks.filter(|_| !step.gang && job.outcome == JobOutcome::Open) else {
+            return false;
+        };
+        let is_at_work = |(index, task): &(usize, &super::state::Task)| {
+            let name = TaskName {
+                index: *index as u32,
+                ..name
+            };
+            task.workers.iter().any(|id| {
+                let worker = self.workers.get(id);
+                worker.is_some_and(|w| w.is_at_work(&name, now))
+            })
+        };
+        let away = tasks.len() - tasks.iter().enumerate().filter(is_at_work).count();
+        away < step.max_unavailable.map_or(1, |limit| limit as usize)
+    }
+
+    /// Finds room for a task outside of the evacuated domains, and adds it to `claimed`; returns
+    /// whether there is any.
+    fn claim_room(
+        &self,
+        name: TaskName,
+        claimed: &mut HashMap<String, Resources>,
+        now: Instant,
+    ) -> bool {
+        let Some(job) = self.jobs.get(&name.job) else {
+            return false;
+        };
+        let Some(step) = job.spec.steps.get(usize::from(name.step)) else {
+            return false;
+        };
+        let request = reserved(step);
+        let has_room = |w: &Worker| {
+            let mut free = w.free;
+            if let Some(claimed) = claimed.get(&w.info.id) {
+                free.subtract(claimed);
+            }
+            free.covers(&request)
+        };
+        let found = self.find_worker(name, &job.spec.service, step, has_room, false, now);
+        let Some(id) = found else {
+            return false;
+        };
+        claimed.entry(id).or_default().add(&request);
+        true
+    }
+}
+
+impl Worker {
+    /// Returns whether a long-running task has started up here and is not being stopped.
+    fn is_at_work(&self, name: &TaskName, now: Instant) -> bool {
+        let run = self.runs.get(name);
+        run.is_some_and(|run| {
+            matches!(run.phase, RunPhase::Running(_)) && run.progress_percent >= 100.0
+        }) && self.is_responsive(now)
+    }
+}
--- a/crates/core/src/sched/shard/leases.rs
+++ b/crates/core/src/sched/shard/leases.rs
@@ -110,10 +110,12 @@
 
     /// Queues again, for responsive workers, the start and stop commands that got no reply.
     ///
-    /// If the capacity of a worker has shrunk below what it has reserved, an unanswered start is
-    /// followed by a stop instead.
+    /// If the capacity of a worker has shrunk below what it has reserved, or its failure domain is
+    /// evacuated, an unanswered start is followed by a stop instead. None is sent again while starts
+    /// are held back.
     pub(super) fn resend(&mut self, now: Instant) {
         let mut resends = Vec::new();
+        let starts_are_held = self.starts_are_held();
         for (id, worker) in &mut self.workers {
             if !worker.is_responsive(now) {
                 continue;
@@ -121,6 +123,7 @@
             for (task, run) in &mut worker.runs {
                 let due = run.resend_at <= now && run.resend_at > run.added_at;
                 match run.phase {
+                    RunPhase::Sent if starts_are_held => continue,
                     RunPhase::Sent if due && run.in_doubt => {
                         resends.push((id.clone(), *task, true))
                     }
@@ -132,8 +135,8 @@
             }
         }
         for (id, task, start) in resends {
-            let is_overcommitted = self.workers.get(&id).is_some_and(Worker::is_overcommitted);
-            if start && is_overcommitted {
+            let must_stop = |w: &Worker| w.is_evacuated || w.is_overcommitted();
+            if start && self.workers.get(&id).is_some_and(must_stop) {
                 self.stop_run(&id, task);
             } else if start {
                 self.queue_start(&id, task, now);
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -6,6 +6,7 @@
 use {
     super::{
         dispatch::{MIN_DISPATCH_INTERVAL, PlacementKey},
+        evacuations::Evacuation,
         losses::{Losses, Processes},
     },
     crate::{
@@ -232,6 +233,8 @@
     pub info: WorkerInfo,
     /// Whether the platform lists the worker.
     pub listed: bool,
+    /// Whether the worker's failure domain is evacuated, so that it gets no new tasks.
+    pub is_evacuated: bool,
     /// Whether the stored list of workers in use certainly contains the worker with its current
     /// address. No task starts on the worker before.
     pub is_stored_in_use: bool,
@@ -415,6 +418,8 @@
     /// The workers' processes, and those that were lost.
     pub(super) processes: Processes,
     pub(super) interference: Interference,
+    /// The evacuated failure domains.
+    pub(super) evacuation: Evacuation,
     /// Approvals by job, occurrence and step.
     pub(super) approvals: HashMap<(JobId, u32, u16), Approvals>,
     /// The ids of workers that this dispatch holds back; see the module `waiting`.
@@ -484,6 +489,7 @@
             workers: HashMap::default(),
             processes: Processes::new(now),
             interference: Interference::default(),
+            evacuation: Evacuation::default(),
             approvals: HashMap::default(),
             held_back_workers: HashSet::default(),
             held_back_for: None,
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -37,14 +37,17 @@
     pub fn worker_listed(&mut self, info: &WorkerInfo, now: Instant) {
         self.changed = true;
         self.observe_process(&info.id, &info.address, info.started_ms);
+        let is_evacuated = self.is_evacuated(&info.domain);
         let Some(worker) = self.workers.get_mut(&info.id) else {
-            let worker = Worker::new(info.clone(), now);
+            let mut worker = Worker::new(info.clone(), now);
+            worker.is_evacuated = is_evacuated;
             self.workers.insert(info.id.clone(), worker);
             self.workers_in_use_dirty = true;
             self.worker_addresses_changed = true;
             return;
         };
         worker.listed = true;
+        worker.is_evacuated = is_evacuated;
         worker.unlisted_at = None;
         if worker.info.address != info.address {
             worker.is_stored_in_use = false;
@@ -292,6 +295,7 @@
                 ..info
             },
             listed: true,
+            is_evacuated: false,
             is_stored_in_use: false,
             is_inherited: false,
             unlisted_at: None,
@@ -353,6 +357,7 @@
     pub(super) fn accepts_work(&self, now: Instant) -> bool {
         let has_passed = |until: Option<Instant>| until.is_none_or(|until| until <= now);
         !self.is_leaving(now)
+            && !self.is_evacuated
             && self.is_stored_in_use
             && self.is_responsive(now)
             && self.connection_lost_at.is_none()
--- a/crates/entry/src/reload.rs
+++ b/crates/entry/src/reload.rs
@@ -78,6 +78,8 @@
         next.scheduler.drain = new.scheduler.drain;
         next.scheduler.keep = new.scheduler.keep;
         next.scheduler.config_max_age = new.scheduler.config_max_age;
+        next.scheduler.evacuation_max_age = new.scheduler.evacuation_max_age;
+        next.scheduler.features = new.scheduler.features;
         next.grace = new.grace;
         next.log_level = new.log_level;
         if next != new {
--- a/crates/entry/src/scheduling.rs
+++ b/crates/entry/src/scheduling.rs
@@ -289,6 +289,8 @@
                 drain,
                 keep,
                 config_max_age,
+                evacuation_max_age,
+                features,
                 ..
             } = settings.scheduler;
             send_event(
@@ -298,6 +300,8 @@
                     drain,
                     keep,
                     config_max_age,
+                    evacuation_max_age,
+                    features,
                 },
             )
             .await;
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -233,6 +233,20 @@
         Err(self.invalid(section, key, &problem))
     }
 
+    /// Returns a number that may be left out; `None` if it is.
+    fn optional_number(
+        &self,
+        section: &str,
+        key: &str,
+        min: u64,
+        max: u64,
+    ) -> Result<Option<u64>, String> {
+        match self.optional::<u64>(section, key)? {
+            Some(_) => self.number(section, key, None, min, max).map(Some),
+            None => Ok(None),
+        }
+    }
+
     fn name(&self, section: &str, key: &str) -> Result<String, String> {
         let name: String = self.required(section, key)?;
         let is_allowed = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
--- a/crates/entry/src/settings/scheduling.rs
+++ b/crates/entry/src/settings/scheduling.rs
@@ -3,7 +3,7 @@
 use {
     super::{Keys, LogLevel, Reader, SettingsError, check_keys},
     ini::Ini,
-    marigoldbend_scheduler::settings::{Settings as SchedulerSettings, ShardSettings},
+    marigoldbend_scheduler::settings::{Features, Settings as SchedulerSettings, ShardSettings},
     std::{fs, net::SocketAddr, path::Path, time::Duration},
 };
 
@@ -34,8 +34,13 @@
             "grace_ms",
             "keep_s",
             "config_max_age_ms",
+            "evacuation_max_age_ms",
+            "admission",
+            "displace_long_running",
+            "delegated_renewal",
         ],
     ),
+    ("limits", &["memory_mb", "max_fds"]),
     ("log", &["level"]),
 ];
 
@@ -55,6 +60,10 @@
     pub metrics: Option<SocketAddr>,
     /// The grace period: how long a shutdown of the process may take.
     pub grace: Duration,
+    /// The memory that the process may use, in megabytes; `None` if there is no limit.
+    pub memory_mb: Option<u64>,
+    /// The number of file descriptors that the process may have open; `None` if there is no limit.
+    pub max_fds: Option<u64>,
     /// The least severe level that is logged.
     pub log_level: LogLevel,
 }
@@ -132,6 +141,13 @@
             let problem = format!("{cores} is not within {MIN_CPU_SHARE} to {MAX_CPU_SHARE}");
             return Err(reader.invalid("instance", "cpu_share", &problem));
         }
+        let flag = |key| {
+            let value = reader.optional::<bool>(SECTION, key)?;
+            Ok::<_, String>(value.unwrap_or(false))
+        };
+        let evacuation_max_age =
+            reader.optional_number(SECTION, "evacuation_max_age_ms", 1_500, 600_000)?;
+        let evacuation_max_age = evacuation_max_age.map(Duration::from_millis);
         let keep_s = reader.number(SECTION, "keep_s", Some(120), 1, 86_400)?;
         Ok(Self {
             scheduler: SchedulerSettings {
@@ -146,7 +162,15 @@
                 drain: ms("drain_ms", 2_000, 0, 60_000)?,
                 keep: Duration::from_secs(keep_s),
                 config_max_age: ms("config_max_age_ms", 3_000, 1_500, 600_000)?,
+                evacuation_max_age,
+                features: Features {
+                    admission: flag("admission")?,
+                    displace_long_running: flag("displace_long_running")?,
+                    delegated_renewal: flag("delegated_renewal")?,
+                },
             },
+            memory_mb: reader.optional_number("limits", "memory_mb", 16, 1 << 24)?,
+            max_fds: reader.optional_number("limits", "max_fds", 64, 1 << 24)?,
             callers: reader.required("listen", "callers")?,
             readiness: reader.required("listen", "readiness")?,
             metrics: reader.optional("listen", "metrics")?,
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -19,7 +19,7 @@
         keys,
         metrics::Metrics,
         restoring_leader::RestoringLeader,
-        settings::Settings,
+        settings::{Features, Settings},
         shard_leader::{Callbacks, ShardLeader},
         takeover::{self, Lease, TakeoverError, TakeoverState, TakeoverStep},
         view::{LeaderView, View},
@@ -363,11 +363,15 @@
                 drain,
                 keep,
                 config_max_age,
+                evacuation_max_age,
+                features,
             } => {
                 self.settings.max_lease = max_lease;
                 self.settings.drain = drain;
                 self.settings.keep = keep;
                 self.settings.config_max_age = config_max_age;
+                self.settings.evacuation_max_age = evacuation_max_age;
+                self.settings.features = features;
                 let params = self.params();
                 for leader in self.led_shards.values_mut() {
                     leader.shard.set_params(params);
--- a/crates/scheduler/src/control/events.rs
+++ b/crates/scheduler/src/control/events.rs
@@ -21,6 +21,11 @@
         keep: Duration,
         /// The age from which the configuration is out of date.
         config_max_age: Duration,
+        /// The time within which the evacuation of a failure domain must bind; `None` if there is
+        /// none.
+        evacuation_max_age: Option<Duration>,
+        /// The parts that the deployment asks for.
+        features: Features,
     },
     /// A heartbeat arrived from a peer.
     Heartbeat(Heartbeat),
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -29,6 +29,23 @@
     /// The age from which the configuration is out of date: a change must be in force everywhere
     /// within this time.
     pub config_max_age: Duration,
+    /// The time within which the evacuation of a failure domain must bind; `None` if the deployment
+    /// states none, and then starts don't wait for a newer copy of the evacuations.
+    pub evacuation_max_age: Option<Duration>,
+    /// The parts that a deployment asks for.
+    pub features: Features,
+}
+
+/// Parts of the scheduler that a deployment asks for.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Features {
+    /// Whether submissions are refused that can't be served in time.
+    pub admission: bool,
+    /// Whether waiting short work may displace long-running tasks that hold more than their share.
+    pub displace_long_running: bool,
+    /// Whether an instance of a failure domain may renew the leases there while the leader is not
+    /// heard.
+    pub delegated_renewal: bool,
 }
 
 /// A shard: the workers of one or more failure domains, and the jobs accepted for them.
--- a/crates/scheduler/tests/leadership.rs
+++ b/crates/scheduler/tests/leadership.rs
@@ -10,7 +10,7 @@
         control::{Control, Event, TICK, deliver_urgent_event},
         keys,
         metrics::Metrics,
-        settings::{Settings, ShardSettings},
+        settings::{Features, Settings, ShardSettings},
         view::{LeaderView, View},
     },
     stand_ins::rows::{Faults, RowStore},
@@ -60,6 +60,8 @@
         drain: Duration::from_secs(1),
         keep: Duration::from_secs(60),
         config_max_age: Duration::from_secs(2),
+        evacuation_max_age: None,
+        features: Features::default(),
     }
 }
 
--- a/crates/scheduler/tests/restoring.rs
+++ b/crates/scheduler/tests/restoring.rs
@@ -27,7 +27,7 @@
         control::{Control, Event, TICK, deliver_urgent_event},
         keys,
         metrics::Metrics,
-        settings::{Settings, ShardSettings},
+        settings::{Features, Settings, ShardSettings},
         takeover::take_over,
         view::View,
     },
@@ -346,6 +346,8 @@
             drain: Duration::from_secs(2),
             keep: Duration::from_secs(60),
             config_max_age: Duration::from_secs(3),
+            evacuation_max_age: None,
+            features: Features::default(),
         };
         let clock = Arc::new(SystemClock);
         let control = Control::new(
