Follow the evacuations of failure domains that operators ask for

Each instance now reads them with the configuration; the leader and its successor apply them before the next dispatch, and hold starts back while the copy may be too old. Rows of a shard's job table do the same for the product's own operators.

--- a/crates/core/src/sched/shard/evacuations.rs
+++ b/crates/core/src/sched/shard/evacuations.rs
@@ -5,14 +5,15 @@
 //! the time of a stop and a start:
 //!
 //! - A task is stopped only if a worker elsewhere can take it now, and no other stopped task is meant
-//!   for that room.
+//!   for that room. While short work waits, that room is its own: moving costs nobody anything if it
+//!   happens later, and while an evacuated domain's room is gone short work has too little.
 //! - At most [`MAX_MOVES`] are on their way at a time.
 //! - Of one step as many are away as its limit allows, one if it has none. Gangs, whose members end
 //!   together, stay until their worker leaves.
 //! - Tasks with a checkpoint go first, since they lose least.
 
 use {
-    super::state::{RunPhase, Shard, Worker},
+    super::state::{Job, RunPhase, Shard, Task, Worker},
     crate::{
         hash::{HashMap, HashSet},
         sched::{
@@ -78,11 +79,14 @@
     /// Sets whether starts are held back everywhere because an evacuation may be unknown; see
     /// [`must_hold_starts`](crate::sched::evacuation::must_hold_starts).
     pub fn hold_starts(&mut self, is_held: bool) {
-        if std::mem::replace(&mut self.evacuation.starts_held, is_held) != is_held {
-            log::warn!(
-                "jobs: starts held={is_held}: the copy of the evacuations may be out of date."
-            );
-            self.changed = true;
+        if std::mem::replace(&mut self.evacuation.starts_held, is_held) == is_held {
+            return;
+        }
+        self.changed = true;
+        if is_held {
+            log::warn!("jobs: no starts, the copy of the evacuations may be out of date.");
+        } else {
+            log::info!("jobs: starts again, the copy of the evacuations is up to date.");
         }
     }
 
@@ -120,7 +124,7 @@
 
     /// Stops long-running tasks in evacuated domains for which there is room elsewhere.
     pub(super) fn move_evacuated_runs(&mut self, now: Instant) {
-        if self.evacuation.domains.is_empty() {
+        if self.evacuation.domains.is_empty() || self.has_waiting_short_work() {
             return;
         }
         let last = self.evacuation.chosen_at;
@@ -152,6 +156,21 @@
         }
     }
 
+    /// Returns whether a task waits that ends by itself and reserves CPU.
+    fn has_waiting_short_work(&self) -> bool {
+        let open = |job: &&Job| job.outcome == JobOutcome::Open && !job.is_long_running();
+        self.jobs.values().filter(open).any(|job| {
+            job.occurrences.iter().any(|occurrence| {
+                let steps = job.spec.steps.iter().enumerate();
+                let mut ready = steps.filter(|(i, step)| occurrence.is_ready(*i, step));
+                ready.any(|(i, step)| {
+                    let is_waiting = |t: &Task| !t.done && t.workers.is_empty();
+                    !step.best_effort && occurrence.tasks[i].iter().any(is_waiting)
+                })
+            })
+        })
+    }
+
     /// Forgets the tasks that run again, have ended or have found no room for long.
     fn forget_moved_tasks(&mut self, now: Instant) {
         let jobs = &mut self.jobs;
@@ -196,7 +215,7 @@
         let Some(tasks) = tasks.filter(|_| !step.gang && job.outcome == JobOutcome::Open) else {
             return false;
         };
-        let is_at_work = |(index, task): &(usize, &super::state::Task)| {
+        let is_at_work = |(index, task): &(usize, &Task)| {
             let name = TaskName {
                 index: *index as u32,
                 ..name
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -1,6 +1,7 @@
 //! The control thread: peers, shard leadership, the configuration and the list of workers.
 
 mod effects;
+mod evacuations;
 mod events;
 mod leadership;
 mod peers;
@@ -9,8 +10,8 @@
 mod watches;
 
 pub use events::{
-    Event, GetJobState, HasResignedAll, NextReportRequest, QueuedEvent, deliver_event,
-    deliver_urgent_event, send_event,
+    EvacuationUpdate, Event, GetJobState, HasResignedAll, NextReportRequest, QueuedEvent,
+    deliver_event, deliver_urgent_event, send_event,
 };
 
 use {
@@ -30,6 +31,7 @@
         clock::Clock,
         hash::{HashMap, HashSet},
         sched::{
+            evacuation::{self, Source},
             job::{JobId, JobSpec, TaskName},
             leadership::{
                 LeadershipView, MAX_HEARTBEAT_DELAY, PeerView, RejectionCheck, TakeoverDelay,
@@ -158,6 +160,8 @@
     config: Option<Arc<Queues>>,
     /// When the store certainly had no newer configuration; `None` before the first is read.
     config_as_of: Option<Instant>,
+    /// The failure domains that the platform's operators have evacuated, as of `config_as_of`.
+    evacuated: HashSet<String>,
     /// The platform's list of workers, by name.
     workers: HashMap<String, WorkerInfo>,
     /// The labels of the workers, by service and then by shard.
@@ -233,6 +237,7 @@
             led_since: HashMap::default(),
             config: None,
             config_as_of: None,
+            evacuated: HashSet::default(),
             workers: HashMap::default(),
             labels: Arc::default(),
             shutting_down: false,
@@ -270,6 +275,7 @@
         self.check_restoring(now);
         self.read_awaited_leases(now);
         self.write_store_heartbeats(now);
+        self.hold_starts(now);
         let shards: Vec<_> = self.led_shards.keys().cloned().collect();
         for shard in shards {
             self.advance_shard(&shard, now);
@@ -378,7 +384,15 @@
                 }
             }
             Event::Heartbeat(heartbeat) => self.on_heartbeat(heartbeat, now),
-            Event::Config { newest, as_of } => self.on_config(newest, as_of, now),
+            Event::Config {
+                newest,
+                as_of,
+                evacuations,
+            } => {
+                self.on_evacuations(evacuations);
+                self.on_config(newest, as_of, now);
+                self.hold_starts(now);
+            }
             Event::Workers {
                 is_full_list,
                 entries,
@@ -395,9 +409,11 @@
                 }
             }
             Event::TakenOver(shard, result) => self.on_takeover(&shard, result, now),
-            Event::JobRows(shard, token, rows) => {
+            Event::JobRows(shard, token, is_full_list, rows) => {
                 if let Some(leader) = self.shard_leader(&shard, token) {
-                    let Some(cancels_to_forward) = leader.on_job_rows(&rows, now, unix_ms) else {
+                    let Some(cancels_to_forward) =
+                        leader.on_job_rows(&rows, is_full_list, now, unix_ms)
+                    else {
                         self.resign(&shard, "a job row has a higher fencing token");
                         return;
                     };
--- a/crates/scheduler/src/control/events.rs
+++ b/crates/scheduler/src/control/events.rs
@@ -35,6 +35,8 @@
         newest: Option<Queues>,
         /// When the store certainly had no newer configuration; `None` if it may have had one.
         as_of: Option<Instant>,
+        /// The evacuations of failure domains in the same reply.
+        evacuations: EvacuationUpdate,
     },
     /// The list of workers, or some of its entries, was read.
     Workers {
@@ -54,8 +56,9 @@
     TakeoverStep(String, TakeoverStep),
     /// A takeover of a shard by this instance succeeded or failed.
     TakenOver(String, Result<TakeoverState, TakeoverError>),
-    /// Rows of the job table of a led shard were read.
-    JobRows(String, u64, Vec<Row>),
+    /// Rows of the job table of a led shard were read: whether they are all rows of the table, and
+    /// the rows.
+    JobRows(String, u64, bool, Vec<Row>),
     /// A worker of a led shard reported: the worker, its report, and when the report was requested.
     Report(String, u64, String, Report, Instant),
     /// The connection to a worker of a led shard failed while a report was requested.
@@ -86,6 +89,15 @@
     End,
 }
 
+/// The evacuations of failure domains in a reply of the store.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct EvacuationUpdate {
+    /// Whether the reply has all evacuated domains; otherwise it has only what has changed.
+    pub is_full_list: bool,
+    /// The domains, and whether each is evacuated.
+    pub domains: Vec<(String, bool)>,
+}
+
 /// Asks for the parameters of the next report request to a worker; the fields are the shard, the
 /// fencing token and the worker.
 #[derive(Debug)]
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -388,14 +388,23 @@
         let params = self.params();
         let cancelled = state.cancelled.clone();
         let changed_jobs = std::mem::take(&mut state.changed_jobs);
-        let mut leader = ShardLeader::new(restoring, state, &self.workers, params, now, unix_ms());
+        let mut leader = ShardLeader::new(
+            restoring,
+            state,
+            &self.workers,
+            &self.evacuated,
+            params,
+            now,
+            unix_ms(),
+        );
         for job in cancelled
             .into_iter()
             .filter(|job| !leader.shard.contains_job(*job))
         {
             self.forward_cancel(shard, job);
         }
-        let cancels_to_forward = leader.on_job_rows(&changed_jobs, now, unix_ms());
+        let cancels_to_forward = leader.on_job_rows(&changed_jobs, false, now, unix_ms());
+        leader.shard.hold_starts(self.must_hold_starts(now));
         leader.job_watch = self.watch_jobs(shard, token, after_version);
         self.led_shards.insert(shard.to_owned(), leader);
         let Some(cancels_to_forward) = cancels_to_forward else {
--- a/crates/scheduler/src/control/watches.rs
+++ b/crates/scheduler/src/control/watches.rs
@@ -81,12 +81,13 @@
         };
         let shard = shard.to_owned();
         let callback = move |update: Update| -> crate::commands::BoxFuture<()> {
+            let is_full_list = matches!(update.event, WatchEvent::All(_));
             let (WatchEvent::All(rows) | WatchEvent::Changed(rows)) = update.event;
             let has_rows = !rows.is_empty();
-            let event = Event::JobRows(shard.clone(), token, rows);
+            let event = Event::JobRows(shard.clone(), token, is_full_list, rows);
             let address = address.clone();
             Box::pin(async move {
-                if has_rows {
+                if has_rows || is_full_list {
                     deliver_event(&address, event).await;
                 }
             })
@@ -134,9 +135,18 @@
 }
 
 /// Returns the event for an update of the operator's table, with the newest valid configuration in
-/// the update.
+/// the update, and the evacuations there.
 fn config_event(update: Update) -> Event {
+    let is_full_list = matches!(update.event, WatchEvent::All(_));
     let (WatchEvent::All(rows) | WatchEvent::Changed(rows)) = update.event;
+    let evacuations = rows.iter().filter_map(|row| {
+        let domain = operator::evacuated_domain(&row.name.key)?;
+        Some((domain.to_owned(), !row.deleted))
+    });
+    let evacuations = EvacuationUpdate {
+        is_full_list,
+        domains: evacuations.collect(),
+    };
     let configs = rows
         .iter()
         .filter(|row| row.name.key == operator::CONFIG_KEY && !row.deleted);
@@ -156,6 +166,7 @@
     Event::Config {
         newest: configs.max_by_key(|queues| queues.version),
         as_of: update.as_of,
+        evacuations,
     }
 }
 
--- a/crates/scheduler/src/keys.rs
+++ b/crates/scheduler/src/keys.rs
@@ -23,6 +23,10 @@
 /// The key in the progress table of the row with a shard's interference estimates.
 pub const INTERFERENCE_KEY: &str = "@learnt";
 
+/// The beginning of the key in a job table of a row that evacuates a failure domain; the rest is the
+/// domain.
+const EVACUATION_PREFIX: &str = "@evacuate.";
+
 /// The suffix of the key of a cancellation row.
 const CANCEL_SUFFIX: &str = ".cancel";
 
@@ -56,6 +60,13 @@
     RowKey::new(&jobs_table(shard), shard, &format!("{id}{CANCEL_SUFFIX}"))
 }
 
+/// Returns the key of the row that evacuates a failure domain of a shard while it exists. It is in the
+/// job table, whose changes the leader follows and a successor reads before it starts anything.
+pub fn evacuation(shard: &str, domain: &str) -> RowKey {
+    let key = format!("{EVACUATION_PREFIX}{domain}");
+    RowKey::new(&jobs_table(shard), shard, &key)
+}
+
 /// Returns the key of the row with a job's progress.
 pub fn progress(shard: &str, id: JobId) -> RowKey {
     RowKey::new(&progress_table(shard), shard, &id.to_string())
@@ -113,16 +124,21 @@
 }
 
 /// The kind of a row in a job table.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum JobRow {
     /// The specification of a job.
     Job(JobId),
     /// The cancellation of a job.
     Cancel(JobId),
+    /// The evacuation of a failure domain.
+    Evacuation(String),
 }
 
 /// Parses the key of a row in a job table; `None` if it is not valid.
 pub fn read_job_key(key: &str) -> Option<JobRow> {
+    if let Some(domain) = key.strip_prefix(EVACUATION_PREFIX) {
+        return Some(JobRow::Evacuation(domain.to_owned()));
+    }
     match key.strip_suffix(CANCEL_SUFFIX) {
         Some(id) => id.parse().ok().map(JobRow::Cancel),
         None => key.parse().ok().map(JobRow::Job),
--- a/crates/scheduler/src/shard_leader.rs
+++ b/crates/scheduler/src/shard_leader.rs
@@ -10,8 +10,9 @@
         takeover_times::{Part, TakeoverTimes},
     },
     marigoldbend_core::{
-        hash::HashMap,
+        hash::{HashMap, HashSet},
         sched::{
+            evacuation::{Evacuations, Source},
             job::{JobId, JobSpec},
             journal::{Journal, Write, WriteResult},
             progress::Progress,
@@ -98,6 +99,7 @@
     /// When a report was last requested, by worker.
     report_requested_at: HashMap<String, Instant>,
     journal: Journal,
+    evacuations: Evacuations,
     callbacks: Callbacks,
     metrics: Arc<Metrics>,
 }
@@ -117,6 +119,7 @@
         restoring: RestoringLeader,
         state: TakeoverState,
         workers: &HashMap<String, WorkerInfo>,
+        platform_evacuations: &HashSet<String>,
         params: Params,
         now: Instant,
         unix_ms: u64,
@@ -166,9 +169,13 @@
             links,
             report_requested_at: HashMap::default(),
             journal: Journal::new(lease.token, state.head_version),
+            evacuations: Evacuations::default(),
             callbacks,
             metrics,
         };
+        let evacuated = state.evacuated.into_iter().collect();
+        leader.set_evacuations(Source::Operator, evacuated);
+        leader.set_evacuations(Source::Platform, platform_evacuations.clone());
         leader.list_workers(workers, now);
         leader.shard.restore_workers(restoring_shard, now, unix_ms);
         leader.update_links();
@@ -181,6 +188,33 @@
         self.update_links();
     }
 
+    /// Sets the failure domains that a source has evacuated.
+    pub fn set_evacuations(&mut self, source: Source, domains: HashSet<String>) {
+        if self.evacuations.replace(source, domains) {
+            self.apply_evacuations();
+        }
+    }
+
+    fn apply_evacuations(&mut self) {
+        let domains = self.evacuations.sorted();
+        let ours = domains
+            .iter()
+            .filter(|d| self.domains.iter().any(|own| own == *d));
+        let count = ours.count();
+        log::info!(
+            "lead: shard={} evacuated={domains:?} of domains={}.",
+            self.name,
+            self.domains.len(),
+        );
+        if count > 0 && count == self.domains.len() {
+            log::warn!(
+                "lead: shard={} all failure domains are evacuated, nothing starts.",
+                self.name
+            );
+        }
+        self.shard.set_evacuations(&domains);
+    }
+
     fn list_workers(&mut self, workers: &HashMap<String, WorkerInfo>, now: Instant) {
         let shard_workers = workers
             .values()
@@ -200,13 +234,21 @@
         }
     }
 
-    /// Applies rows of the shard's job table. Returns the cancelled jobs that this shard does not
+    /// Applies rows of the shard's job table, all of them if `is_full_list`. Returns the cancelled jobs that this shard does not
     /// contain, whose cancellations are to be forwarded to other shards; or `None` if a job row has
     /// a higher fencing token, which shows that there is a later leader.
-    pub fn on_job_rows(&mut self, rows: &[Row], now: Instant, unix_ms: u64) -> Option<Vec<JobId>> {
+    pub fn on_job_rows(
+        &mut self,
+        rows: &[Row],
+        is_full_list: bool,
+        now: Instant,
+        unix_ms: u64,
+    ) -> Option<Vec<JobId>> {
+        self.on_evacuation_rows(rows, is_full_list);
         let mut cancels_to_forward = Vec::new();
         for row in rows.iter().filter(|row| !row.deleted) {
             match keys::read_job_key(&row.name.key) {
+                Some(keys::JobRow::Evacuation(_)) => {}
                 Some(keys::JobRow::Cancel(id)) => {
                     if !self.shard.contains_job(id) {
                         cancels_to_forward.push(id);
@@ -244,6 +286,29 @@
         Some(cancels_to_forward)
     }
 
+    /// Applies the rows of a job table that evacuate failure domains or take that back.
+    fn on_evacuation_rows(&mut self, rows: &[Row], is_full_list: bool) {
+        let changes = rows.iter().filter_map(|row| {
+            let key = keys::read_job_key(&row.name.key)?;
+            let keys::JobRow::Evacuation(domain) = key else {
+                return None;
+            };
+            Some((domain, !row.deleted))
+        });
+        if is_full_list {
+            let domains = changes.filter_map(|(domain, is_set)| is_set.then_some(domain));
+            self.set_evacuations(Source::Operator, domains.collect());
+            return;
+        }
+        let mut has_changed = false;
+        for (domain, is_set) in changes {
+            has_changed |= self.evacuations.set(Source::Operator, &domain, is_set);
+        }
+        if has_changed {
+            self.apply_evacuations();
+        }
+    }
+
     /// Returns the parameters of a worker's next report request; `None` if the worker has no link.
     pub fn next_report_request(&mut self, worker: &str, now: Instant) -> Option<ReportRequest> {
         let has_link = self.links.contains_key(worker);
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -99,6 +99,8 @@
     pub finished: Vec<(JobId, Progress)>,
     /// The jobs with a cancellation row; some may belong to another shard by now.
     pub cancelled: Vec<JobId>,
+    /// The failure domains that operators have evacuated through the operator interface.
+    pub evacuated: Vec<String>,
     /// Name and address of each worker that the previous leader used.
     pub workers_in_use: Vec<(String, String)>,
     /// The interference estimates of the previous leader.
@@ -223,6 +225,7 @@
         jobs: Vec::new(),
         finished: Vec::new(),
         cancelled: Vec::new(),
+        evacuated: Vec::new(),
         workers_in_use: Vec::new(),
         interference: Vec::new(),
         changed_jobs: Vec::new(),
@@ -249,6 +252,7 @@
     for row in jobs.rows {
         match keys::read_job_key(&row.name.key) {
             Some(keys::JobRow::Cancel(id)) => state.cancelled.push(id),
+            Some(keys::JobRow::Evacuation(domain)) => state.evacuated.push(domain),
             Some(keys::JobRow::Job(id)) => match postcard::from_bytes(&row.value) {
                 Ok(spec) => {
                     let progress = stored_progress.remove(&id).unwrap_or_default();
