Move long-running tasks only out of domains that operators want emptied

Moving them took the room that short work of the other domains waits for. The platform asks that nothing more is sent there, so now only requests of the product's own operators move tasks.

--- a/crates/core/src/sched/evacuation.rs
+++ b/crates/core/src/sched/evacuation.rs
@@ -16,6 +16,10 @@
 const BINDING_RESERVE: Duration = Duration::from_millis(700);
 
 /// Who asked for an evacuation. Each takes back only what it asked for.
+///
+/// The platform asks that nothing more is sent to a domain. On a simulated day with an evacuation of
+/// 20 s, moving long-running tasks took room from the short work of the other domains and served
+/// fewer callers, so they move only if the product's operators ask for it.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Source {
     /// The platform's operators, through the platform.
@@ -56,6 +60,12 @@
             .any(|domains| domains.contains(domain))
     }
 
+    /// Returns the domains from which long-running tasks move away.
+    pub fn emptied(&self) -> Vec<&str> {
+        let domains = self.domains.get(&Source::Operator).into_iter().flatten();
+        domains.map(String::as_str).collect()
+    }
+
     /// Returns the evacuated domains, sorted.
     pub fn sorted(&self) -> Vec<&str> {
         let domains = self.domains.values().flatten().map(String::as_str);
--- a/crates/core/src/sched/shard/evacuations.rs
+++ b/crates/core/src/sched/shard/evacuations.rs
@@ -1,4 +1,5 @@
-//! Evacuated failure domains: nothing starts on their workers, and long-running tasks move away.
+//! Evacuated failure domains: nothing starts on their workers, and long-running tasks move away if the
+//! domain is to be emptied.
 //!
 //! Tasks that end by themselves finish where they are: a stop would cost their callers the work done.
 //! Long-running tasks move as fast as there is room for them elsewhere, so that each is away only for
@@ -54,6 +55,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Evacuation {
     domains: HashSet<String>,
+    /// Those from which long-running tasks move away.
+    emptied: HashSet<String>,
     /// Whether starts are held back everywhere because an evacuation may be unknown.
     starts_held: bool,
     /// The tasks that were stopped to move, and when.
@@ -63,9 +66,11 @@
 }
 
 impl Shard {
-    /// Sets the evacuated failure domains.
-    pub fn set_evacuations(&mut self, domains: &[&str]) {
-        let domains: HashSet<String> = domains.iter().map(|d| (*d).to_owned()).collect();
+    /// Sets the evacuated failure domains, and those of them from which long-running tasks move away.
+    pub fn set_evacuations(&mut self, domains: &[&str], emptied: &[&str]) {
+        let owned = |domains: &[&str]| domains.iter().map(|d| (*d).to_owned()).collect();
+        self.evacuation.emptied = owned(emptied);
+        let domains: HashSet<String> = owned(domains);
         if domains == self.evacuation.domains {
             return;
         }
@@ -122,9 +127,9 @@
         statuses
     }
 
-    /// Stops long-running tasks in evacuated domains for which there is room elsewhere.
+    /// Stops long-running tasks in domains that are to be emptied for which there is room elsewhere.
     pub(super) fn move_evacuated_runs(&mut self, now: Instant) {
-        if self.evacuation.domains.is_empty() || self.has_waiting_short_work() {
+        if self.evacuation.emptied.is_empty() || self.has_waiting_short_work() {
             return;
         }
         let last = self.evacuation.chosen_at;
@@ -189,10 +194,11 @@
         });
     }
 
-    /// Returns the workers and names of the confirmed long-running tasks in evacuated domains, in the
+    /// Returns the workers and names of the confirmed long-running tasks that are to move, in the
     /// order in which they move.
     fn evacuated_long_runs(&self) -> Vec<(String, TaskName)> {
-        let workers = self.workers.values().filter(|w| w.is_evacuated);
+        let is_emptied = |w: &&Worker| self.evacuation.emptied.contains(&w.info.domain);
+        let workers = self.workers.values().filter(is_emptied);
         let mut runs: Vec<_> = workers
             .flat_map(|w| w.runs.iter().map(move |(name, run)| (w, name, run)))
             .filter(|(_, _, run)| run.is_long_running && matches!(run.phase, RunPhase::Running(_)))
--- a/crates/core/tests/evacuation.rs
+++ b/crates/core/tests/evacuation.rs
@@ -180,11 +180,11 @@
 #[test]
 fn nothing_starts_in_an_evacuated_domain_until_it_is_taken_back() {
     let mut fleet = Fleet::new(&[("a1", "a"), ("b1", "b")]);
-    fleet.shard.set_evacuations(&["a"]);
+    fleet.shard.set_evacuations(&["a"], &["a"]);
     fleet.submit(JOB, job(8, false));
     fleet.run_for(200);
     assert_eq!((fleet.runs_in("a"), fleet.runs_in("b")), (0, 4));
-    fleet.shard.set_evacuations(&[]);
+    fleet.shard.set_evacuations(&[], &[]);
     fleet.run_for(200);
     assert_eq!((fleet.runs_in("a"), fleet.runs_in("b")), (4, 4));
 }
@@ -192,12 +192,23 @@
 #[test]
 fn nothing_starts_while_all_domains_are_evacuated() {
     let mut fleet = Fleet::new(&[("a1", "a"), ("b1", "b")]);
-    fleet.shard.set_evacuations(&["a", "b"]);
+    fleet.shard.set_evacuations(&["a", "b"], &["a", "b"]);
     fleet.submit(JOB, job(2, false));
     fleet.run_for(200);
     assert_eq!(fleet.starts.len(), 0);
 }
 
+#[test]
+fn long_running_tasks_stay_in_a_domain_that_is_not_to_be_emptied() {
+    let mut fleet = Fleet::new(&[("a1", "a"), ("b1", "b")]);
+    fleet.shard.set_evacuations(&["b"], &[]);
+    fleet.submit(JOB, job(2, true));
+    fleet.run_for(300);
+    fleet.shard.set_evacuations(&["a"], &[]);
+    fleet.run_for(2_000);
+    assert_eq!((fleet.runs_in("a"), fleet.runs_in("b")), (2, 0));
+}
+
 #[test]
 fn an_unanswered_start_is_stopped_instead_of_sent_again() {
     let mut fleet = Fleet::new(&[("a1", "a")]);
@@ -205,7 +216,7 @@
     fleet.submit(JOB, job(1, false));
     fleet.run_for(40);
     assert_eq!(fleet.starts.len(), 1);
-    fleet.shard.set_evacuations(&["a"]);
+    fleet.shard.set_evacuations(&["a"], &["a"]);
     fleet.run_for(1_000);
     assert_eq!(fleet.starts.len(), 1, "the start was sent again");
 }
@@ -213,12 +224,12 @@
 #[test]
 fn long_running_tasks_move_one_by_one_and_short_ones_stay() {
     let mut fleet = Fleet::new(&[("a1", "a"), ("b1", "b")]);
-    fleet.shard.set_evacuations(&["b"]);
+    fleet.shard.set_evacuations(&["b"], &["b"]);
     fleet.submit(JOB, job(3, true));
     fleet.submit(JobId(8), job(1, false));
     fleet.run_for(500);
     assert_eq!(fleet.runs_in("a"), 4);
-    fleet.shard.set_evacuations(&["a"]);
+    fleet.shard.set_evacuations(&["a"], &["a"]);
     let mut least = fleet.runs.len();
     for _ in 0..100 {
         fleet.run_for(20);
@@ -237,10 +248,10 @@
 #[test_case(&[("a1", "a"), ("b1", "b")]; "short work needs the room of the other")]
 fn long_running_tasks_stay_without_room_elsewhere(workers: &[(&'static str, &'static str)]) {
     let mut fleet = Fleet::new(workers);
-    fleet.shard.set_evacuations(&["b"]);
+    fleet.shard.set_evacuations(&["b"], &["b"]);
     fleet.submit(JOB, job(2, true));
     fleet.run_for(300);
-    fleet.shard.set_evacuations(&["a"]);
+    fleet.shard.set_evacuations(&["a"], &["a"]);
     fleet.submit(JobId(8), job(6, false));
     fleet.run_for(2_000);
     assert_eq!(
--- a/crates/scheduler/src/shard_leader.rs
+++ b/crates/scheduler/src/shard_leader.rs
@@ -212,7 +212,8 @@
                 self.name
             );
         }
-        self.shard.set_evacuations(&domains);
+        let emptied = self.evacuations.emptied();
+        self.shard.set_evacuations(&domains, &emptied);
     }
 
     fn list_workers(&mut self, workers: &HashMap<String, WorkerInfo>, now: Instant) {
