Let operators evacuate failure domains through the operator interface

An evacuation could be asked for only in the platform's table, and nothing showed what still ran in the domain. Instances that schedule jobs now have an operator interface (listen: operators) with evacuations, which are stored in the job table of the domain's shard; marigoldctl has evacuate and evacuations. Long-running tasks move out of such domains.

--- a/crates/core/src/sched/shard/evacuations.rs
+++ b/crates/core/src/sched/shard/evacuations.rs
@@ -43,6 +43,8 @@
 /// What still runs in an evacuated failure domain.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct EvacuationStatus {
+    /// Whether long-running tasks move away.
+    pub is_emptied: bool,
     /// The listed workers of the domain.
     pub workers: u32,
     /// The runs of tasks that end by themselves.
@@ -109,7 +111,13 @@
     pub fn evacuation_status(&self) -> BTreeMap<String, EvacuationStatus> {
         let domains = self.evacuation.domains.iter();
         let mut statuses: BTreeMap<_, _> = domains
-            .map(|d| (d.clone(), EvacuationStatus::default()))
+            .map(|domain| {
+                let status = EvacuationStatus {
+                    is_emptied: self.evacuation.emptied.contains(domain),
+                    ..EvacuationStatus::default()
+                };
+                (domain.clone(), status)
+            })
             .collect();
         for worker in self.workers.values() {
             let Some(status) = statuses.get_mut(&worker.info.domain) else {
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -27,6 +27,10 @@
   status --to ADDRESS [--json]   show the state of an instance and its workers
   jobs ID --to ADDRESS           show a job
   drain --to ADDRESS             shut an instance down gracefully
+  evacuate DOMAIN --to ADDRESS   start nothing more in a failure domain, and move long-running
+        [--undo]                 tasks away; or take that back
+  evacuations --to ADDRESS       show the evacuated failure domains and what still runs there
+        [--json]
   check ANSWERS                  check a filled-in questionnaire
 
   --to ADDRESS  an entry instance's operator port, such as 127.0.0.1:7001
@@ -65,6 +69,7 @@
     }
     let command = args.subcommand().map_err(usage)?;
     let as_json = args.contains("--json");
+    let undo = args.contains("--undo");
     let to: Option<SocketAddr> = args.opt_value_from_str("--to").map_err(usage)?;
     let expect: Option<u64> = args.opt_value_from_str("--expect").map_err(usage)?;
     let operand: Option<String> = args.opt_free_from_str().map_err(usage)?;
@@ -90,6 +95,8 @@
         Some("status") => block_on(status(operator()?, as_json)),
         Some("jobs") => block_on(job(operator()?, operand)),
         Some("drain") => block_on(drain(operator()?)),
+        Some("evacuate") => block_on(evacuate(operator()?, operand, undo)),
+        Some("evacuations") => block_on(evacuations(operator()?, as_json)),
         Some(other) => Err(Failure::Usage(format!(
             "unknown command {other:?}; see --help"
         ))),
@@ -200,6 +207,42 @@
     Ok(())
 }
 
+/// Evacuates a failure domain, or takes that back if `undo`.
+async fn evacuate(operator: OperatorClient, domain: Option<String>, undo: bool) -> Result<()> {
+    let domain = domain.ok_or_else(|| Failure::Usage("DOMAIN is missing".to_owned()))?;
+    let reply = operator.set_evacuated(&domain, !undo).await;
+    let reply = reply.map_err(|e| Failure::Refused(e.to_string()))?;
+    let verb = if undo { "taken back" } else { "evacuated" };
+    match reply["binds_within_ms"].as_u64() {
+        Some(ms) => println!("{domain} is {verb}, in force everywhere within {ms} ms"),
+        None => println!("{domain} is {verb}"),
+    }
+    Ok(())
+}
+
+async fn evacuations(operator: OperatorClient, as_json: bool) -> Result<()> {
+    let reply = operator.evacuations().await;
+    let reply = reply.map_err(|e| Failure::Refused(e.to_string()))?;
+    if as_json {
+        return print_json(&reply);
+    }
+    let evacuations = reply["evacuations"].as_array().cloned().unwrap_or_default();
+    if evacuations.is_empty() {
+        println!("no failure domain is evacuated");
+    }
+    for evacuation in evacuations {
+        println!(
+            "{} emptied={} workers={} short_runs={} long_running_runs={}",
+            evacuation["domain"].as_str().unwrap_or_default(),
+            evacuation["emptied"],
+            evacuation["workers"],
+            evacuation["short_runs"],
+            evacuation["long_running_runs"],
+        );
+    }
+    Ok(())
+}
+
 fn print_json(value: &Value) -> Result<()> {
     let text = serde_json::to_string_pretty(value);
     println!("{}", text.map_err(|e| Failure::Refused(e.to_string()))?);
--- a/crates/entry/src/scheduling.rs
+++ b/crates/entry/src/scheduling.rs
@@ -7,7 +7,7 @@
         reload::SettingsReloader,
     },
     arc_swap::ArcSwap,
-    hyper::{Response, StatusCode},
+    hyper::{Request, Response, StatusCode, body::Incoming},
     marigoldbend::{
         core::clock::{Clock, SystemClock},
         http::{
@@ -22,10 +22,12 @@
     },
     marigoldbend_scheduler::{
         control::{
-            Control, Event, GetJobState, HasResignedAll, TICK, deliver_urgent_event, send_event,
+            Control, Event, GetEvacuations, GetJobState, HasResignedAll, TICK,
+            deliver_urgent_event, send_event,
         },
         intake::Intake,
         metrics::{Metrics, MetricsError},
+        operators::OperatorApi,
         settings::Settings as SchedulerSettings,
         view::View,
     },
@@ -103,6 +105,10 @@
         .metrics
         .map(|address| listen::tcp("metrics", address));
     let metrics_listener = metrics_listener.transpose()?.map(|(listener, _)| listener);
+    let operators = settings
+        .operators
+        .map(|address| listen::tcp("operators", address));
+    let operators = operators.transpose()?.map(|(listener, _)| listener);
     let incarnation: u64 = rand::rng().random();
     log::info!(
         "entry: start name={} failure_domain={} cpu_share={} run={incarnation:016x} callers={} peers={} store={}.",
@@ -141,6 +147,12 @@
             actor.clone(),
         ));
         tokio::spawn(tick(actor.clone()));
+        let operator_api = Arc::new(OperatorApi::new(
+            settings.scheduler.clone(),
+            store.clone(),
+            view.clone(),
+            actor.clone(),
+        ));
         let intake = Arc::new(Intake::new(
             settings.scheduler.clone(),
             store.clone(),
@@ -188,6 +200,19 @@
                 internal_stopped.clone(),
             ));
         }
+        if let Some(listener) = operators {
+            let listener = listen(listener)?;
+            traffic_handle.spawn(serve(
+                listener,
+                limits,
+                move |_, req: Request<Incoming>| {
+                    let api = operator_api.clone();
+                    let (method, path) = (req.method().clone(), req.uri().path().to_owned());
+                    async move { api.serve(method, &path).await }
+                },
+                internal_stopped.clone(),
+            ));
+        }
         let peers = listen(peers)?;
         let peer_actor = actor.clone();
         traffic_handle.spawn(marigoldbend::peer::server::serve(
@@ -246,6 +271,10 @@
             let state = actor.send(GetJobState(shard, job)).await;
             Reply::JobState(state.ok().flatten())
         }
+        Call::Evacuations { shard } => {
+            let evacuations = actor.send(GetEvacuations(shard)).await;
+            Reply::Evacuations(evacuations.ok().flatten())
+        }
         Call::Offer(_) | Call::Snapshot(_) => Reply::NotRun {
             reason: "this instance schedules jobs only".to_owned(),
         },
--- a/crates/entry/src/settings/scheduling.rs
+++ b/crates/entry/src/settings/scheduling.rs
@@ -20,7 +20,10 @@
 /// The sections and keys that a settings file may have.
 const KEYS: Keys = &[
     ("instance", &["name", "failure_domain", "cpu_share"]),
-    ("listen", &["callers", "readiness", "peers", "metrics"]),
+    (
+        "listen",
+        &["callers", "readiness", "operators", "peers", "metrics"],
+    ),
     (
         SECTION,
         &[
@@ -56,6 +59,8 @@
     pub callers: SocketAddr,
     /// The address on which to listen for the platform's readiness probes.
     pub readiness: SocketAddr,
+    /// The address on which to listen for operators; `None` to serve none.
+    pub operators: Option<SocketAddr>,
     /// The address on which to serve metrics; `None` to serve none.
     pub metrics: Option<SocketAddr>,
     /// The grace period: how long a shutdown of the process may take.
@@ -173,6 +178,7 @@
             max_fds: reader.optional_number("limits", "max_fds", 64, 1 << 24)?,
             callers: reader.required("listen", "callers")?,
             readiness: reader.required("listen", "readiness")?,
+            operators: reader.optional("listen", "operators")?,
             metrics: reader.optional("listen", "metrics")?,
             grace: ms("grace_ms", 6_000, 500, 60_000)?,
             log_level: reader.optional("log", "level")?.unwrap_or(LogLevel::Info),
--- a/crates/operator/src/client.rs
+++ b/crates/operator/src/client.rs
@@ -134,6 +134,30 @@
         self.call(Method::POST, "/drain").await
     }
 
+    /// Reads the evacuated failure domains and what still runs there.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the instance gave no usable reply.
+    pub async fn evacuations(&self) -> Result<Value> {
+        self.call(Method::GET, "/evacuations").await
+    }
+
+    /// Evacuates a failure domain, or takes that back.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the request was refused, such as for an unknown domain, or its outcome is
+    /// unknown.
+    pub async fn set_evacuated(&self, domain: &str, is_evacuated: bool) -> Result<Value> {
+        let method = if is_evacuated {
+            Method::PUT
+        } else {
+            Method::DELETE
+        };
+        self.call(method, &format!("/evacuations/{domain}")).await
+    }
+
     async fn call(&self, method: Method, path: &str) -> Result<Value> {
         let url = format!("{}{path}", self.base);
         let request = self
--- a/crates/peer/src/call.rs
+++ b/crates/peer/src/call.rs
@@ -88,6 +88,26 @@
         /// The job.
         job: JobId,
     },
+    /// Asks for the evacuated failure domains.
+    Evacuations {
+        /// The shard that they belong to.
+        shard: String,
+    },
+}
+
+/// An evacuated failure domain, and what still runs there.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DomainEvacuation {
+    /// The domain.
+    pub domain: String,
+    /// Whether long-running tasks move away.
+    pub is_emptied: bool,
+    /// The listed workers.
+    pub workers: u32,
+    /// The runs of tasks that end by themselves.
+    pub short_runs: u32,
+    /// The runs of long-running tasks.
+    pub long_running_runs: u32,
 }
 
 /// The reply to a call.
@@ -109,6 +129,8 @@
     Snapshot(Box<Snapshot>),
     /// The job's state; `None` if the instance does not lead the shard or has no such job.
     JobState(Option<JobState>),
+    /// The evacuated domains; `None` if the instance does not lead the shard.
+    Evacuations(Option<Vec<DomainEvacuation>>),
 }
 
 /// A call or a reply, with the id by which a reply is matched to its call.
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -10,8 +10,8 @@
 mod watches;
 
 pub use events::{
-    EvacuationUpdate, Event, GetJobState, HasResignedAll, NextReportRequest, QueuedEvent,
-    deliver_event, deliver_urgent_event, send_event,
+    EvacuationUpdate, Event, GetEvacuations, GetJobState, HasResignedAll, NextReportRequest,
+    QueuedEvent, deliver_event, deliver_urgent_event, send_event,
 };
 
 use {
@@ -45,7 +45,10 @@
         },
     },
     marigoldbend_http::connection::{ConnectionPool, TimeLimits},
-    marigoldbend_peer::heartbeat::{Heartbeat, LedShard, MAX_QUEUES},
+    marigoldbend_peer::{
+        call::DomainEvacuation,
+        heartbeat::{Heartbeat, LedShard, MAX_QUEUES},
+    },
     marigoldbend_platform::{
         backoff::Backoff,
         rows::{Range, Row, RowKey, Tx, TxOutcome},
@@ -552,6 +555,26 @@
     }
 }
 
+impl Handler<GetEvacuations> for Control {
+    type Return = Option<Vec<DomainEvacuation>>;
+
+    async fn handle(
+        &mut self,
+        GetEvacuations(shard): GetEvacuations,
+        _: &mut xtra::Context<Self>,
+    ) -> Self::Return {
+        let statuses = self.led_shards.get(&shard)?.shard.evacuation_status();
+        let evacuations = statuses.into_iter().map(|(domain, s)| DomainEvacuation {
+            domain,
+            is_emptied: s.is_emptied,
+            workers: s.workers,
+            short_runs: s.short_runs,
+            long_running_runs: s.long_running_runs,
+        });
+        Some(evacuations.collect())
+    }
+}
+
 impl Handler<HasResignedAll> for Control {
     type Return = bool;
 
--- a/crates/scheduler/src/control/events.rs
+++ b/crates/scheduler/src/control/events.rs
@@ -108,6 +108,10 @@
 #[derive(Debug)]
 pub struct GetJobState(pub String, pub JobId);
 
+/// Asks for the evacuated failure domains of a led shard; the reply is `None` if it is not led here.
+#[derive(Debug)]
+pub struct GetEvacuations(pub String);
+
 /// Asks whether this instance is shutting down and leads no shard any more.
 #[derive(Clone, Copy, Debug)]
 pub struct HasResignedAll;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod intake;
 pub mod keys;
 pub mod metrics;
+pub mod operators;
 pub mod restoring_leader;
 pub mod settings;
 pub mod shard_leader;
