Displace long-running tasks for short work that can be in time

Long-running work held 92% of a fleet, and short tasks of the same priority found only pieces of 2 to 4 cores, so that nearly all waiting short jobs became useless together. Single long-running tasks are now stopped for them, within the limits of their steps, if the work that is then in time outweighs what the stopped tasks lose. Off unless `displace_long_running` is set.

--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -144,6 +144,19 @@
         self.cpu >= other.cpu && self.mem_mb >= other.mem_mb && self.gpu >= other.gpu
     }
 
+    /// Returns how many tasks with this request fit into free resources, by CPU and memory; zero for a
+    /// request of no CPU.
+    pub(super) fn places_in(&self, free: &Self) -> i64 {
+        if self.cpu <= 0 {
+            return 0;
+        }
+        let by_memory = match self.mem_mb {
+            ..=0 => i64::MAX,
+            mem_mb => free.mem_mb / mem_mb,
+        };
+        (free.cpu / self.cpu).min(by_memory).max(0)
+    }
+
     /// Adds `other` to each resource.
     pub fn add(&mut self, other: &Self) {
         self.cpu += other.cpu;
--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -9,6 +9,8 @@
 //! - `commits`: batches of rows to store, and the effects of the writes' results.
 //! - `crashes`: tasks that crash their workers.
 //! - `dispatch`: [`Shard::poll`], which chooses workers for tasks and starts them.
+//! - `displacement`: stops long-running tasks to make room for short work that can be in time.
+//! - `disruption`: how many tasks of a step are away, which limits how many more may be stopped.
 //! - `ends`: the ends of runs, and their effects on tasks and jobs.
 //! - `evacuations`: evacuated failure domains, where nothing starts and long-running tasks move away.
 //! - `gangs`: steps whose tasks run only together.
@@ -32,6 +34,8 @@
 mod commits;
 mod crashes;
 mod dispatch;
+mod displacement;
+mod disruption;
 mod ends;
 mod evacuations;
 mod gangs;
--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -63,6 +63,7 @@
             if !self.starts_are_held() {
                 self.dispatch(now);
                 self.changed = false;
+                self.displace_long_running(now);
             }
         }
         std::mem::take(&mut self.commands)
--- a/crates/core/src/sched/shard/evacuations.rs
+++ b/crates/core/src/sched/shard/evacuations.rs
@@ -7,8 +7,8 @@
 //! - A task is stopped only if a worker elsewhere can take it now, and no other stopped task is meant
 //!   for that room.
 //! - At most [`MAX_MOVES`] are on their way at a time.
-//! - Of one step as many are away as its limit allows, one if it has none. Gangs, whose members end
-//!   together, stay until their worker leaves.
+//! - Of one step as many are away as its limit allows, one if it has none; see the module
+//!   `disruption`. Gangs, whose members end together, stay until their worker leaves.
 //! - Tasks with a checkpoint go first, since they lose least.
 
 use {
@@ -183,33 +183,6 @@
         runs.into_iter().map(|(_, name, id)| (id, name)).collect()
     }
 
-    /// Returns whether a long-running task may be stopped to move: its step isn't a gang, and fewer of
-    /// its tasks are away than it allows.
-    fn may_be_stopped(&self, name: TaskName, now: Instant) -> bool {
-        let job = self.jobs.get(&name.job);
-        let step = job.and_then(|j| Some((j, j.spec.steps.get(usize::from(name.step))?)));
-        let Some((job, step)) = step else {
-            return false;
-        };
-        let occurrence = job.occurrences.iter().find(|o| o.number == name.occurrence);
-        let tasks = occurrence.and_then(|o| o.tasks.get(usize::from(name.step)));
-        let Some(tasks) = tasks.filter(|_| !step.gang && job.outcome == JobOutcome::Open) else {
-            return false;
-        };
-        let is_at_work = |(index, task): &(usize, &super::state::Task)| {
-            let name = TaskName {
-                index: *index as u32,
-                ..name
-            };
-            task.workers.iter().any(|id| {
-                let worker = self.workers.get(id);
-                worker.is_some_and(|w| w.is_at_work(&name, now))
-            })
-        };
-        let away = tasks.len() - tasks.iter().enumerate().filter(is_at_work).count();
-        away < step.max_unavailable.map_or(1, |limit| limit as usize)
-    }
-
     /// Finds room for a task outside of the evacuated domains, and adds it to `claimed`; returns
     /// whether there is any.
     fn claim_room(
@@ -240,13 +213,3 @@
         true
     }
 }
-
-impl Worker {
-    /// Returns whether a long-running task has started up here and is not being stopped.
-    fn is_at_work(&self, name: &TaskName, now: Instant) -> bool {
-        let run = self.runs.get(name);
-        run.is_some_and(|run| {
-            matches!(run.phase, RunPhase::Running(_)) && run.progress_percent >= 100.0
-        }) && self.is_responsive(now)
-    }
-}
--- a/crates/core/src/sched/shard/jobs.rs
+++ b/crates/core/src/sched/shard/jobs.rs
@@ -189,6 +189,14 @@
         }
     }
 
+    /// Returns the time until the end of the target duration, in milliseconds, negative after that;
+    /// `None` for a scheduled job, which always counts as in time.
+    pub(super) fn time_left_ms(&self, now: Instant) -> Option<i64> {
+        let elapsed_ms = now.duration_since(self.accepted_at).as_millis() as i64;
+        let is_scheduled = self.spec.occurrences > 0;
+        (!is_scheduled).then(|| self.spec.target_duration_ms() as i64 - elapsed_ms)
+    }
+
     /// Adds the next occurrence with its stored progress, unless all its tasks are done.
     pub(super) fn add_occurrence(&mut self) {
         let number = self.next_occurrence;
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -6,6 +6,7 @@
 use {
     super::{
         dispatch::{MIN_DISPATCH_INTERVAL, PlacementKey},
+        displacement::Displacement,
         evacuations::Evacuation,
         losses::{Losses, Processes},
     },
@@ -53,6 +54,8 @@
     /// The maximum number of ended attempts in a worker's report, which has the oldest ones. A report
     /// with as many may leave out newer ones.
     pub max_listed_ends: usize,
+    /// Whether long-running tasks are stopped to make room for short work that can be in time.
+    pub displace_long_running: bool,
 }
 
 impl Default for Params {
@@ -63,6 +66,7 @@
             drain: Duration::from_secs(2),
             commit_delay: Duration::from_millis(150),
             max_listed_ends: 500,
+            displace_long_running: false,
         }
     }
 }
@@ -420,6 +424,8 @@
     pub(super) interference: Interference,
     /// The evacuated failure domains.
     pub(super) evacuation: Evacuation,
+    /// The long-running tasks that were stopped to make room for short work.
+    pub(super) displacement: Displacement,
     /// Approvals by job, occurrence and step.
     pub(super) approvals: HashMap<(JobId, u32, u16), Approvals>,
     /// The ids of workers that this dispatch holds back; see the module `waiting`.
@@ -490,6 +496,7 @@
             processes: Processes::new(now),
             interference: Interference::default(),
             evacuation: Evacuation::default(),
+            displacement: Displacement::default(),
             approvals: HashMap::default(),
             held_back_workers: HashSet::default(),
             held_back_for: None,
--- a/crates/core/src/sched/shard/summary.rs
+++ b/crates/core/src/sched/shard/summary.rs
@@ -98,6 +98,10 @@
     /// How many tasks with the largest waiting request of a kind that reserves CPU fit now, by kind
     /// in the order of [`WorkKind::ALL`].
     pub places: [i64; 3],
+    /// The long-running tasks that were stopped for short work and don't run again yet.
+    pub displaced_for_short: usize,
+    /// How many tasks this leader has stopped for short work.
+    pub displacements: u64,
     /// Whether runs of an earlier leader may be unknown; see the module `leases`.
     pub may_have_unknown_runs: bool,
 }
@@ -130,7 +134,11 @@
                 waiting.largest.cpu,
             )?;
         }
-        write!(f, " unsure={}", self.may_have_unknown_runs)
+        write!(
+            f,
+            " displaced_for_short={} displacements={} unsure={}",
+            self.displaced_for_short, self.displacements, self.may_have_unknown_runs
+        )
     }
 }
 
@@ -140,6 +148,8 @@
         let mut summary = Summary {
             workers: self.workers.len(),
             jobs: self.jobs.len(),
+            displaced_for_short: self.displaced_count(),
+            displacements: self.displacement_count(),
             may_have_unknown_runs: self.may_have_unknown_runs(now),
             ..Summary::default()
         };
@@ -160,7 +170,7 @@
             summary.best_effort_used +=
                 shares.map(|(_, s)| s).sum::<f64>() * worker.info.capacity.cpu as f64;
             for (places, request) in summary.places.iter_mut().zip(&largest) {
-                *places += places_for(&worker.free, request);
+                *places += request.places_in(&worker.free);
             }
         }
         summary
@@ -202,16 +212,3 @@
         }
     }
 }
-
-/// Returns how many tasks with a request fit into free resources, by CPU and memory; zero for a
-/// request of no CPU.
-fn places_for(free: &Resources, request: &Resources) -> i64 {
-    if request.cpu <= 0 {
-        return 0;
-    }
-    let by_memory = match request.mem_mb {
-        ..=0 => i64::MAX,
-        mem_mb => free.mem_mb / mem_mb,
-    };
-    (free.cpu / request.cpu).min(by_memory).max(0)
-}
--- a/crates/core/src/sched/shard/waiting.rs
+++ b/crates/core/src/sched/shard/waiting.rs
@@ -9,7 +9,9 @@
 //!   long-running work always gets the other half.
 //! - *Workers are drained, or tasks fail, while the rest are full.* Jobs of which a long-running task
 //!   waits that has run before come before all others, since its room is gone if anything else takes
-//!   it. Of other long-running jobs the oldest comes first.
+//!   it. Of other long-running jobs the oldest comes first. Where short work may displace long-running
+//!   tasks (see the module `displacement`), they come first among long-running jobs only, as they
+//!   would else take back the room that was made.
 //! - *Short work alone exceeds the workers.* Jobs that can be in time come first, then late ones, then
 //!   those of no use any more. Of these the one with the least remaining work comes first, which
 //!   serves the most jobs.
@@ -79,6 +81,7 @@
         let has_unknown_runs = self.has_unknown_runs;
         let reserved_cpu = self.reserved_cpu();
         let brought_forward = self.jobs_brought_forward(now);
+        let short_may_displace = self.params.displace_long_running;
         let jobs = self.jobs.iter().filter(|(_, job)| {
             job.outcome == JobOutcome::Open
                 && !(job.inherited && has_unknown_runs && !job.has_located_tasks())
@@ -94,10 +97,14 @@
                 } else {
                     job.lateness(now)
                 };
+                let is_second_kind = is_long_running != long_running_first;
+                let is_displaced = job.has_displaced_tasks();
+                let is_brought_forward =
+                    brought_forward.contains(id) || (short_may_displace && is_displaced);
                 let place = Place {
-                    is_not_displaced: !job.has_displaced_tasks(),
-                    is_second_kind: is_long_running != long_running_first,
-                    is_not_brought_forward: !brought_forward.contains(id),
+                    is_not_displaced: !is_displaced || (short_may_displace && is_second_kind),
+                    is_second_kind,
+                    is_not_brought_forward: !is_brought_forward,
                     lateness,
                     remaining_work: if is_long_running {
                         0
--- /dev/null
+++ b/crates/core/tests/overload/hard_load.rs
@@ -0,0 +1,136 @@
+//! Short jobs in a fleet that long-running work fills but for small pieces.
+
+use {
+    crate::world::{Fleet, Job, Shape, World},
+    marigoldbend_core::sched::shard::Params,
+    test_case::test_case,
+};
+
+/// Short jobs: ten tasks of 7.3 cores on average.
+const SHORT: Shape = Shape {
+    width: (10.0, 0.4),
+    cpu: (7_300.0, 0.3),
+    task_ms: (640.0, 0.4),
+    max_steps: 2,
+};
+
+/// Long-running jobs: 14 tasks of 13 cores on average.
+const LONG: Shape = Shape {
+    width: (14.0, 0.3),
+    cpu: (13_000.0, 0.2),
+    task_ms: (500.0, 0.0),
+    max_steps: 1,
+};
+
+/// A quarter of the fleet on which this was seen.
+fn fleet(displace_long_running: bool) -> Fleet {
+    Fleet {
+        workers: 88,
+        cores: (64, 64),
+        params: Params {
+            displace_long_running,
+            ..Params::default()
+        },
+        stop_ms: 500,
+        start_up_ms: 1_500,
+        max_unavailable: Some(1),
+    }
+}
+
+/// What jobs earned, as shares of what they could earn.
+#[derive(Clone, Copy, Debug, Default)]
+struct Credit {
+    short: f64,
+    useless: f64,
+    long_running: f64,
+    stops_per_s: f64,
+}
+
+const LATE_CREDIT: f64 = 0.15;
+
+fn short_credit(job: &Job) -> f64 {
+    match job.ended_ms {
+        Some(ms) if ms <= job.submitted_ms + job.target_ms => 1.0,
+        Some(_) if job.is_served() => LATE_CREDIT,
+        _ => 0.0,
+    }
+}
+
+/// Plays a fleet that long-running work fills to `held_percent`, with short jobs that arrive at
+/// `short_per_s`, for half of the time at `burst` times that rate.
+fn play(seed: u64, displaces: bool, held_percent: i64, short_per_s: f64, burst: f64) -> Credit {
+    const PLAY_MS: u64 = 60_000;
+    let mut world = World::new(&fleet(displaces), seed);
+    for _ in 0..50 {
+        world.advance();
+    }
+    let mut count = 0;
+    while world.long_running_cpu() * 100 < world.capacity() * held_percent && count < 100 {
+        world.submit_long_running(&LONG, 200_000);
+        count += 1;
+        for _ in 0..10 {
+            world.advance();
+        }
+    }
+    for _ in 0..400 {
+        world.advance();
+    }
+    let start_ms = world.now_ms;
+    let at_work = |world: &World| world.jobs.iter().map(|j| j.at_work_ms).sum::<u64>();
+    let at_work_before = at_work(&world);
+    let owed = world.jobs.iter().map(|j| j.tasks).sum::<u64>() * PLAY_MS;
+    while world.now_ms < start_ms + PLAY_MS {
+        let is_burst = (world.now_ms - start_ms) / 7_500 % 2 == 1;
+        let rate = if is_burst {
+            short_per_s * burst
+        } else {
+            short_per_s
+        };
+        for _ in 0..world.arrivals(rate) {
+            world.submit(&SHORT);
+        }
+        world.advance();
+    }
+    let short = world.jobs.iter().filter(|j| !j.is_long_running);
+    let short: Vec<_> = short
+        .filter(|j| j.submitted_ms + 4_000 < world.now_ms)
+        .collect();
+    let mean =
+        |value: fn(&Job) -> f64| short.iter().map(|j| value(j)).sum::<f64>() / short.len() as f64;
+    assert!(
+        world.longest_idle_wait_ms < 3_000,
+        "a long-running task waits beside free resources"
+    );
+    let credit = Credit {
+        short: mean(short_credit),
+        useless: mean(|j| f64::from(u8::from(!j.is_served()))),
+        long_running: (at_work(&world) - at_work_before) as f64 / owed as f64,
+        stops_per_s: world.stops as f64 * 1_000.0 / PLAY_MS as f64,
+    };
+    println!(
+        "seed={seed} displaces={displaces} held={} {credit:.3?}",
+        world.long_running_cpu() * 100 / world.capacity()
+    );
+    credit
+}
+
+/// Guards against short jobs that all become useless because long-running tasks, once started, leave
+/// them only pieces of capacity in which none fits.
+#[test_case(92, 4.4, 1.0; "even demand")]
+#[test_case(92, 4.4, 1.7; "bursts")]
+#[test_case(85, 4.4, 1.7; "bursts beside less long_running work")]
+#[test_case(92, 8.0, 1.7; "nearly twice the demand")]
+fn short_jobs_found_no_room_beside_long_running_work(
+    held_percent: i64,
+    short_per_s: f64,
+    burst: f64,
+) {
+    for seed in 1..=2 {
+        let without = play(seed, false, held_percent, short_per_s, burst);
+        let with = play(seed, true, held_percent, short_per_s, burst);
+        assert!(with.short >= 0.8 || with.short >= without.short + 0.2);
+        assert!(with.useless <= without.useless);
+        assert!(with.long_running >= 0.9);
+        assert!(with.stops_per_s <= 4.0);
+    }
+}
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -31,6 +31,7 @@
             lease: Params::default().lease.min(self.settings.max_lease),
             drain: self.settings.drain,
             max_listed_ends: worker_wire::MAX_LISTED_ENDS,
+            displace_long_running: self.settings.features.displace_long_running,
             ..Params::default()
         }
     }
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -53,6 +53,9 @@
     pub places: IntGaugeVec,
     /// CPU of the workers of led shards, by use, in thousandths of a core.
     pub cpu: IntGaugeVec,
+    /// Long-running tasks that led shards stopped for short work: those that don't run again yet, and
+    /// all since the takeover.
+    pub displacements: IntGaugeVec,
     /// Time from the start of a takeover by this instance to the end of each of its parts, in
     /// seconds.
     pub takeover: HistogramVec,
@@ -116,6 +119,11 @@
             &["kind"],
         )?;
         let cpu = gauges("mgb_cpu", "CPU of the workers, in m cores.", &["use"])?;
+        let displacements = gauges(
+            "mgb_displacements",
+            "Long-running tasks stopped for short work.",
+            &["count"],
+        )?;
         let led_shards = IntGauge::new("mgb_leads", "Shards led by this instance.")?;
         registry.register(Box::new(led_shards.clone()))?;
         let config_version = IntGauge::new(
@@ -146,6 +154,7 @@
             waiting,
             places,
             cpu,
+            displacements,
             takeover,
             led_shards,
             config_version,
@@ -187,6 +196,13 @@
         for (name, value) in values {
             self.cpu.with_label_values(&[name]).set(value);
         }
+        let values = [
+            ("away", sum(|s| s.displaced_for_short as i64)),
+            ("total", sum(|s| s.displacements as i64)),
+        ];
+        for (name, value) in values {
+            self.displacements.with_label_values(&[name]).set(value);
+        }
     }
 
     /// Writes the metrics as text.
