Serve waiting jobs by their cost of delay where displacement is on

With the new field `cost_of_delay` (set with `displace_long_running`) one cost ranks them: value still possible, by work, by time left. A job that has been of no use for 10 s comes first, one in 2 s.

Up to a third of the workers (a quarter before) may have a displaced task.

--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -8,6 +8,7 @@
 //! - `checks`: stops stuck runs and runs on draining workers.
 //! - `commits`: batches of rows to store, and the effects of the writes' results.
 //! - `crashes`: tasks that crash their workers.
+//! - `delay_cost`: the order of waiting jobs by cost of delay, where a deployment asks for it.
 //! - `dispatch`: [`Shard::poll`], which chooses workers for tasks and starts them.
 //! - `displacement`: stops long-running tasks to make room for short work that can be in time.
 //! - `disruption`: how many tasks of a step are away, which limits how many more may be stopped.
@@ -33,6 +34,7 @@
 mod checks;
 mod commits;
 mod crashes;
+mod delay_cost;
 mod dispatch;
 mod displacement;
 mod disruption;
--- a/crates/core/src/sched/shard/displacement.rs
+++ b/crates/core/src/sched/shard/displacement.rs
@@ -37,10 +37,10 @@
 const CHOICE_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The maximum number of tasks that one choice stops. Each takes two commands and one stored row.
-const MAX_STOPS: usize = 4;
+const MAX_STOPS: usize = 8;
 
 /// Tasks of one in this many workers may be displaced at a time.
-const DISPLACED_DIVISOR: usize = 4;
+const DISPLACED_DIVISOR: usize = 3;
 
 /// The minimum time that a task works after its start before it may be stopped.
 const MIN_TIME_AT_WORK: Duration = Duration::from_secs(6);
@@ -176,10 +176,11 @@
         });
         let needs = open.filter_map(|(id, job)| {
             let time_ms = job.time_left_ms(now)? - STOP_MS;
+            if job.slack_ms(now)? < STOP_MS {
+                return None;
+            }
             let (name, step) = self.first_waiting(*id, job, now)?;
-            let remaining = &job.occurrences.first()?.remaining;
-            let path_ms = job.spec.critical_path_ms(remaining) as i64;
-            (time_ms >= path_ms).then(|| Need {
+            Some(Need {
                 priority: job.spec.priority,
                 work: job.remaining_work() as i64,
                 time_ms,
--- a/crates/core/src/sched/shard/jobs.rs
+++ b/crates/core/src/sched/shard/jobs.rs
@@ -173,11 +173,7 @@
         if self.spec.occurrences > 0 {
             return Lateness::InTime;
         }
-        let remaining = self
-            .occurrences
-            .first()
-            .map_or(&[][..], |occurrence| &occurrence.remaining);
-        let remaining_ms = self.spec.critical_path_ms(remaining);
+        let remaining_ms = self.remaining_path_ms();
         let elapsed_ms = now.duration_since(self.accepted_at).as_millis() as u64;
         let target_duration_ms = self.spec.target_duration_ms();
         if elapsed_ms + remaining_ms <= target_duration_ms {
@@ -197,6 +193,20 @@
         (!is_scheduled).then(|| self.spec.target_duration_ms() as i64 - elapsed_ms)
     }
 
+    /// Returns how much later the job could start and still end within its target duration, in
+    /// milliseconds, negative if it can't; `None` for a scheduled job.
+    pub(super) fn slack_ms(&self, now: Instant) -> Option<i64> {
+        let time_left_ms = self.time_left_ms(now)?;
+        Some(time_left_ms - self.remaining_path_ms() as i64)
+    }
+
+    /// Returns the estimated duration of the longest chain of unfinished steps, in milliseconds.
+    fn remaining_path_ms(&self) -> u64 {
+        let first = self.occurrences.first();
+        let remaining = first.map_or(&[][..], |occurrence| &occurrence.remaining);
+        self.spec.critical_path_ms(remaining)
+    }
+
     /// Adds the next occurrence with its stored progress, unless all its tasks are done.
     pub(super) fn add_occurrence(&mut self) {
         let number = self.next_occurrence;
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -5,6 +5,7 @@
 
 use {
     super::{
+        delay_cost::OverdueJobs,
         dispatch::{MIN_DISPATCH_INTERVAL, PlacementKey},
         displacement::Displacement,
         evacuations::Evacuation,
@@ -56,6 +57,8 @@
     pub max_listed_ends: usize,
     /// Whether long-running tasks are stopped to make room for short work that can be in time.
     pub displace_long_running: bool,
+    /// Whether waiting jobs are served by their cost of delay.
+    pub cost_of_delay: bool,
 }
 
 impl Default for Params {
@@ -67,6 +70,7 @@
             commit_delay: Duration::from_millis(150),
             max_listed_ends: 500,
             displace_long_running: false,
+            cost_of_delay: false,
         }
     }
 }
@@ -434,6 +438,8 @@
     pub(super) held_back_for: Option<JobId>,
     /// How often the short jobs of each queue are served, by their size.
     pub(super) size_fairness: HashMap<String, SizeFairness>,
+    /// The useless jobs that come first; see the module `delay_cost`.
+    pub(super) overdue_jobs: OverdueJobs,
     /// The resources requested by tasks that found no worker in this dispatch.
     pub(super) unplaceable: HashMap<PlacementKey, Resources>,
     /// The time of the last dispatch; `None` before the first.
@@ -501,6 +507,7 @@
             held_back_workers: HashSet::default(),
             held_back_for: None,
             size_fairness: HashMap::default(),
+            overdue_jobs: OverdueJobs::default(),
             unplaceable: HashMap::default(),
             dispatched_at: None,
             dispatch_interval: MIN_DISPATCH_INTERVAL,
--- a/crates/core/src/sched/shard/waiting.rs
+++ b/crates/core/src/sched/shard/waiting.rs
@@ -47,9 +47,9 @@
 
 /// The CPU of a service's workers that each kind of task has reserved, in thousandths of a core.
 #[derive(Clone, Copy, Debug, Default)]
-struct ReservedCpu {
-    long_running: i64,
-    short: i64,
+pub(super) struct ReservedCpu {
+    pub long_running: i64,
+    pub short: i64,
 }
 
 /// The place of a job among those of its priority; the least comes first.
@@ -79,14 +79,18 @@
         self.count_useless_jobs(now);
         self.has_unknown_runs = self.may_have_unknown_runs(now);
         let has_unknown_runs = self.has_unknown_runs;
-        let reserved_cpu = self.reserved_cpu();
-        let brought_forward = self.jobs_brought_forward(now);
-        let short_may_displace = self.params.displace_long_running;
         let jobs = self.jobs.iter().filter(|(_, job)| {
             job.outcome == JobOutcome::Open
                 && !(job.inherited && has_unknown_runs && !job.has_located_tasks())
                 && job.needs_dispatch()
         });
+        if self.params.cost_of_delay {
+            let ids: Vec<_> = jobs.map(|(id, _)| *id).collect();
+            return self.order_by_delay_cost(&ids, now);
+        }
+        let reserved_cpu = self.reserved_cpu();
+        let brought_forward = self.jobs_brought_forward(now);
+        let short_may_displace = self.params.displace_long_running;
         let mut order: Vec<_> = jobs
             .map(|(id, job)| {
                 let is_long_running = job.is_long_running();
@@ -122,7 +126,7 @@
     }
 
     /// Returns what each kind of task has reserved, by service.
-    fn reserved_cpu(&self) -> HashMap<&str, ReservedCpu> {
+    pub(super) fn reserved_cpu(&self) -> HashMap<&str, ReservedCpu> {
         let mut sums: HashMap<&str, ReservedCpu> = HashMap::default();
         for worker in self.workers.values() {
             let sum = sums.entry(&worker.info.service).or_default();
@@ -162,7 +166,7 @@
 
     /// Returns the jobs that come first because jobs of their size are starved: of each queue with
     /// such a size the oldest one that is of use to its caller.
-    fn jobs_brought_forward(&self, now: Instant) -> Vec<JobId> {
+    pub(super) fn jobs_brought_forward(&self, now: Instant) -> Vec<JobId> {
         let queues = self.size_fairness.iter();
         let neglected = queues.filter_map(|(queue, f)| Some((queue, f, f.neglected_band()?)));
         let oldest = neglected.filter_map(|(queue, fairness, band)| {
@@ -266,7 +270,7 @@
 
     /// Returns whether a long-running task of the job waits that has run before, under this leader
     /// or an earlier one.
-    fn has_displaced_tasks(&self) -> bool {
+    pub(super) fn has_displaced_tasks(&self) -> bool {
         let may_have_run = self.inherited && self.started;
         let steps = self.occurrences.iter().flat_map(|occurrence| {
             let steps = self.spec.steps.iter().zip(&occurrence.tasks);
--- a/crates/core/src/sched/size_fairness.rs
+++ b/crates/core/src/sched/size_fairness.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Returns the moving average of the jobs' work; zero before the first job.
+    pub fn mean_work(&self) -> f64 {
+        self.mean_work
+    }
+
     /// Returns the band of a job.
     pub fn band(&self, work: u64) -> usize {
         let ratio = work as f64 / self.mean_work.max(1.0);
--- a/crates/core/tests/overload/hard_load.rs
+++ b/crates/core/tests/overload/hard_load.rs
@@ -29,6 +29,7 @@
         cores: (64, 64),
         params: Params {
             displace_long_running,
+            cost_of_delay: displace_long_running,
             ..Params::default()
         },
         stop_ms: 500,
@@ -134,3 +135,30 @@
         assert!(with.stops_per_s <= 4.0);
     }
 }
+
+/// Guards against jobs that wait without bound because others that can still be in time keep coming.
+#[test]
+fn a_useless_job_waited_without_bound() {
+    let params = Params {
+        cost_of_delay: true,
+        ..Params::default()
+    };
+    let fleet = Fleet {
+        params,
+        ..Fleet::small(12)
+    };
+    let mut world = World::new(&fleet, 1);
+    while world.now_ms < 40_000 {
+        // Twice the work that the workers can do.
+        for _ in 0..world.arrivals(9.0) {
+            world.submit(&SHORT);
+        }
+        world.advance();
+    }
+    let mut useless = world.jobs.iter().filter(|j| !j.is_served());
+    let job = useless.next().expect("all jobs are served");
+    let ended_ms = job.ended_ms.expect("the first useless job waits");
+    let useless_ms = job.submitted_ms + 3 * job.target_ms;
+    println!("ended {} ms after it was useless", ended_ms - useless_ms);
+    assert!(ended_ms <= useless_ms + 10_000 + 4_000);
+}
