--- a/crates/core/src/sched/shard/delay_cost.rs
+++ b/crates/core/src/sched/shard/delay_cost.rs
@@ -101,10 +101,11 @@
                 let fairness = self.size_fairness.get(&job.spec.queue);
                 job.cost_of_delay(fairness.map_or(0.0, |f| f.mean_work()), now)
             };
+            let is_brought_forward =
+                brought_forward.contains(id) || (is_long_running && job.has_displaced_tasks());
             let place = Place {
                 rule,
-                is_not_brought_forward: !brought_forward.contains(id)
-                    && !(is_long_running && job.has_displaced_tasks()),
+                is_not_brought_forward: !is_brought_forward,
                 cost: Reverse(cost),
                 accepted_at: job.accepted_at,
                 id: *id,
--- a/crates/core/tests/overload/hard_load.rs
+++ b/crates/core/tests/overload/hard_load.rs
@@ -3,6 +3,7 @@
 use {
     crate::world::{Fleet, Job, Shape, World},
     marigoldbend_core::sched::shard::Params,
+    std::time::Duration,
     test_case::test_case,
 };
 
@@ -35,6 +36,7 @@
         stop_ms: 500,
         start_up_ms: 1_500,
         max_unavailable: Some(1),
+        short_priority: 0,
     }
 }
 
@@ -57,11 +59,9 @@
     }
 }
 
-/// Plays a fleet that long-running work fills to `held_percent`, with short jobs that arrive at
-/// `short_per_s`, for half of the time at `burst` times that rate.
-fn play(seed: u64, displaces: bool, held_percent: i64, short_per_s: f64, burst: f64) -> Credit {
-    const PLAY_MS: u64 = 60_000;
-    let mut world = World::new(&fleet(displaces), seed);
+/// Returns a fleet that long-running work fills to `held_percent`.
+fn filled_world(fleet: &Fleet, seed: u64, held_percent: i64) -> World {
+    let mut world = World::new(fleet, seed);
     for _ in 0..50 {
         world.advance();
     }
@@ -76,6 +76,14 @@
     for _ in 0..400 {
         world.advance();
     }
+    world
+}
+
+/// Plays a fleet that long-running work fills to `held_percent`, with short jobs that arrive at
+/// `short_per_s`, for half of the time at `burst` times that rate.
+fn play(seed: u64, displaces: bool, held_percent: i64, short_per_s: f64, burst: f64) -> Credit {
+    const PLAY_MS: u64 = 60_000;
+    let mut world = filled_world(&fleet(displaces), seed, held_percent);
     let start_ms = world.now_ms;
     let at_work = |world: &World| world.jobs.iter().map(|j| j.at_work_ms).sum::<u64>();
     let at_work_before = at_work(&world);
@@ -162,3 +170,48 @@
     println!("ended {} ms after it was useless", ended_ms - useless_ms);
     assert!(ended_ms <= useless_ms + 10_000 + 4_000);
 }
+
+/// Guards against displacement where a rule forbids it; the simulated workers also check the limit of
+/// each step at each stop.
+#[test_case(Some(0), 0, false; "a step allows no task away")]
+#[test_case(Some(1), 1, false; "the short work is less urgent")]
+#[test_case(Some(1), 0, true; "runs of an earlier leader may be unknown")]
+fn no_task_is_displaced(max_unavailable: Option<u32>, short_priority: u8, has_silent_worker: bool) {
+    let mut fleet = Fleet {
+        max_unavailable,
+        short_priority,
+        ..fleet(true)
+    };
+    fleet.params.unknown_run_limit = Duration::from_secs(600);
+    let mut world = filled_world(&fleet, 1, 92);
+    if has_silent_worker {
+        world.add_silent_worker();
+    }
+    for _ in 0..500 {
+        for _ in 0..world.arrivals(6.0) {
+            world.submit(&SHORT);
+        }
+        world.advance();
+    }
+    assert!(world.waiting_short_jobs() > 0, "no short job waits");
+    assert_eq!(world.stops, 0);
+}
+
+/// Guards against displaced tasks that stay away after the short work has ended.
+#[test]
+fn displaced_tasks_start_again() {
+    let mut world = filled_world(&fleet(true), 1, 85);
+    for _ in 0..500 {
+        for _ in 0..world.arrivals(12.0) {
+            world.submit(&SHORT);
+        }
+        world.advance();
+    }
+    assert!(world.stops > 0);
+    for _ in 0..500 {
+        world.advance();
+    }
+    let long_running = world.jobs.iter().filter(|job| job.is_long_running);
+    let away: u64 = long_running.map(|job| world.tasks_away(job)).sum();
+    assert_eq!(away, 0);
+}
--- a/crates/core/tests/overload/world.rs
+++ b/crates/core/tests/overload/world.rs
@@ -8,7 +8,7 @@
         sched::{
             job::{JobId, JobSpec, Resources, Step, TaskName},
             progress::JobState,
-            shard::{Command, JobOrigin, Params, Shard},
+            shard::{Command, JobOrigin, Params, Shard, WorkKind},
             worker::{
                 Availability, CommandReply, EndReason, FinishedRow, Report, RunningRow, WorkerInfo,
             },
@@ -95,6 +95,8 @@
     pub start_up_ms: u64,
     /// The limit of each long-running step.
     pub max_unavailable: Option<u32>,
+    /// The priority of short jobs; that of long-running ones is zero.
+    pub short_priority: u8,
 }
 
 impl Fleet {
@@ -108,6 +110,7 @@
             stop_ms: 0,
             start_up_ms: 0,
             max_unavailable: None,
+            short_priority: 0,
         }
     }
 }
@@ -193,6 +196,12 @@
         }
     }
 
+    /// Returns how many short jobs wait.
+    pub fn waiting_short_jobs(&self) -> u32 {
+        let summary = self.shard.summary(self.now());
+        summary.waiting[WorkKind::Short as usize].jobs
+    }
+
     fn now(&self) -> Instant {
         self.base + Duration::from_millis(self.now_ms)
     }
@@ -273,6 +282,11 @@
         let spec = JobSpec {
             queue: queue.to_owned(),
             service: "s".to_owned(),
+            priority: if is_long_running {
+                0
+            } else {
+                self.fleet.short_priority
+            },
             max_attempts: 3,
             slack_percent: 150,
             extra_ms: 300,
@@ -304,6 +318,21 @@
         self.shard.add_job(id, spec, JobOrigin::New, self.now());
     }
 
+    /// Adds a worker of an earlier leader that never answers.
+    pub fn add_silent_worker(&mut self) {
+        let now = self.now();
+        self.shard.add_worker_in_use("silent", "127.0.0.2:1", now);
+    }
+
+    /// Returns how many tasks of an open long-running job are not at work.
+    pub fn tasks_away(&self, job: &Job) -> u64 {
+        let runs = self.workers.iter().flat_map(|w| &w.runs);
+        let at_work = runs.filter(|run| {
+            run.task.job == job.id && run.stopped_ms.is_none() && run.ready_ms <= self.now_ms
+        });
+        job.tasks - at_work.count() as u64
+    }
+
     /// Returns the index of a worker that runs a task of a job, by the job's index.
     pub fn worker_of(&self, job: usize) -> Option<usize> {
         let id = self.jobs[job].id;
@@ -323,6 +352,13 @@
 
     /// Advances the clock by one step: runs end, workers report, the shard stores and dispatches.
     pub fn advance(&mut self) {
+        self.prepare();
+        let commands = self.poll();
+        self.finish(commands);
+    }
+
+    /// Does what precedes a dispatch in a step.
+    pub fn prepare(&mut self) {
         self.now_ms += STEP_MS;
         let now = self.now();
         let due: Vec<_> = self
@@ -339,7 +375,16 @@
         if let Some(batch) = self.shard.take_batch(90, now) {
             self.shard.on_batch_result(&batch, true, now);
         }
-        for command in self.shard.poll(now, self.now_ms) {
+    }
+
+    /// Lets the shard dispatch; returns its commands.
+    pub fn poll(&mut self) -> Vec<Command> {
+        self.shard.poll(self.now(), self.now_ms)
+    }
+
+    /// Carries out the commands of a step, and measures what it came to.
+    pub fn finish(&mut self, commands: Vec<Command>) {
+        for command in commands {
             self.carry_out(command);
         }
         let now_ms = self.now_ms;
@@ -433,6 +478,15 @@
                 attempt,
                 ..
             } => {
+                let job = &self.jobs[task.job.0 as usize - 1];
+                if job.is_long_running && job.ended_ms.is_none() {
+                    let limit = self.fleet.max_unavailable.unwrap_or(1);
+                    let away = self.tasks_away(job);
+                    assert!(
+                        away < u64::from(limit),
+                        "{task} is stopped, {away} are away"
+                    );
+                }
                 let to = self.workers.iter_mut().find(|w| w.info.id == worker);
                 let to = to.expect("a stop on an unknown worker");
                 if let Some(run) = to.runs.iter_mut().find(|run| run.task == task) {
