Limit how long workers are held back where displacement is on

Each start into a displaced task's room resets the job's own limit, so held-back room could stay free beside waiting long-running tasks for longer than 3 s; and jobs that can't be in time held back workers as well.

--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -122,6 +122,9 @@
     /// Dispatches the open jobs in the order that the module `waiting` sets.
     fn dispatch(&mut self, now: Instant) {
         let order = self.dispatch_order(now);
+        if self.held_back_workers.is_empty() {
+            self.holding_since = None;
+        }
         self.held_back_workers.clear();
         self.held_back_for = None;
         self.unplaceable.clear();
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -436,6 +436,8 @@
     pub(super) held_back_workers: HashSet<String>,
     /// The job for which this dispatch holds back workers; `None` if there is none.
     pub(super) held_back_for: Option<JobId>,
+    /// Since when each dispatch has held back workers; `None` if the last one held back none.
+    pub(super) holding_since: Option<Instant>,
     /// How often the short jobs of each queue are served, by their size.
     pub(super) size_fairness: HashMap<String, SizeFairness>,
     /// The useless jobs that come first; see the module `delay_cost`.
@@ -506,6 +508,7 @@
             approvals: HashMap::default(),
             held_back_workers: HashSet::default(),
             held_back_for: None,
+            holding_since: None,
             size_fairness: HashMap::default(),
             overdue_jobs: OverdueJobs::default(),
             unplaceable: HashMap::default(),
--- a/crates/core/src/sched/shard/waiting.rs
+++ b/crates/core/src/sched/shard/waiting.rs
@@ -204,6 +204,10 @@
         let Some(job) = self.jobs.get_mut(&name.job) else {
             return;
         };
+        if self.params.displace_long_running && job.lateness(now) != Lateness::InTime {
+            // Long-running tasks that were displaced or lost would wait beside the room.
+            return;
+        }
         let held_since = *job.held_since.get_or_insert(now);
         if now.duration_since(held_since) >= MAX_HOLD {
             return;
@@ -214,6 +218,14 @@
             let startable = tasks.iter().filter(|t| t.is_startable(is_held, now));
             startable.count()
         });
+        if self.params.displace_long_running {
+            // Each start of a displaced task's room resets the limit of the job, so that room could stay
+            // free beside long-running tasks for longer than they may wait.
+            let since = *self.holding_since.get_or_insert(now);
+            if now.duration_since(since) >= MAX_HOLD {
+                return;
+            }
+        }
         self.held_back_for = Some(name.job);
         let max_held_back = self.workers.len() / HELD_BACK_DIVISOR + 1;
         for _ in 0..startable.min(max_held_back) {
