--- a/crates/core/src/sched/shard/delay_cost.rs
+++ b/crates/core/src/sched/shard/delay_cost.rs
@@ -14,8 +14,8 @@
 //!   reserved less of its service comes first. Long-running jobs that compete by their cost take back
 //!   the room that was made for short work whenever only late jobs wait, and are stopped again for the
 //!   next ones.
-//! - *No size is starved*; see [`size_fairness`](crate::sched::size_fairness).
 //! - *No queue pays for another's burst*; see the module `queue_shares`.
+//! - *No size of a queue is starved*; see [`size_fairness`](crate::sched::size_fairness).
 
 use {
     super::{
@@ -45,6 +45,10 @@
 /// fleet, 1.5 s left more jobs useless, and 0.5 s gave fewer jobs in time at twice the load.
 const URGENCY: Duration = Duration::from_secs(1);
 
+/// How many jobs of a starved size come first at a time. The default order makes do with one, since it
+/// does not let other jobs pass that have little time left.
+const BROUGHT_FORWARD: usize = 2;
+
 /// The cost of delay of a job that is worth its full value, has as much work as the mean of its queue
 /// and must start now.
 const UNIT_COST: f64 = 1e9;
@@ -61,12 +65,12 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 struct Place {
     rule: Rule,
-    /// Whether the job neither has a size that is starved nor, if it is long-running, a task that has
-    /// run before.
-    is_not_brought_forward: bool,
     /// Whether queues have less than their shares and the job is either not of one of them or can't be
     /// in time; false for long-running jobs.
     is_above_share: bool,
+    /// Whether the job neither has a size that is starved nor, if it is long-running, a task that has
+    /// run before.
+    is_not_brought_forward: bool,
     /// Zero for long-running jobs.
     cost: Reverse<u64>,
     accepted_at: Instant,
@@ -87,7 +91,7 @@
         let overdue = self.overdue_jobs.first.values();
         let overdue: HashSet<_> = overdue.map(|(id, _)| *id).collect();
         let reserved_cpu = self.reserved_cpu();
-        let brought_forward = self.jobs_brought_forward(now);
+        let brought_forward = self.jobs_brought_forward(BROUGHT_FORWARD, now);
         let is_in_time = |id: &&JobId| {
             let job = self.jobs.get(id);
             job.is_some_and(|j| !j.is_long_running() && j.lateness(now) == Lateness::InTime)
--- a/crates/core/src/sched/shard/waiting.rs
+++ b/crates/core/src/sched/shard/waiting.rs
@@ -89,7 +89,7 @@
             return self.order_by_delay_cost(&ids, now);
         }
         let reserved_cpu = self.reserved_cpu();
-        let brought_forward = self.jobs_brought_forward(now);
+        let brought_forward = self.jobs_brought_forward(1, now);
         let short_may_displace = self.params.displace_long_running;
         let mut order: Vec<_> = jobs
             .map(|(id, job)| {
@@ -165,11 +165,11 @@
     }
 
     /// Returns the jobs that come first because jobs of their size are starved: of each queue with
-    /// such a size the oldest one that is of use to its caller.
-    pub(super) fn jobs_brought_forward(&self, now: Instant) -> Vec<JobId> {
+    /// such a size the `count` oldest ones that are of use to their callers.
+    pub(super) fn jobs_brought_forward(&self, count: usize, now: Instant) -> Vec<JobId> {
         let queues = self.size_fairness.iter();
         let neglected = queues.filter_map(|(queue, f)| Some((queue, f, f.neglected_band()?)));
-        let oldest = neglected.filter_map(|(queue, fairness, band)| {
+        let oldest = neglected.flat_map(|(queue, fairness, band)| {
             let jobs = self.jobs.iter().filter(|(_, job)| {
                 job.spec.queue == *queue
                     && job.outcome == JobOutcome::Open
@@ -178,8 +178,9 @@
                     && fairness.band(job.total_work()) == band
                     && job.lateness(now) == Lateness::InTime
             });
-            let oldest = jobs.min_by_key(|(id, job)| (job.accepted_at, **id));
-            oldest.map(|(id, _)| *id)
+            let mut oldest: Vec<_> = jobs.map(|(id, job)| (job.accepted_at, *id)).collect();
+            oldest.sort_unstable();
+            oldest.into_iter().take(count).map(|(_, id)| id)
         });
         oldest.collect()
     }
--- a/crates/core/tests/overload/main.rs
+++ b/crates/core/tests/overload/main.rs
@@ -4,6 +4,7 @@
 mod world;
 
 use {
+    marigoldbend_core::sched::shard::Params,
     test_case::test_case,
     world::{Fleet, Job, STEP_MS, Shape, World},
 };
@@ -64,10 +65,29 @@
     }
 }
 
+/// The share that long-running work holds at first, in percent, and the long-running and the short
+/// jobs that arrive each second.
+type Load = (i64, f64, f64);
+
+/// Returns the default parameters, and those with displacement and cost of delay.
+fn both_params() -> [Params; 2] {
+    let displacing = Params {
+        displace_long_running: true,
+        cost_of_delay: true,
+        ..Params::default()
+    };
+    [Params::default(), displacing]
+}
+
 /// Plays a fleet of 54 workers: long-running work holds `held_percent` at first and grows by
 /// `long_per_s` jobs a second, while `short_per_s` short jobs arrive each second.
-fn play(seed: u64, held_percent: i64, long_per_s: f64, short_per_s: f64, end_ms: u64) -> World {
-    let mut world = World::new(&Fleet::small(54), seed);
+fn play(seed: u64, load: Load, params: Params, end_ms: u64) -> World {
+    let (held_percent, long_per_s, short_per_s) = load;
+    let fleet = Fleet {
+        params,
+        ..Fleet::small(54)
+    };
+    let mut world = World::new(&fleet, seed);
     for _ in 0..50 {
         world.advance();
     }
@@ -93,11 +113,11 @@
 }
 
 /// Returns the means of [`outcome`] over some seeds.
-fn mean_outcome(held_percent: i64, long_per_s: f64, short_per_s: f64) -> Outcome {
+fn mean_outcome(load: Load, params: Params) -> Outcome {
     const SEEDS: u64 = 4;
     let mut mean = Outcome::default();
     for seed in 1..=SEEDS {
-        let world = play(seed, held_percent, long_per_s, short_per_s, 40_000);
+        let world = play(seed, load, params, 40_000);
         let outcome = outcome(&world, world.now_ms - 40_000, world.now_ms - 4_000);
         println!(
             "seed={seed} longest_idle_wait_ms={} {outcome:?}",
@@ -122,18 +142,22 @@
 #[test_case(0.4, 2.2; "more long-running work than the workers can hold")]
 #[test_case(0.4, 4.0; "more of both kinds than the workers can hold")]
 fn long_running_jobs_that_keep_coming_starved_short_ones(long_per_s: f64, short_per_s: f64) {
-    let outcome = mean_outcome(84, long_per_s, short_per_s);
-    assert!(outcome.served >= 0.5);
-    assert!(outcome.long_running >= 0.5);
+    for params in both_params() {
+        let outcome = mean_outcome((84, long_per_s, short_per_s), params);
+        assert!(outcome.served >= 0.5);
+        assert!(outcome.long_running >= 0.5);
+    }
 }
 
 /// No size may be served less than half as often as all jobs.
 #[test_case(84, 0.4, 2.2; "beside long-running work")]
 #[test_case(0, 0.0, 80.0; "at one and a half times the work that the workers can do")]
 fn large_jobs_of_a_fleet_were_starved(held_percent: i64, long_per_s: f64, short_per_s: f64) {
-    let outcome = mean_outcome(held_percent, long_per_s, short_per_s);
-    assert!(outcome.largest_tenth >= outcome.served / 2.0);
-    assert!(outcome.fifth_below >= outcome.served / 2.0);
+    for params in both_params() {
+        let outcome = mean_outcome((held_percent, long_per_s, short_per_s), params);
+        assert!(outcome.largest_tenth >= outcome.served / 2.0);
+        assert!(outcome.fifth_below >= outcome.served / 2.0);
+    }
 }
 
 /// A long-running task that was stopped on an emptied worker waited behind new ones, since its job was
