--- a/crates/core/src/sched/shard/delay_cost.rs
+++ b/crates/core/src/sched/shard/delay_cost.rs
@@ -10,6 +10,9 @@
 //! - *No accepted job waits without bound.* Of the jobs of a service that have been of no use for
 //!   [`MAX_USELESS_WAIT`], the oldest comes first; one in [`OVERDUE_INTERVAL`], so that they take
 //!   little from jobs that can be in time.
+//! - *No long-running task stays away.* A task whose last run ended [`MAX_TIME_AWAY`] ago takes the next
+//!   room in which it fits. The room that short tasks leave is taken by the next ones, so that it would
+//!   else wait for as long as there are any.
 //! - *Neither kind of work takes the other's half.* Of long-running and short work, the one that has
 //!   reserved less of its service comes first. Long-running jobs that compete by their cost take back
 //!   the room that was made for short work whenever only late jobs wait, and are stopped again for the
@@ -38,6 +41,10 @@
 /// The minimum time between two such jobs of a service.
 const OVERDUE_INTERVAL: Duration = Duration::from_secs(2);
 
+/// How long after its last run a long-running task comes first. The platform reports a violation if,
+/// 6 s after that, there is room for it that other tasks take; several tasks may wait for one room.
+const MAX_TIME_AWAY: Duration = Duration::from_millis(3_500);
+
 /// What a late job is worth, in percent of one in time. The callers' credit is so.
 const LATE_VALUE_PERCENT: u8 = 15;
 
@@ -57,6 +64,7 @@
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 enum Rule {
     Overdue,
+    Away,
     FirstKind,
     SecondKind,
 }
@@ -105,6 +113,7 @@
             let long_running_first = reserved.is_some_and(|r| r.long_running < r.short);
             let rule = match is_long_running == long_running_first {
                 _ if overdue.contains(id) => Rule::Overdue,
+                _ if is_long_running && job.has_task_away(now) => Rule::Away,
                 true => Rule::FirstKind,
                 false => Rule::SecondKind,
             };
@@ -161,6 +170,18 @@
 }
 
 impl Job {
+    /// Returns whether the last run of any of the job's tasks ended [`MAX_TIME_AWAY`] ago.
+    pub(super) fn has_task_away(&self, now: Instant) -> bool {
+        let mut tasks = self
+            .occurrences
+            .iter()
+            .flat_map(|o| o.tasks.iter().flatten());
+        tasks.any(|task| {
+            let idle_since = task.idle_since.filter(|_| !task.done);
+            idle_since.is_some_and(|at| now.duration_since(at) >= MAX_TIME_AWAY)
+        })
+    }
+
     /// Returns whether the job has been useless to its caller for [`MAX_USELESS_WAIT`].
     fn is_overdue(&self, now: Instant) -> bool {
         let before = now.checked_sub(MAX_USELESS_WAIT);
--- a/crates/core/src/sched/shard/runs.rs
+++ b/crates/core/src/sched/shard/runs.rs
@@ -42,6 +42,9 @@
         self.changed = true;
         if let Some(task) = self.jobs.get_mut(&name.job).and_then(|j| j.task(&name)) {
             task.workers.retain(|w| w != worker_id);
+            if task.workers.is_empty() {
+                task.idle_since = Some(now);
+            }
             if let Some(losses) = task.losses.as_mut() {
                 losses.current = None;
             }
@@ -93,6 +96,7 @@
         let losses = job_task.losses.as_ref();
         let on_probation = losses.is_some_and(|losses| losses.is_suspected());
         job_task.workers.push(worker_id.to_owned());
+        job_task.idle_since = None;
         job_task.attempt = job_task.attempt.max(attempt);
         let reserved = reserved(&step);
         let best_effort_cpu = if step.best_effort {
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -330,6 +330,8 @@
     pub avoid_worker: Option<String>,
     /// The earliest time of the next start; `None` if there is no limit.
     pub not_before: Option<Instant>,
+    /// When the task's last run was removed; `None` while it has one or before its first.
+    pub idle_since: Option<Instant>,
     /// The worker that the stored row may name; see [`PlacementRecord`]. The task starts only while
     /// there is none.
     pub placement: Option<String>,
--- a/crates/core/src/sched/shard/waiting.rs
+++ b/crates/core/src/sched/shard/waiting.rs
@@ -102,11 +102,12 @@
                     job.lateness(now)
                 };
                 let is_second_kind = is_long_running != long_running_first;
-                let is_displaced = job.has_displaced_tasks();
+                let is_displaced = is_long_running && job.has_displaced_tasks();
                 let is_brought_forward =
                     brought_forward.contains(id) || (short_may_displace && is_displaced);
                 let place = Place {
-                    is_not_displaced: !is_displaced || (short_may_displace && is_second_kind),
+                    is_not_displaced: !is_displaced
+                        || (short_may_displace && is_second_kind && !job.has_task_away(now)),
                     is_second_kind,
                     is_not_brought_forward: !is_brought_forward,
                     lateness,
