Don't take over or retry writes in a cut-off failure domain

A leader counts as silent after 0.8 s, a peer as unreachable only after 1.5 s. Now a takeover from a silent leader, or from a smaller one, needs a majority heard since the leader has fallen silent. The time to a takeover from a leader that only is silent stays 1.1 s in the test.

An instance that has heard a minority for 1 s and whose calls to the store fail refuses submissions at once instead of after 0.9 s of tries, and does not repeat a write whose outcome is unknown (504).

--- a/crates/core/src/sched/leadership.rs
+++ b/crates/core/src/sched/leadership.rs
@@ -24,6 +24,15 @@
 /// domains.
 pub const PEER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// How long after a leader's last heartbeat a heartbeat of another peer shows that this instance was
+/// not cut off together with it: two heartbeats of a leader, so that the last one before a cut and the
+/// delay of the others don't count.
+const LEADER_SILENCE_BEGIN: Duration = Duration::from_millis(300);
+
+/// How long peers may be silent before an instance whose store calls fail as well counts as cut off: two
+/// heartbeats between domains and their delay.
+const CUT_OFF_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// The delay between the takeover attempts of two candidates that are next to each other in
 /// rank.
 pub const RANK_DELAY: Duration = Duration::from_millis(350);
@@ -316,13 +325,39 @@
     heard * 2 > expected
 }
 
+/// Returns whether this instance is cut off from most peers and from the store: it has heard only a
+/// minority of the instances lately, and its calls to the store fail.
+pub fn is_cut_off(store: &StoreHealth, peers: &HashMap<String, PeerView>, now: Instant) -> bool {
+    let heard = count_heard(peers, CUT_OFF_TIMEOUT, now);
+    store.failing_since.is_some() && heard * 2 < count_heard(peers, EXPECTED_PEER_WINDOW, now)
+}
+
 /// Returns how many instances this one hears, and how many it should hear, itself included in both.
 fn count_instances(peers: &HashMap<String, PeerView>, now: Instant) -> (usize, usize) {
-    let count = |period| {
-        let heard_within = |p: &&PeerView| now.duration_since(p.last_heard) < period;
-        peers.values().filter(heard_within).count() + 1
-    };
-    (count(PEER_TIMEOUT), count(EXPECTED_PEER_WINDOW))
+    let expected = count_heard(peers, EXPECTED_PEER_WINDOW, now);
+    (count_heard(peers, PEER_TIMEOUT, now), expected)
+}
+
+/// Returns how many instances this one has heard within `period`, itself included.
+fn count_heard(peers: &HashMap<String, PeerView>, period: Duration, now: Instant) -> usize {
+    let is_heard = |p: &&PeerView| now.duration_since(p.last_heard) < period;
+    peers.values().filter(is_heard).count() + 1
+}
+
+/// Returns whether this instance has heard only a minority of the instances since a leader that is
+/// silent since `silent_since` has fallen silent.
+///
+/// A peer counts as unreachable only after [`PEER_TIMEOUT`], and a leader as silent earlier. So an
+/// instance that is cut off together with others misses the leader while it still counts the peers
+/// beyond the cut as heard.
+fn is_silence_of_most(
+    peers: &HashMap<String, PeerView>,
+    silent_since: Instant,
+    now: Instant,
+) -> bool {
+    let silence = now.saturating_duration_since(silent_since + LEADER_SILENCE_BEGIN);
+    let (_, expected) = count_instances(peers, now);
+    count_heard(peers, silence.min(PEER_TIMEOUT), now) * 2 < expected
 }
 
 /// Returns whether a leader whose leadership the store last confirmed at `confirmed_at` must resign.
@@ -486,7 +521,8 @@
     let better_candidates =
         rivals.filter(|(name, p)| takeover_order(name, p.cpu_share) < own_order);
     let delay = RANK_DELAY * u32::try_from(better_candidates.count()).unwrap_or(u32::MAX);
-    if absence.is_none() && is_leader_too_small(view, delay, now) {
+    // A silent leader may be cut off from this instance only.
+    if absence.is_none() && !view.is_leader_silent(now) && is_leader_too_small(view, delay, now) {
         return Some(TakeoverReason::TooSmall);
     }
     let (reason, absent_since) =
@@ -497,6 +533,9 @@
     } else {
         Duration::ZERO
     };
+    if reason == TakeoverReason::Silent && is_silence_of_most(view.peers, silent_since, now) {
+        return None;
+    }
     // The candidates take their turns from when the store serves them.
     let due_since = absent_since + startup_delay;
     let due_since = view
--- a/crates/core/tests/leadership.rs
+++ b/crates/core/tests/leadership.rs
@@ -5,7 +5,7 @@
         hash::HashMap,
         sched::leadership::{
             LeadershipView, PeerView, RejectionCheck, StoreHealth, TakeoverDelay, TakeoverReason,
-            is_unwritten, rank, takeover_reason,
+            is_cut_off, is_unwritten, rank, takeover_reason,
         },
     },
     std::time::{Duration, Instant},
@@ -514,3 +514,112 @@
     assert!(!is_unwritten(59));
     assert!(is_unwritten(61));
 }
+
+/// How many milliseconds after a cut an instance of the cut-off domain of 10 of 30 instances takes the
+/// shard over from the leader beyond the cut, in the first 1.9 s; `None` if it does not.
+///
+/// Heartbeats of the leader and of the own domain arrive every 150 ms, and others every 450 ms, with a
+/// delay of up to `delay_ms`. `heard_domains` of the three domains are heard after the cut.
+fn takeover_after_cut(heard_domains: usize, delay_ms: u64, leader_share: u32) -> Option<u64> {
+    let start = Instant::now() + Duration::from_secs(60);
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    // The cut is 1 s after the start, right after the leader's last heartbeat or long after it.
+    const CUT_MS: u64 = 1_000;
+    (0..1_900).step_by(50).find(|after_cut| {
+        let now_ms = CUT_MS + after_cut;
+        let mut peers = HashMap::default();
+        for i in 1..30_u64 {
+            let domain = i % 3;
+            let is_near = domain == 0 || i == 1;
+            let (interval, is_heard) = (
+                if is_near { 150 } else { 450 },
+                (domain as usize) < heard_domains && i != 1,
+            );
+            let phase = i * 37 % interval;
+            let until = if is_heard { now_ms } else { CUT_MS };
+            let sent = (until - phase) / interval * interval + phase;
+            let last_heard = at((sent + i * 13 % (delay_ms + 1)).min(now_ms));
+            peers.insert(
+                format!("p{i}"),
+                PeerView {
+                    domain: format!("z{domain}"),
+                    incarnation: 5,
+                    last_heard,
+                    store_reachable: true,
+                    unreachable_since: None,
+                    served_at: None,
+                    shutting_down: false,
+                    cpu_share: if i == 1 { leader_share } else { 120 },
+                },
+            );
+        }
+        let leader_updated_at = peers["p1"].last_heard;
+        let domains = ["z0", "z1", "z2"].map(str::to_owned);
+        let view = LeadershipView {
+            own_name: "me",
+            cpu_share: 500,
+            incarnation: 1,
+            domain: "z0",
+            shard: "all",
+            domains: &domains,
+            store: REACHABLE,
+            peers: &peers,
+            since: start - Duration::from_secs(50),
+            leader: Some(("p1", 5)),
+            leader_updated_at: Some(leader_updated_at),
+            leader_since: Some(start - Duration::from_secs(1)),
+            impaired_at: None,
+            store_heartbeat_changed: None,
+        };
+        takeover_reason(&view, at(now_ms)).is_some()
+    })
+}
+
+/// Guards against a takeover by an instance of a cut-off domain, which misses the leader before it
+/// misses the peers beyond the cut.
+#[test_case(1, 0, 500, false; "the own domain is cut off")]
+#[test_case(1, 90, 500, false; "the own domain is cut off and heartbeats are delayed")]
+#[test_case(1, 0, 120, false; "the own domain is cut off from a smaller leader")]
+#[test_case(3, 0, 500, true; "only the leader is silent")]
+#[test_case(3, 90, 500, true; "only the leader is silent and heartbeats are delayed")]
+#[test_case(2, 0, 500, true; "the domain of the leader is cut off")]
+fn a_cut_off_domain_does_not_take_over(
+    heard_domains: usize,
+    delay_ms: u64,
+    leader_share: u32,
+    expected: bool,
+) {
+    let takeover = takeover_after_cut(heard_domains, delay_ms, leader_share);
+    assert_eq!(takeover.is_some(), expected, "{takeover:?}");
+    // The silent leader still counts as the first candidate, which costs one more delay.
+    assert!(takeover.is_none_or(|ms| ms <= 1_100), "{takeover:?}");
+}
+
+/// Guards against submissions that are tried until their deadline by an instance that is cut off.
+#[test_case(6, Some(300), true; "most peers are silent and calls to the store fail")]
+#[test_case(6, None, false; "most peers are silent and the store serves this instance")]
+#[test_case(2, Some(300), false; "most peers are heard and calls to the store fail")]
+fn an_instance_is_cut_off_without_peers_and_store(
+    silent_peers: usize,
+    failing_ms: Option<u64>,
+    expected: bool,
+) {
+    let now = Instant::now() + Duration::from_secs(60);
+    let ms_ago = |ms| now - Duration::from_millis(ms);
+    let peer = |i: usize| PeerView {
+        domain: "z".to_owned(),
+        incarnation: 5,
+        last_heard: ms_ago(if i < silent_peers { 1_100 } else { 900 }),
+        store_reachable: true,
+        unreachable_since: None,
+        served_at: None,
+        shutting_down: false,
+        cpu_share: 1_000,
+    };
+    let peers: HashMap<_, _> = (0..8).map(|i| (format!("p{i}"), peer(i))).collect();
+    let store = StoreHealth {
+        failing_since: failing_ms.map(ms_ago),
+        ..REACHABLE
+    };
+    assert_eq!(is_cut_off(&store, &peers, now), expected);
+}
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -33,7 +33,7 @@
             job::{JobId, JobSpec, TaskName},
             leadership::{
                 LeadershipView, MAX_HEARTBEAT_DELAY, PeerView, RejectionCheck, TakeoverDelay,
-                TakeoverReason, is_majority, is_minority, is_unconfirmed, is_unwritten,
+                TakeoverReason, is_cut_off, is_majority, is_minority, is_unconfirmed, is_unwritten,
                 takeover_reason,
             },
             progress::JobState,
--- a/crates/scheduler/src/control/publish.rs
+++ b/crates/scheduler/src/control/publish.rs
@@ -121,6 +121,7 @@
             ready,
             shutting_down: self.shutting_down,
             rejected_by_store: self.rejection.rejected_unlike().is_some(),
+            cut_off: is_cut_off(&self.store.health(), &self.peer_views, now),
         }));
     }
 }
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -308,6 +308,10 @@
             // deadline.
             return unavailable("the store rejects this instance but serves others");
         }
+        if view.cut_off {
+            log::info!("intake: job={id} is refused, this instance is cut off.");
+            return unavailable("this instance is cut off from the store and from most others");
+        }
         let expected_write_time = self.store.write_time().unwrap_or_default();
         let remaining = deadline_at.saturating_duration_since(Instant::now());
         if expected_write_time >= remaining {
@@ -393,7 +397,8 @@
     }
 
     /// Writes a transaction, with retries until the outcome is known or the time is up: at
-    /// `respond_by`, or after [`MAX_WRITE_RETRY_TIME`] if it certainly had no effect.
+    /// `respond_by`, after [`MAX_WRITE_RETRY_TIME`] if it certainly had no effect, or as soon as this
+    /// instance is cut off, as the caller can retry at another one.
     async fn write(&self, tx: &Tx, respond_by: Instant) -> Result<TxOutcome, CallError> {
         let retry_until = Instant::now() + MAX_WRITE_RETRY_TIME;
         let mut backoff = Backoff::new();
@@ -405,7 +410,9 @@
             };
             may_be_applied |= e != StoreError::NotApplied;
             let wait = backoff.next(&mut rand::rng());
-            let give_up_at = if may_be_applied {
+            let give_up_at = if self.view.load().cut_off {
+                Instant::now()
+            } else if may_be_applied {
                 respond_by
             } else {
                 respond_by.min(retry_until)
--- a/crates/scheduler/src/view.rs
+++ b/crates/scheduler/src/view.rs
@@ -65,6 +65,8 @@
     pub shutting_down: bool,
     /// Whether the store is unreachable for this instance but reachable for a peer.
     pub rejected_by_store: bool,
+    /// Whether this instance hears only a minority of its peers and its calls to the store fail.
+    pub cut_off: bool,
 }
 
 impl View {
