Let deputies renew leases while a shard's leader is silent

A leader can't renew the leases (4 s) of a failure domain that is cut off, and all runs there are lost, although instances stand beside the workers. Now a leader lends two instances of each domain the right to renew the leases there, up to an absolute end on each worker's clock (at most 9 s ahead), which it counts as granted. They pull a numbered loan every 0.8 s and use it only while they have not heard the leader for 750 ms. A worker that the leader misses is left out, and counts with the leader's own grants again once the holders have named a later loan and the ends they have renewed.

After a takeover, unknown runs may go on until the last loan of an earlier leader has passed (11.45 s instead of 6.2 s), and a worker's leases until max_lease_ms after its first report. A leader lends only while all instances heard lately wait so.

Off unless [scheduler] delegated_renewal = true and max_lease_ms is at least 8,000.

--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -6,12 +6,14 @@
 //! [`Shard`](shard::Shard) is the leader's state machine: it consumes events (a job, a worker's
 //! report, the reply to a command) and emits commands to workers and rows to store.
 
+pub mod deputy;
 pub mod evacuation;
 pub mod heartbeat_age;
 pub mod interference;
 pub mod job;
 pub mod journal;
 pub mod leadership;
+pub mod loans;
 pub mod placement;
 pub mod progress;
 pub mod queues;
--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -14,6 +14,7 @@
 //! - `gangs`: steps whose tasks run only together.
 //! - `jobs`: one job, with its occurrences, runs and stored progress.
 //! - `leases`: the expiry of leases, and the resending of commands.
+//! - `lending`: loans of the right to renew leases.
 //! - `losses`: lost processes of workers, and the tasks that ran on them.
 //! - `moves`: moves jobs to less loaded shards before they start.
 //! - `placements`: the stored placements of long-running tasks.
@@ -37,6 +38,7 @@
 mod gangs;
 mod jobs;
 mod leases;
+mod lending;
 mod losses;
 mod moves;
 mod placements;
--- a/crates/core/src/sched/shard/reports.rs
+++ b/crates/core/src/sched/shard/reports.rs
@@ -1,7 +1,7 @@
 //! The reports of workers: runs that are confirmed, found or lost.
 
 use {
-    super::state::{Command, Run, RunPhase, Shard},
+    super::state::{Command, Run, RunPhase, Shard, Worker},
     crate::{
         hash::HashSet,
         sched::{
@@ -9,7 +9,7 @@
             worker::{LeaseClock, Report, RunningRow},
         },
     },
-    std::time::Instant,
+    std::time::{Duration, Instant},
 };
 
 impl Shard {
@@ -40,6 +40,9 @@
             return;
         };
         worker.clock.sample(report.clock_ms, now);
+        if let Some(max_lease) = self.params.loaned_max_lease {
+            worker.bound_foreign_leases(report.clock_ms, is_first_report, sent_at, max_lease);
+        }
         worker.answered_at = Some(now);
         worker.connection_lost_at = None;
         self.changed |= is_first_report;
@@ -86,6 +89,12 @@
         };
         worker.incarnations += 1;
         worker.clock = LeaseClock::default();
+        if worker.was_lent
+            && let Some(max_lease) = self.params.loaned_max_lease
+        {
+            worker.clock.begin_unfenced(max_lease);
+            worker.restarted_at = Some(now);
+        }
         worker.last_reported_end = 0;
         worker.last_acked_end = 0;
         worker.omits_inherited_ends = false;
@@ -273,3 +282,27 @@
         }
     }
 }
+
+impl Worker {
+    /// Bounds the leases that calls of others than this leader may have set, from a report that was
+    /// requested at `sent_at`.
+    ///
+    /// After the first report to this leader the worker refuses calls with the tokens of earlier ones,
+    /// and after the first report that was requested with the token of its new incarnation, calls for
+    /// the former one. What was set before ends at most `max_lease` later.
+    fn bound_foreign_leases(
+        &mut self,
+        clock_ms: u64,
+        is_first_report: bool,
+        sent_at: Instant,
+        max_lease: Duration,
+    ) {
+        let is_fenced = self.restarted_at.is_some_and(|at| sent_at > at);
+        if is_fenced {
+            self.restarted_at = None;
+        }
+        if is_fenced || is_first_report {
+            self.clock.end_unfenced(clock_ms, max_lease);
+        }
+    }
+}
--- a/crates/core/src/sched/shard/restoring.rs
+++ b/crates/core/src/sched/shard/restoring.rs
@@ -199,6 +199,10 @@
             self.on_report(&id, &last.report, last.sent_at, now, unix_ms);
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.clock = restored.clock;
+                if let Some(max_lease) = self.params.loaned_max_lease {
+                    // The worker refuses calls of earlier leaders since it has answered this one.
+                    worker.clock.end_unfenced(last.report.clock_ms, max_lease);
+                }
                 worker.answered_at = Some(last.arrived_at);
             }
         }
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -14,6 +14,7 @@
         sched::{
             interference::{Image, Interference, PairEstimate, Pressure},
             job::{JobId, JobSpec, Resources, TaskName},
+            loans::{LoanLedger, MAX_LOAN},
             progress::{JobOutcome, LossRecord, PlacementRecord, Progress, TaskRecord},
             size_fairness::SizeFairness,
             throttle::Throttle,
@@ -37,6 +38,9 @@
 /// The delay before a failed move of a job to another shard is retried.
 const MOVE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// What a loan's caps may pass late by, besides the drift of clocks: the same margin as for leases.
+const LOAN_MARGIN: Duration = Duration::from_millis(100);
+
 /// Durations and limits set by the deployment.
 #[derive(Clone, Copy, Debug)]
 pub struct Params {
@@ -53,6 +57,9 @@
     /// The maximum number of ended attempts in a worker's report, which has the oldest ones. A report
     /// with as many may leave out newer ones.
     pub max_listed_ends: usize,
+    /// The maximum duration of a lease on a worker, if this leader lends the right to renew leases or
+    /// an earlier one may have; `None` if none does.
+    pub loaned_max_lease: Option<Duration>,
 }
 
 impl Default for Params {
@@ -63,6 +70,24 @@
             drain: Duration::from_secs(2),
             commit_delay: Duration::from_millis(150),
             max_listed_ends: 500,
+            loaned_max_lease: None,
+        }
+    }
+}
+
+impl Params {
+    /// Adds loans of the right to renew leases, on workers whose leases last at most `max_lease`; see
+    /// [`loans`](crate::sched::loans).
+    ///
+    /// Runs of an earlier leader may then continue until its last loan has passed, on a clock that is 2%
+    /// slow and whose estimate may be ahead by that share of the age of the last report.
+    #[must_use]
+    pub fn with_loans(self, max_lease: Duration) -> Self {
+        let extra = max_lease.min(MAX_LOAN).saturating_sub(self.lease);
+        Self {
+            unknown_run_limit: self.unknown_run_limit + extra * 103 / 100 + LOAN_MARGIN,
+            loaned_max_lease: Some(max_lease),
+            ..self
         }
     }
 }
@@ -248,6 +273,11 @@
     pub incarnations: u64,
     /// The worker's clock as estimated from its reports, and the end of its leases.
     pub clock: LeaseClock,
+    /// Whether a loan of this leader has ever named the worker.
+    pub was_lent: bool,
+    /// When this leader observed a restart of the worker since which its new fencing token may not have
+    /// reached the worker; `None` if it has, or there was none.
+    pub restarted_at: Option<Instant>,
     /// When the leader first found the worker's leases expired; `None` while the worker responds.
     pub leases_expired_at: Option<Instant>,
     /// When the worker's last report arrived; `None` before the first.
@@ -420,6 +450,8 @@
     pub(super) interference: Interference,
     /// The evacuated failure domains.
     pub(super) evacuation: Evacuation,
+    /// The loans that may be in use.
+    pub(super) loans: LoanLedger,
     /// Approvals by job, occurrence and step.
     pub(super) approvals: HashMap<(JobId, u32, u16), Approvals>,
     /// The ids of workers that this dispatch holds back; see the module `waiting`.
@@ -490,6 +522,7 @@
             processes: Processes::new(now),
             interference: Interference::default(),
             evacuation: Evacuation::default(),
+            loans: LoanLedger::default(),
             approvals: HashMap::default(),
             held_back_workers: HashSet::default(),
             held_back_for: None,
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -302,6 +302,8 @@
             draining_since: draining.then_some(now),
             incarnations: 0,
             clock: LeaseClock::default(),
+            was_lent: false,
+            restarted_at: None,
             leases_expired_at: None,
             answered_at: None,
             connection_lost_at: None,
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -140,6 +140,11 @@
     sample: Option<(u64, Instant)>,
     /// The latest end of a granted lease, on the worker's clock.
     granted_until_ms: u64,
+    /// The latest end to which another instance may still renew a lease under a loan; zero if none may.
+    lent_until_ms: u64,
+    /// By how much leases may end after `granted_until_ms`, in milliseconds, since calls for an earlier
+    /// incarnation of the worker may have reached this one; zero if they have not.
+    unfenced_ms: u64,
 }
 
 impl LeaseClock {
@@ -170,6 +175,42 @@
         Some(until_ms)
     }
 
+    /// Returns the end of a lease of `length` on the worker's clock, in milliseconds, without a grant;
+    /// `None` if the worker has not reported its clock.
+    pub fn end_of(&self, length: Duration, now: Instant) -> Option<u64> {
+        let (clock_ms, received_at) = self.sample?;
+        Some(clock_ms + ms(now.duration_since(received_at)) + ms(length))
+    }
+
+    /// Records that leases up to `until_ms` on the worker's clock may have been granted.
+    pub fn record_grant(&mut self, until_ms: u64) {
+        self.granted_until_ms = self.granted_until_ms.max(until_ms);
+    }
+
+    /// Sets the latest end to which another instance may still renew a lease, in milliseconds on the
+    /// worker's clock; zero if none may.
+    pub fn set_lent_until(&mut self, until_ms: u64) {
+        self.lent_until_ms = until_ms;
+    }
+
+    /// Records that until [`LeaseClock::end_unfenced`] the worker may carry out calls that were meant
+    /// for its earlier incarnation, each of which sets a lease end at most `max_lease` ahead.
+    pub fn begin_unfenced(&mut self, max_lease: Duration) {
+        self.unfenced_ms = ms(max_lease);
+    }
+
+    /// Returns whether such calls may still be carried out.
+    pub fn is_unfenced(&self) -> bool {
+        self.unfenced_ms > 0
+    }
+
+    /// Records that when its clock read `clock_ms`, the worker had begun to refuse calls other than this
+    /// leader's, and may have carried out some before that set a lease end at most `max_lease` ahead.
+    pub fn end_unfenced(&mut self, clock_ms: u64, max_lease: Duration) {
+        self.unfenced_ms = 0;
+        self.record_grant(clock_ms + ms(max_lease));
+    }
+
     /// Returns whether every granted lease has certainly ended, even if the worker's clock runs
     /// slow.
     ///
@@ -180,7 +221,8 @@
         };
         let min_elapsed_ms =
             ms(now.duration_since(received_at)) * (1_000 - CLOCK_DRIFT_PER_MILLE) / 1_000;
-        clock_ms + min_elapsed_ms > self.granted_until_ms + EXPIRY_MARGIN_MS
+        let until_ms = self.granted_until_ms.max(self.lent_until_ms) + self.unfenced_ms;
+        clock_ms + min_elapsed_ms > until_ms + EXPIRY_MARGIN_MS
     }
 }
 
--- a/crates/core/tests/shard_model/main.rs
+++ b/crates/core/tests/shard_model/main.rs
@@ -188,6 +188,38 @@
     assert_eq!(run_world(seed, Mutant::None, Scenario::Crashes), None);
 }
 
+/// The number of seeds with cuts that are simulated with all rules in force.
+const CUT_SEEDS: u64 = 600;
+
+/// Guards against tasks that run twice since their leases are renewed by a deputy in a failure domain that
+/// is cut off.
+#[test_case(0; "with leaders that read no rows")]
+#[test_case(700; "with leaders that read rows at a fast link")]
+fn deputies_keep_the_rules(reading_ms: u64) {
+    for seed in 0..CUT_SEEDS {
+        if let Some(violation) = run_slow_world(seed, Mutant::None, Scenario::Cuts, reading_ms) {
+            panic!("seed {seed}: {violation}");
+        }
+    }
+}
+
+/// Guards against loans that do not outlast a cut, and against a model in which deputies do nothing.
+#[test]
+fn no_lease_expires_in_a_cut_of_six_seconds() {
+    let lapsed = |mutant| {
+        let seeds = 0..40;
+        let runs = seeds.map(|seed| {
+            let mut world = World::new(seed, mutant, Scenario::Cuts, 0, MAX_LISTED_ENDS);
+            world.run_through_cut(6_000);
+            assert_eq!(world.violation, None, "seed {seed}");
+            world.lapsed_runs
+        });
+        runs.sum::<u32>()
+    };
+    assert_eq!(lapsed(Mutant::None), 0);
+    assert!(lapsed(Mutant::NoLoans) >= 40);
+}
+
 #[test_case(Mutant::AckBeforeStore, Scenario::Crashes, MAX_LISTED_ENDS; "ended attempts are acknowledged before they are stored")]
 #[test_case(Mutant::AckAcrossRestart, Scenario::Crashes, MAX_LISTED_ENDS; "ended attempts are acknowledged by a stale number")]
 #[test_case(Mutant::UnconditionalWrites, Scenario::Crashes, MAX_LISTED_ENDS; "writes are applied after newer ones")]
@@ -198,6 +230,11 @@
 #[test_case(Mutant::StartOnUnstoredWorkers, Scenario::Replacements, MAX_LISTED_ENDS; "tasks start on workers that are not in the list")]
 #[test_case(Mutant::RestartBeforeStore, Scenario::LongRunningJobs, MAX_LISTED_ENDS; "long_running tasks restart before that is stored")]
 #[test_case(Mutant::IgnorePlacedWorker, Scenario::LongRunningJobs, MAX_LISTED_ENDS; "long_running tasks restart beside an unanswered worker")]
+#[test_case(Mutant::IgnoreCaps, Scenario::Cuts, MAX_LISTED_ENDS; "deputies renew leases beyond the cap")]
+#[test_case(Mutant::ForgetLoans, Scenario::Cuts, MAX_LISTED_ENDS; "leaders do not wait for loans that may be in use")]
+#[test_case(Mutant::HideRenewals, Scenario::Cuts, MAX_LISTED_ENDS; "deputies do not report renewed leases")]
+#[test_case(Mutant::ShortWaitForLoans, Scenario::Cuts, MAX_LISTED_ENDS; "new leaders do not wait for loans of earlier ones")]
+#[test_case(Mutant::KeepOldLoans, Scenario::Cuts, MAX_LISTED_ENDS; "deputies use loans that they have returned")]
 #[test_case(Mutant::IgnoreLeftOutEnds, Scenario::Crashes, 3; "reports that leave out ended attempts are treated as complete")]
 fn mutant_is_detected(mutant: Mutant, scenario: Scenario, max_listed_ends: usize) {
     // Some seeds fail with all rules in force.
--- a/crates/core/tests/shard_model/world.rs
+++ b/crates/core/tests/shard_model/world.rs
@@ -3,11 +3,13 @@
 //! Names that end in `_ms` are simulated times or durations in milliseconds. The simulated clock
 //! also serves as Unix time and as the workers' clock.
 
+mod deputies;
 mod leaders;
 mod network;
 mod workers;
 
 use {
+    deputies::{Cut, SimulatedDeputy},
     leaders::{Leader, worker_in_use},
     marigoldbend_core::{
         hash::{HashMap, HashSet},
@@ -53,6 +55,18 @@
     StartOnUnstoredWorkers,
     /// Leaders treat reports that leave out ended attempts as complete.
     IgnoreLeftOutEnds,
+    /// Leaders lend nothing. This breaks no rule, but more runs end with their leases.
+    NoLoans,
+    /// Deputies renew leases beyond the cap.
+    IgnoreCaps,
+    /// Leaders treat each loan as dropped as soon as another one is requested.
+    ForgetLoans,
+    /// Deputies do not report to which ends they have renewed leases.
+    HideRenewals,
+    /// New leaders wait for unknown runs as if no earlier leader had lent anything.
+    ShortWaitForLoans,
+    /// Deputies go on with the caps of earlier loans when they have received a later one.
+    KeepOldLoans,
 }
 
 /// What happens beside the faults of messages and leaders.
@@ -65,6 +79,9 @@
     /// The same, while some jobs are long-running. Until the faults end, a worker that has crashed
     /// returns after all messages to its previous process.
     LongRunningJobs,
+    /// One of two failure domains is cut off from the leaders, both ways or one way, while two deputies
+    /// there may renew leases. Some jobs are long-running.
+    Cuts,
 }
 
 /// The time between two steps of the simulation, in milliseconds.
@@ -73,6 +90,9 @@
 /// The duration of the phase with faults, in milliseconds.
 const FAULTS_MS: u64 = 14_000;
 
+/// The same with cuts: the first leader, like each later one, waits 11.5 s for loans of earlier ones.
+const CUT_FAULTS_MS: u64 = 40_000;
+
 /// The duration of the phase without faults that follows, in milliseconds.
 const CALM_MS: u64 = 22_000;
 
@@ -105,6 +125,11 @@
     base: Instant,
     now_ms: u64,
     workers: Vec<Worker>,
+    deputies: Vec<SimulatedDeputy>,
+    /// The cut between the leaders and the domain of the deputies.
+    cut: Cut,
+    /// The number of runs that ended with their lease.
+    pub lapsed_runs: u32,
     /// All leaders so far, in the order of their takeovers.
     leaders: Vec<Leader>,
     /// The messages in transit, with their delivery times in milliseconds.
@@ -214,6 +239,13 @@
             base: Instant::now(),
             now_ms: 1_000,
             workers: (0..worker_count).map(worker).collect(),
+            deputies: if scenario == Scenario::Cuts {
+                (0..2).map(SimulatedDeputy::new).collect()
+            } else {
+                Vec::new()
+            },
+            cut: Cut::default(),
+            lapsed_runs: 0,
             leaders: Vec::new(),
             messages: Vec::new(),
             lease_token: 0,
@@ -237,7 +269,11 @@
 
     /// Runs the phase with faults and the phase without, then checks that all jobs are completed.
     pub fn run(&mut self) {
-        let faults_until_ms = self.now_ms + FAULTS_MS;
+        let faults_ms = match self.scenario {
+            Scenario::Cuts => CUT_FAULTS_MS,
+            _ => FAULTS_MS,
+        };
+        let faults_until_ms = self.now_ms + faults_ms;
         let calm_until_ms = faults_until_ms + CALM_MS;
         let end_ms = faults_until_ms + MAX_CALM_MS;
         while self.violation.is_none()
@@ -311,7 +347,7 @@
             let id = JobId(self.jobs.len() as u64 + 1);
             let tasks = self.rng.random_range(1..4);
             self.jobs.push((id, spec(self.lease_token, tasks)));
-            if self.chance_per_mille(CRASHING_JOBS_PER_MILLE) {
+            if self.scenario != Scenario::Cuts && self.chance_per_mille(CRASHING_JOBS_PER_MILLE) {
                 self.crashing.insert(TaskName {
                     job: id,
                     occurrence: 0,
@@ -320,10 +356,12 @@
                 });
             }
         }
-        if self.chance_per_mille(2) {
+        // Most cuts must pass without a change of leaders.
+        let is_rare = self.scenario == Scenario::Cuts;
+        if self.chance_per_mille(2) && (!is_rare || self.chance_per_mille(80)) {
             self.take_over();
         }
-        if self.chance_per_mille(2) {
+        if self.chance_per_mille(2) && (!is_rare || self.chance_per_mille(80)) {
             let i = self.rng.random_range(0..self.leaders.len());
             if i + 1 < self.leaders.len() || self.chance_per_mille(300) {
                 self.leaders[i].alive = false;
@@ -338,13 +376,13 @@
         // Workers that leave add to the crashes, and long-running tasks are lost with each.
         let crashes_per_mille = match self.scenario {
             Scenario::Crashes | Scenario::Replacements => 2,
-            Scenario::LongRunningJobs => 1,
+            Scenario::LongRunningJobs | Scenario::Cuts => 1,
         };
         if self.chance_per_mille(crashes_per_mille) {
             let i = self.rng.random_range(0..self.workers.len());
             self.crash(i);
         }
-        if self.chance_per_mille(3) {
+        if self.chance_per_mille(3) && (!is_rare || self.chance_per_mille(250)) {
             let i = self.rng.random_range(0..self.workers.len());
             let leader_token = self.rng.random_range(0..=self.lease_token);
             let unreachable_ms = self.rng.random_range(200..7_000);
@@ -356,8 +394,11 @@
         if !self.leaders.iter().any(|l| l.alive) && self.chance_per_mille(20) {
             self.take_over();
         }
+        if self.scenario == Scenario::Cuts {
+            self.inject_cuts();
+        }
         if self.scenario != Scenario::Crashes {
-            if self.scenario == Scenario::LongRunningJobs
+            if matches!(self.scenario, Scenario::LongRunningJobs | Scenario::Cuts)
                 && self.long_running_jobs < MAX_LONG_RUNNING_JOBS
                 && self.chance_per_mille(2)
             {
@@ -368,7 +409,9 @@
                 self.long_running_jobs += 1;
             }
             for i in 0..self.workers.len() {
-                self.change_listing(i);
+                if self.scenario != Scenario::Cuts {
+                    self.change_listing(i);
+                }
             }
         }
     }
@@ -402,6 +445,10 @@
     /// Makes all workers reachable, restarts those that are down, and ensures that the newest leader
     /// is alive.
     fn remove_faults(&mut self) {
+        self.cut = Cut::default();
+        for deputy in &mut self.deputies {
+            deputy.paused_until_ms = 0;
+        }
         for worker in &mut self.workers {
             worker.listing = Listing::Ready;
             worker.unreachable_until_ms.clear();
@@ -426,5 +473,8 @@
         for i in 0..self.leaders.len() {
             self.run_leader(i);
         }
+        for i in 0..self.deputies.len() {
+            self.run_deputy(i);
+        }
     }
 }
--- a/crates/core/tests/shard_model/world/leaders.rs
+++ b/crates/core/tests/shard_model/world/leaders.rs
@@ -2,7 +2,8 @@
 
 use {
     super::{
-        Mutant, World,
+        Mutant, Scenario, World,
+        deputies::{MAX_LEASE, worker_domain},
         network::{Message, ReportRequest},
         workers::Listing,
     },
@@ -55,12 +56,12 @@
     id[1..].parse().expect("a worker id is `w` and a number")
 }
 
-fn worker_info(index: usize, listing: Listing) -> WorkerInfo {
+pub(super) fn worker_info(index: usize, listing: Listing) -> WorkerInfo {
     WorkerInfo {
         id: format!("w{index}"),
         service: "s".to_owned(),
         address: format!("127.0.0.1:{index}"),
-        domain: "z".to_owned(),
+        domain: worker_domain(index).to_owned(),
         availability: if listing == Listing::Draining {
             Availability::Draining
         } else {
@@ -83,9 +84,21 @@
             Mutant::IgnoreLeftOutEnds => usize::MAX,
             _ => self.max_listed_ends,
         };
-        Params {
+        let params = Params {
             max_listed_ends,
             ..Params::default()
+        };
+        if self.scenario != Scenario::Cuts {
+            return params;
+        }
+        let lending = params.with_loans(MAX_LEASE);
+        match self.mutant {
+            Mutant::NoLoans => params,
+            Mutant::ShortWaitForLoans => Params {
+                unknown_run_limit: params.unknown_run_limit,
+                ..lending
+            },
+            _ => lending,
         }
     }
 
--- a/crates/core/tests/shard_model/world/network.rs
+++ b/crates/core/tests/shard_model/world/network.rs
@@ -9,8 +9,10 @@
         workers::{Listing, Running},
     },
     marigoldbend_core::sched::{
+        deputy::RenewalCall,
         job::{JobId, TaskName},
         journal::{Write, WriteResult},
+        loans::{Loan, LoanRequest},
         progress::{PlacementRecord, Progress},
         shard::Command,
         worker::{CommandReply, Report, RunningRow},
@@ -56,6 +58,15 @@
     /// A worker's report: the leader's token, the worker's index, the report, and when the request
     /// was sent, in milliseconds.
     Report(u64, usize, Report, u64),
+    /// A deputy's request for a loan: the index of the deputy, and the request.
+    LoanRequest(usize, LoanRequest),
+    /// A leader's loan: the index of the deputy, the request and the loan.
+    Loan(usize, LoanRequest, Loan),
+    /// A deputy's call to a worker: the index of the deputy, the call, and when it was sent.
+    RenewalCall(usize, RenewalCall, u64),
+    /// A worker's reply to a deputy: its index, the call, when that was sent, and the worker's start and
+    /// clock; `None` if the worker refused the call.
+    RenewalReply(usize, RenewalCall, u64, Option<(u64, u64)>),
     /// A write to the store: the leader's token, the write, and whether the leader's wait for the
     /// result times out before the write arrives.
     Write(u64, Write, bool),
@@ -131,6 +142,14 @@
                 }
             }
             Message::ReportRequest(request) => self.handle_report_request(&request),
+            Message::LoanRequest(deputy, request) => self.handle_loan_request(deputy, request),
+            Message::Loan(deputy, request, loan) => self.handle_loan(deputy, &request, loan),
+            Message::RenewalCall(deputy, call, sent_ms) => {
+                self.handle_renewal(deputy, call, sent_ms)
+            }
+            Message::RenewalReply(deputy, call, sent_ms, reply) => {
+                self.handle_renewal_reply(deputy, &call, sent_ms, reply)
+            }
             Message::Write(leader_token, write, timed_out) => {
                 self.handle_write(leader_token, write, timed_out)
             }
@@ -168,6 +187,9 @@
                     self.instant_at(sent_ms),
                     self.now_ms,
                 );
+                if self.is_cut_from(worker_index) {
+                    return;
+                }
                 if let Some(leader) = self.active_leader(leader_token) {
                     leader.incarnations[worker_index] = Some(report.started_ms);
                     let id = format!("w{worker_index}");
--- a/crates/core/tests/shard_model/world/workers.rs
+++ b/crates/core/tests/shard_model/world/workers.rs
@@ -102,6 +102,10 @@
                 .filter(|(_, r)| r.ends_at_ms <= self.now_ms || r.lease_until_ms <= self.now_ms)
                 .map(|(task, r)| (*task, r.attempt, r.ends_at_ms <= self.now_ms))
                 .collect();
+            if self.cut.until_ms > 0 {
+                let lapsed = ended.iter().filter(|(_, _, done)| !done);
+                self.lapsed_runs += lapsed.count() as u32;
+            }
             for (task, attempt, done) in ended {
                 worker.running.remove(&task);
                 if done {
@@ -170,6 +174,15 @@
             },
             lease_until_ms,
         };
+        let running = Running {
+            // A lease end applies to all runs on the worker.
+            lease_until_ms: if self.scenario == Scenario::Cuts {
+                lease_until_ms.max(worker.lease_until_ms)
+            } else {
+                lease_until_ms
+            },
+            ..running
+        };
         worker.running.insert(task, running);
         worker.lease_until_ms = worker.lease_until_ms.max(lease_until_ms);
         self.check_start(worker_index, task);
@@ -189,7 +202,7 @@
     pub(super) fn crash(&mut self, worker_index: usize) {
         let down_ms = match self.scenario {
             Scenario::Crashes | Scenario::Replacements => 50..6_000,
-            Scenario::LongRunningJobs => MAX_DELAY_MS..2 * MAX_DELAY_MS,
+            Scenario::LongRunningJobs | Scenario::Cuts => MAX_DELAY_MS..2 * MAX_DELAY_MS,
         };
         let down_ms = self.rng.random_range(down_ms);
         self.last_crash_ms = self.now_ms;
@@ -289,6 +302,7 @@
     pub(super) fn is_reachable(&self, leader_token: u64, worker_index: usize) -> bool {
         let worker = &self.workers[worker_index];
         worker.up
+            && !self.is_cut_to(worker_index)
             && worker
                 .unreachable_until_ms
                 .get(&leader_token)
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -404,6 +404,7 @@
         Call::Offer(offer) => router.serve_offer(offer).await,
         // Only instances that schedule jobs (module `scheduling`) have shards.
         Call::JobState { .. } => Reply::JobState(None),
+        Call::Loan(_) => Reply::Loan(None),
         Call::Snapshot(domain) => {
             let directory = router.directory();
             let (version, row) = &directory.row;
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -398,7 +398,7 @@
             },
             Ok(Reply::NotRun { .. }) => ("not-run", None),
             Ok(Reply::Unknown { reason }) => ("unknown", Some(RequestOutcome::Unknown(reason))),
-            Ok(Reply::Snapshot(_) | Reply::JobState(_)) => (
+            Ok(Reply::Snapshot(_) | Reply::JobState(_) | Reply::Loan(_)) => (
                 "unknown",
                 Some(unknown("the peer sent a reply that does not fit an offer")),
             ),
--- a/crates/entry/src/scheduling.rs
+++ b/crates/entry/src/scheduling.rs
@@ -22,7 +22,8 @@
     },
     marigoldbend_scheduler::{
         control::{
-            Control, Event, GetJobState, HasResignedAll, TICK, deliver_urgent_event, send_event,
+            Control, Event, GetJobState, GetLoan, HasResignedAll, TICK, deliver_urgent_event,
+            send_event,
         },
         intake::Intake,
         metrics::{Metrics, MetricsError},
@@ -246,6 +247,10 @@
             let state = actor.send(GetJobState(shard, job)).await;
             Reply::JobState(state.ok().flatten())
         }
+        Call::Loan(request) => {
+            let loan = actor.send(GetLoan(request)).await;
+            Reply::Loan(loan.ok().flatten())
+        }
         Call::Offer(_) | Call::Snapshot(_) => Reply::NotRun {
             reason: "this instance schedules jobs only".to_owned(),
         },
--- a/crates/peer/src/call.rs
+++ b/crates/peer/src/call.rs
@@ -6,7 +6,11 @@
         config::Config,
         ids::{Domain, Version},
         ownership::DomainRow,
-        sched::{job::JobId, progress::JobState},
+        sched::{
+            job::JobId,
+            loans::{Loan, LoanRequest},
+            progress::JobState,
+        },
     },
     serde::{Deserialize, Serialize},
     snafu::Snafu,
@@ -88,6 +92,8 @@
         /// The job.
         job: JobId,
     },
+    /// Asks the leader of a shard for a loan.
+    Loan(LoanRequest),
 }
 
 /// The reply to a call.
@@ -109,6 +115,8 @@
     Snapshot(Box<Snapshot>),
     /// The job's state; `None` if the instance does not lead the shard or has no such job.
     JobState(Option<JobState>),
+    /// The loan; `None` if the instance lends nothing.
+    Loan(Option<Loan>),
 }
 
 /// A call or a reply, with the id by which a reply is matched to its call.
--- a/crates/peer/src/heartbeat.rs
+++ b/crates/peer/src/heartbeat.rs
@@ -81,6 +81,10 @@
     /// lately, also if its holder does not lead yet; empty from a sender of an earlier version.
     #[serde(skip)]
     pub newest_tokens: Vec<(String, u64)>,
+    /// Whether the sender, as a leader, waits for loans that earlier leaders have made; false from a
+    /// sender of an earlier version.
+    #[serde(skip)]
+    pub waits_for_loans: bool,
 }
 
 impl Heartbeat {
@@ -93,7 +97,13 @@
         let store_age_ms = self
             .store_age
             .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
-        let message = (self, self.cpu_share, store_age_ms, &self.newest_tokens);
+        let message = (
+            self,
+            self.cpu_share,
+            store_age_ms,
+            &self.newest_tokens,
+            self.waits_for_loans,
+        );
         frame::encode(MAGIC, MAX_BYTES, &message).ok_or(HeartbeatError::TooLong)
     }
 
@@ -106,13 +116,15 @@
         let body = buf.strip_prefix(MAGIC).ok_or(HeartbeatError::Damaged)?;
         let decoded = postcard::take_from_bytes::<Self>(body);
         let (heartbeat, rest) = decoded.map_err(|_| HeartbeatError::Damaged)?;
-        // Earlier versions end after the first, the second or the third part.
+        // Earlier versions end after any of the parts.
         let (cpu_share, rest) = take_or_default::<u32>(rest)?;
         let (store_age_ms, rest) = take_or_default::<Option<u32>>(rest)?;
-        let (newest_tokens, _) = take_or_default(rest)?;
+        let (newest_tokens, rest) = take_or_default(rest)?;
+        let (waits_for_loans, _) = take_or_default(rest)?;
         Ok(Self {
             cpu_share,
             newest_tokens,
+            waits_for_loans,
             store_age: store_age_ms.map(|ms| Duration::from_millis(ms.into())),
             ..heartbeat
         })
--- a/crates/peer/tests/heartbeat.rs
+++ b/crates/peer/tests/heartbeat.rs
@@ -29,6 +29,7 @@
         cpu_share,
         store_age,
         newest_tokens: Vec::new(),
+        waits_for_loans: false,
     }
 }
 
@@ -38,6 +39,7 @@
 fn heartbeat_is_decoded(store_age: Option<Duration>) {
     let sent = Heartbeat {
         newest_tokens: vec![("all".to_owned(), 3)],
+        waits_for_loans: false,
         ..heartbeat(69, store_age)
     };
     let buf = sent.encode().expect("a short heartbeat");
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -1,5 +1,6 @@
 //! The control thread: peers, shard leadership, the configuration and the list of workers.
 
+mod delegation;
 mod effects;
 mod events;
 mod leadership;
@@ -8,8 +9,10 @@
 mod restoring;
 mod watches;
 
+pub use delegation::RenewalResult;
+
 pub use events::{
-    Event, GetJobState, HasResignedAll, NextReportRequest, QueuedEvent, deliver_event,
+    Event, GetJobState, GetLoan, HasResignedAll, NextReportRequest, QueuedEvent, deliver_event,
     deliver_urgent_event, send_event,
 };
 
@@ -26,6 +29,7 @@
         watch::{self, CatchUp, Update, WatchEvent, WatchTarget},
     },
     arc_swap::ArcSwap,
+    delegation::Delegation,
     marigoldbend_core::{
         clock::Clock,
         hash::{HashMap, HashSet},
@@ -85,6 +89,8 @@
     discovered_at: Instant,
     /// When this instance last sent a heartbeat to the peer; `None` before the first.
     heartbeat_sent: Option<Instant>,
+    /// Whether the peer, as a leader, waits for loans of earlier leaders.
+    waits_for_loans: bool,
 }
 
 /// The leadership of one shard, as seen by this instance in heartbeats and the store. It does not
@@ -184,6 +190,8 @@
     rejection: RejectionCheck,
     /// When calls to the store were last sent again because it serves a peer; `None` if never.
     store_retried_at: Option<Instant>,
+    /// The loans of the right to renew leases.
+    delegation: Delegation,
 }
 
 impl Actor for Control {
@@ -214,7 +222,7 @@
         let now = clock.now();
         let leadership = settings.shards.iter();
         let leadership = leadership.map(|s| (s.name.clone(), ShardLeadership::default()));
-        Self {
+        let mut control = Self {
             leadership: leadership.collect(),
             approval_service: settings.advice.map(|a| Arc::new(ConnectionPool::new(a))),
             settings,
@@ -248,7 +256,10 @@
             sent_store_reachable: true,
             rejection: RejectionCheck::default(),
             store_retried_at: None,
-        }
+            delegation: Delegation::default(),
+        };
+        control.update_delegation();
+        control
     }
 
     /// Does the work that is due every [`TICK`].
@@ -268,6 +279,7 @@
         self.send_heartbeats(now, has_changed);
         self.check_leadership(now);
         self.check_restoring(now);
+        self.run_deputy(now);
         self.read_awaited_leases(now);
         self.write_store_heartbeats(now);
         let shards: Vec<_> = self.led_shards.keys().cloned().collect();
@@ -372,6 +384,7 @@
                 self.settings.config_max_age = config_max_age;
                 self.settings.evacuation_max_age = evacuation_max_age;
                 self.settings.features = features;
+                self.update_delegation();
                 let params = self.params();
                 for leader in self.led_shards.values_mut() {
                     leader.shard.set_params(params);
@@ -474,6 +487,10 @@
                     leader.shard.on_move_result(job, succeeded, now);
                 }
             }
+            Event::Loan(request, loan) => self.on_loan(&request, loan, now),
+            Event::Renewal(call, sent_at, result) => {
+                self.on_renewal(&call, sent_at, result, now);
+            }
             Event::Written(shard, token, batch, result) => {
                 if self.shard_leader(&shard, token).is_some() {
                     self.on_write_result(&shard, batch, &result, now);
--- a/crates/scheduler/src/control/events.rs
+++ b/crates/scheduler/src/control/events.rs
@@ -1,6 +1,12 @@
 //! The messages of the control thread: events, and the requests that it replies to.
 
-use super::*;
+use {
+    super::*,
+    marigoldbend_core::sched::{
+        deputy::RenewalCall,
+        loans::{Loan, LoanRequest},
+    },
+};
 
 /// An event that changes the control state.
 ///
@@ -80,6 +86,10 @@
     StoreHeartbeat(String, Vec<u8>),
     /// The move of a job to another shard succeeded (`true`) or failed (`false`).
     MoveResult(String, u64, JobId, bool),
+    /// The reply to a request of this instance for a loan; `None` if there is none.
+    Loan(LoanRequest, Option<Loan>),
+    /// The result of a call to a worker under a loan, which was sent at the given time.
+    Renewal(RenewalCall, Instant, RenewalResult),
     /// A transaction of a led shard ended: the rows that it wrote, and its outcome.
     Written(String, u64, Batch, Result<TxOutcome, StoreError>),
     /// The process shuts down.
@@ -96,6 +106,10 @@
 #[derive(Debug)]
 pub struct GetJobState(pub String, pub JobId);
 
+/// Asks for a loan; the reply is `None` if this instance lends nothing.
+#[derive(Debug)]
+pub struct GetLoan(pub LoanRequest);
+
 /// Asks whether this instance is shutting down and leads no shard any more.
 #[derive(Clone, Copy, Debug)]
 pub struct HasResignedAll;
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -27,11 +27,15 @@
 impl Control {
     /// Returns the parameters of a led shard under the current settings.
     pub(super) fn params(&self) -> Params {
-        Params {
+        let params = Params {
             lease: Params::default().lease.min(self.settings.max_lease),
             drain: self.settings.drain,
             max_listed_ends: worker_wire::MAX_LISTED_ENDS,
             ..Params::default()
+        };
+        match self.delegation.max_lease {
+            Some(max_lease) => params.with_loans(max_lease),
+            None => params,
         }
     }
 
--- a/crates/scheduler/src/control/peers.rs
+++ b/crates/scheduler/src/control/peers.rs
@@ -76,6 +76,7 @@
             led_shards: led_shards.collect(),
             cpu_share: self.settings.cpu_share,
             newest_tokens: self.recent_tokens(now),
+            waits_for_loans: self.delegation.max_lease.is_some(),
             store_age: health.served_at.map(|at| now.saturating_duration_since(at)),
         };
         let buf = match heartbeat.encode() {
@@ -110,8 +111,10 @@
                 last_heard: None,
                 discovered_at: now,
                 heartbeat_sent: None,
+                waits_for_loans: false,
             });
         peer.last_heard = Some(now);
+        peer.waits_for_loans = heartbeat.waits_for_loans;
         peer.address = heartbeat.address;
         if is_new {
             log::info!(
@@ -269,6 +272,7 @@
                 last_heard: None,
                 discovered_at: now,
                 heartbeat_sent: None,
+                waits_for_loans: false,
             };
             self.peers.entry(name).or_insert(peer);
         }
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -44,6 +44,10 @@
     pub event_wait: Histogram,
     /// Report requests to workers, by result.
     pub reports: IntCounterVec,
+    /// Requests for loans at a leader, by result.
+    pub loans: IntCounterVec,
+    /// Calls to workers under a loan, by result.
+    pub deputy_calls: IntCounterVec,
     /// Losses of runs in led shards: runs, crashes under tasks, and tasks that were given up.
     pub losses: IntCounterVec,
     /// Waiting work in led shards, by kind of work and unit: jobs, those that are too late, tasks,
@@ -84,6 +88,12 @@
         let requests = counters("mgb_requests", "Callers' requests.", &["call", "status"])?;
         let commands = counters("mgb_orders", "Commands to workers.", &["kind", "answer"])?;
         let reports = counters("mgb_reports", "Report requests to workers.", &["result"])?;
+        let loans = counters("mgb_loans", "Requests for loans.", &["result"])?;
+        let deputy_calls = counters(
+            "mgb_deputy_calls",
+            "Calls to workers in place of a silent leader.",
+            &["result"],
+        )?;
         let losses = counters("mgb_losses", "Runs lost with their workers.", &["kind"])?;
         let buckets = BUCKETS.to_vec();
         let opts = HistogramOpts::new("mgb_request_seconds", "Time to the response.");
@@ -142,6 +152,8 @@
             command_latency,
             event_wait,
             reports,
+            loans,
+            deputy_calls,
             losses,
             waiting,
             places,
