--- a/crates/peer/tests/heartbeat.rs
+++ b/crates/peer/tests/heartbeat.rs
@@ -39,18 +39,23 @@
 fn heartbeat_is_decoded(store_age: Option<Duration>) {
     let sent = Heartbeat {
         newest_tokens: vec![("all".to_owned(), 3)],
-        waits_for_loans: false,
+        waits_for_loans: true,
         ..heartbeat(69, store_age)
     };
     let buf = sent.encode().expect("a short heartbeat");
     assert_eq!(Heartbeat::decode(&buf), Ok(sent));
 }
 
-#[test_case(1, heartbeat(69, Some(STORE_AGE)); "without the newest tokens")]
-#[test_case(3, heartbeat(69, None); "without the age of the newest call")]
-#[test_case(4, heartbeat(0, None); "without the processor share")]
+#[test_case(1, heartbeat(69, Some(STORE_AGE)); "without the wait for loans")]
+#[test_case(2, heartbeat(69, Some(STORE_AGE)); "without the newest tokens")]
+#[test_case(4, heartbeat(69, None); "without the age of the newest call")]
+#[test_case(5, heartbeat(0, None); "without the processor share")]
 fn heartbeat_of_an_earlier_version_is_decoded(missing_bytes: usize, expected: Heartbeat) {
-    let buf = heartbeat(69, Some(STORE_AGE)).encode();
+    let sent = Heartbeat {
+        waits_for_loans: true,
+        ..heartbeat(69, Some(STORE_AGE))
+    };
+    let buf = sent.encode();
     let buf = buf.expect("a short heartbeat");
     let decoded = Heartbeat::decode(&buf[..buf.len() - missing_bytes]);
     assert_eq!(decoded, Ok(expected));
