--- a/crates/entry/tests/jobs/common.rs
+++ b/crates/entry/tests/jobs/common.rs
@@ -171,6 +171,10 @@
     store: RowStore,
     /// The link between the store and the instances that are started; `None` for no link.
     slow_link: Option<SlowLink>,
+    /// The maximum duration of a lease on a worker.
+    max_lease: Duration,
+    /// Whether instances renew leases in place of a silent leader.
+    delegated_renewal: bool,
     dir: TempDir,
     _lock: MutexGuard<'static, ()>,
 }
@@ -194,6 +198,16 @@
 impl Deployment {
     /// Starts the store and the workers, and writes a configuration with all [`QUEUES`].
     pub async fn start(workers: usize) -> Self {
+        Self::start_with_leases(workers, Duration::from_secs(6), false).await
+    }
+
+    /// The same with this maximum duration of a lease, and with or without renewal in place of a silent
+    /// leader.
+    pub async fn start_with_leases(
+        workers: usize,
+        max_lease: Duration,
+        delegated_renewal: bool,
+    ) -> Self {
         let lock = DEPLOYMENT_LOCK.lock().await;
         let store = RowStore::start(TX_TIME).await.expect("the store starts");
         let workers = JobWorkersConfig {
@@ -202,13 +216,15 @@
             domains: vec!["z1".to_owned(), "z2".to_owned()],
             capacity: CAPACITY,
             heartbeat: Duration::from_secs(1),
-            max_lease: Duration::from_secs(6),
+            max_lease,
         };
         let workers = JobWorkers::start(&workers, &store).await;
         let deployment = Self {
             workers: workers.expect("the workers start"),
             instances: Vec::new(),
             slow_link: None,
+            max_lease,
+            delegated_renewal,
             store,
             dir: TempDir::new().expect("a temporary directory"),
             _lock: lock,
@@ -281,11 +297,14 @@
         let store = self.store.open_endpoint().await.expect("a free port");
         let link = self.slow_link.as_ref();
         let store_address = link.map_or(store.address(), SlowLink::address);
+        let max_lease_ms = self.max_lease.as_millis();
+        let delegated_renewal = self.delegated_renewal;
         let settings = format!(
             "[instance]\nname = {name}\nfailure_domain = z{domain}\ncpu_share = {cpu_share}\n\
              [listen]\ncallers = {callers}\nreadiness = {readiness}\npeers = {peers}\n\
              [scheduler]\nstore = {store_address}\nfailure_domains = z1,z2\ncontrol_mode = call\n\
-             max_lease_ms = 6000\ndrain_ms = 2000\ngrace_ms = 6000\nkeep_s = 120\n"
+             max_lease_ms = {max_lease_ms}\ndelegated_renewal = {delegated_renewal}\n\
+             drain_ms = 2000\ngrace_ms = 6000\nkeep_s = 120\n"
         );
         let path = self.dir.path().join(format!("{name}.ini"));
         fs::write(&path, settings).expect("the settings are written");
--- a/crates/entry/tests/jobs/main.rs
+++ b/crates/entry/tests/jobs/main.rs
@@ -5,6 +5,7 @@
 
 mod common;
 mod config;
+mod deputies;
 mod many_ends;
 mod outages;
 mod overload;
