Restart the progress check after a gap in reports, and test refusals when cut off

A run whose worker could not be reached for longer than 2.5 s would have counted as stuck at the first report after a cut that shows the same whole percent.

Also treats a leader that has resigned as silent for deputies, as in its own failure domain when that is cut off.

--- a/crates/core/src/sched/shard/reports.rs
+++ b/crates/core/src/sched/shard/reports.rs
@@ -43,6 +43,11 @@
         if let Some(max_lease) = self.params.loaned_max_lease {
             worker.bound_foreign_leases(report.clock_ms, is_first_report, sent_at, max_lease);
         }
+        if !is_first_report && !worker.is_responsive(now) {
+            // What showed no progress meanwhile had no report to show it in.
+            let runs = worker.runs.values_mut();
+            runs.for_each(|run| run.progressed_at = now);
+        }
         worker.answered_at = Some(now);
         worker.connection_lost_at = None;
         self.changed |= is_first_report;
--- a/crates/entry/tests/jobs/deputies.rs
+++ b/crates/entry/tests/jobs/deputies.rs
@@ -51,6 +51,34 @@
     (job, wire::write_job("3600000", &[step]))
 }
 
+/// Guards against submissions that are tried until their deadline by an instance that is cut off from the
+/// store and from the others.
+#[tokio::test(flavor = "multi_thread")]
+async fn an_instance_that_is_cut_off_refuses_submissions_at_once() {
+    let mut deployment = Deployment::start_with_leases(2, MAX_LEASE, false).await;
+    deployment.start_instances(&INSTANCES).await;
+    deployment.wait_for_leader().await;
+    let (job, body) = long_job();
+    assert!(deployment.caller().submit(0, 3, job, &body).await);
+    deployment.set_store_outage(Some(Outage::Reset));
+    for instance in &mut deployment.instances[1..] {
+        instance.kill();
+    }
+    let mut number = 1;
+    let is_refused = wait_until(SETUP_LIMIT, async || {
+        number += 1;
+        let job = Job {
+            task_count: TASKS as usize,
+            ..Job::new(number)
+        };
+        let is_stored = deployment.caller().submit(0, 1, job, &body).await;
+        assert!(!is_stored, "{job:?}");
+        let log = deployment.instances[0].log();
+        log.contains("is refused, this instance is cut off")
+    });
+    assert!(is_refused.await, "no submission is refused at once");
+}
+
 /// Guards against runs that end with their leases although instances stand beside the workers: the leader
 /// is lost during an outage of the store, in which nobody can succeed it.
 #[test_case(true; "with deputies")]
--- a/crates/scheduler/src/control/delegation.rs
+++ b/crates/scheduler/src/control/delegation.rs
@@ -134,9 +134,9 @@
         let Some(view) = view.filter(|_| self.lends_leases() && !leads) else {
             return self.log_deputy(&shard, "it leads or lends nothing");
         };
-        let heard_at = self.peer_views.get(&view.name).map(|p| p.last_heard);
-        let heard_at = heard_at.map_or(view.last_heard, |at| at.max(view.last_heard));
         let lease = self.params().lease;
+        // A leader that has resigned sends heartbeats that don't name it, and is silent as a leader.
+        let heard_at = view.last_heard;
         let calls = self
             .delegation
             .deputy
