--- a/crates/core/tests/shard_model/world.rs
+++ b/crates/core/tests/shard_model/world.rs
@@ -1,7 +1,7 @@
 //! A simulation of workers, a store and leaders, with injected faults.
 //!
 //! Names that end in `_ms` are simulated times or durations in milliseconds. The simulated clock
-//! also serves as Unix time and as the workers' clock.
+//! also serves as Unix time and, but for a drift while leases are lent, as the workers' clock.
 
 mod deputies;
 mod leaders;
--- a/crates/core/tests/shard_model/world/network.rs
+++ b/crates/core/tests/shard_model/world/network.rs
@@ -328,6 +328,7 @@
             return;
         }
         let fencing = self.mutant != Mutant::NoFencing;
+        let clock_ms = self.worker_clock_ms();
         let worker = &mut self.workers[worker_index];
         if fencing && request.fencing_token < worker.highest_token {
             if let Some(leader) = self.active_leader(leader_token) {
@@ -353,7 +354,7 @@
         };
         let report = Report {
             started_ms: worker.started_ms,
-            clock_ms: self.now_ms,
+            clock_ms,
             running: worker.running.iter().map(row).collect(),
             finished: worker
                 .finished
--- a/crates/core/tests/shard_model/world/workers.rs
+++ b/crates/core/tests/shard_model/world/workers.rs
@@ -81,6 +81,7 @@
     /// Restarts the workers that are due, and ends the attempts that are done or whose lease has
     /// expired.
     pub(super) fn run_workers(&mut self) {
+        let clock_ms = self.worker_clock_ms();
         for worker in &mut self.workers {
             if !worker.up {
                 if self.now_ms >= worker.restarts_at_ms {
@@ -99,7 +100,7 @@
             let ended: Vec<_> = worker
                 .running
                 .iter()
-                .filter(|(_, r)| r.ends_at_ms <= self.now_ms || r.lease_until_ms <= self.now_ms)
+                .filter(|(_, r)| r.ends_at_ms <= self.now_ms || r.lease_until_ms <= clock_ms)
                 .map(|(task, r)| (*task, r.attempt, r.ends_at_ms <= self.now_ms))
                 .collect();
             if self.cut.until_ms > 0 {
@@ -122,7 +123,7 @@
                     },
                 );
             }
-            if worker.lease_until_ms <= self.now_ms {
+            if worker.lease_until_ms <= clock_ms {
                 worker.valid_ends_ms.clear();
             }
         }
@@ -139,6 +140,7 @@
     ) -> CommandReply {
         let run_ms = self.rng.random_range(50..1_500);
         let is_long_running = self.is_long_running(task);
+        let clock_ms = self.worker_clock_ms();
         let is_fenced =
             self.mutant != Mutant::NoFencing && token < self.workers[worker_index].highest_token;
         let worker = &mut self.workers[worker_index];
@@ -159,7 +161,7 @@
         {
             return CommandReply::Old;
         }
-        if lease_until_ms <= self.now_ms {
+        if lease_until_ms <= clock_ms {
             return CommandReply::Late;
         }
         if worker.running.len() >= 3 {
