--- a/crates/scheduler/tests/restoring.rs
+++ b/crates/scheduler/tests/restoring.rs
@@ -11,6 +11,7 @@
         sched::{
             job::{JobId, JobSpec, Resources, Step, TaskName},
             leadership::LeaseRow,
+            loans::LoanRequest,
             progress::{JobOutcome, Progress},
             worker::{Availability, CommandReply, Report, RunningRow, WorkerInfo},
         },
@@ -24,7 +25,7 @@
     marigoldbend_platform::{rows::RowKey, store::Store},
     marigoldbend_scheduler::{
         commands::BoxFuture,
-        control::{Control, Event, TICK, deliver_urgent_event},
+        control::{Control, Event, GetLoan, TICK, deliver_urgent_event},
         keys,
         metrics::Metrics,
         settings::{Features, Settings, ShardSettings},
@@ -554,21 +555,7 @@
     reads.is_down.store(true, Ordering::Relaxed);
     let rejected_at = Instant::now();
     while rejected_at.elapsed() < Duration::from_secs(6) {
-        let heartbeat = Heartbeat {
-            name: "peer".to_owned(),
-            domain: "z".to_owned(),
-            incarnation: 5,
-            address: "127.0.0.1:1".parse().expect("an address"),
-            config_version: 0,
-            store_reachable: true,
-            shutting_down: false,
-            taking_over: Vec::new(),
-            led_shards: Vec::new(),
-            cpu_share: 69,
-            newest_tokens: Vec::new(),
-            waits_for_loans: false,
-            store_age: Some(Duration::from_millis(100)),
-        };
+        let heartbeat = peer_heartbeat(false);
         deliver_urgent_event(&deployment.control, Event::Heartbeat(heartbeat)).await;
         sleep(Duration::from_millis(150)).await;
     }
@@ -588,3 +575,90 @@
         WORKER_TOKEN + 1
     );
 }
+
+/// Returns the heartbeat of a peer that reaches the store.
+fn peer_heartbeat(waits_for_loans: bool) -> Heartbeat {
+    Heartbeat {
+        name: "peer".to_owned(),
+        domain: "z".to_owned(),
+        incarnation: 5,
+        address: "127.0.0.1:1".parse().expect("an address"),
+        config_version: 0,
+        store_reachable: true,
+        shutting_down: false,
+        taking_over: Vec::new(),
+        led_shards: Vec::new(),
+        cpu_share: 69,
+        newest_tokens: Vec::new(),
+        waits_for_loans,
+        store_age: Some(Duration::from_millis(100)),
+    }
+}
+
+/// Guards against loans that a successor does not wait for, as it has an earlier version or other settings,
+/// and against loans by a deployment that does not ask for them.
+#[tokio::test]
+async fn leases_are_lent_only_while_every_possible_successor_waits_for_loans() {
+    let deployment = Deployment::start(TableReads::default(), true, true).await;
+    deployment.reads.open.send_replace(true);
+    let request = LoanRequest {
+        shard: SHARD.to_owned(),
+        token: PREVIOUS_TOKEN + 1,
+        holder: "peer".to_owned(),
+        incarnation: 5,
+        domain: "z".to_owned(),
+        ..LoanRequest::default()
+    };
+    let lend = async || {
+        let loan = deployment.control.send(GetLoan(request.clone())).await;
+        loan.expect("the actor lives")
+    };
+    let hear = async |waits_for_loans| {
+        let heartbeat = Event::Heartbeat(peer_heartbeat(waits_for_loans));
+        deliver_urgent_event(&deployment.control, heartbeat).await;
+    };
+    hear(true).await;
+    let started = async {
+        while deployment
+            .store
+            .row(&keys::heartbeat(SHARD))
+            .is_none_or(|row| row.value.is_empty())
+        {
+            sleep(TICK).await;
+        }
+    };
+    timeout(LIMIT, started).await.expect("no takeover");
+    assert_eq!(lend().await, None);
+    let limits = |max_lease, delegated_renewal| Event::Limits {
+        max_lease,
+        drain: Duration::from_secs(2),
+        keep: Duration::from_secs(60),
+        config_max_age: Duration::from_secs(3),
+        evacuation_max_age: None,
+        features: Features {
+            delegated_renewal,
+            ..Features::default()
+        },
+    };
+    let short = limits(Duration::from_secs(7), true);
+    deliver_urgent_event(&deployment.control, short).await;
+    assert_eq!(lend().await, None);
+    let long = limits(Duration::from_secs(10), true);
+    deliver_urgent_event(&deployment.control, long).await;
+    let lent = async {
+        loop {
+            if let Some(loan) = lend().await
+                && !loan.workers.is_empty()
+            {
+                return loan;
+            }
+            sleep(TICK).await;
+        }
+    };
+    let loan = timeout(LIMIT, lent).await.expect("nothing is lent");
+    assert_eq!(loan.workers[0].token, WORKER_TOKEN);
+    hear(false).await;
+    assert_eq!(lend().await, None);
+    hear(true).await;
+    assert!(lend().await.is_some());
+}
