--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -16,6 +16,7 @@
         sched::{
             interference::{Image, Interference, PairEstimate, Pressure},
             job::{JobId, JobSpec, Resources, TaskName},
+            loans::{LoanLedger, MAX_LOAN},
             progress::{JobOutcome, LossRecord, PlacementRecord, Progress, TaskRecord},
             size_fairness::SizeFairness,
             throttle::Throttle,
@@ -39,6 +40,9 @@
 /// The delay before a failed move of a job to another shard is retried.
 const MOVE_RETRY_DELAY: Duration = Duration::from_secs(1);
 
+/// What a loan's caps may pass late by, besides the drift of clocks: the same margin as for leases.
+const LOAN_MARGIN: Duration = Duration::from_millis(100);
+
 /// Durations and limits set by the deployment.
 #[derive(Clone, Copy, Debug)]
 pub struct Params {
@@ -59,6 +63,9 @@
     pub displace_long_running: bool,
     /// Whether waiting jobs are served by their cost of delay.
     pub cost_of_delay: bool,
+    /// The maximum duration of a lease on a worker, if this leader lends the right to renew leases or
+    /// an earlier one may have; `None` if none does.
+    pub loaned_max_lease: Option<Duration>,
 }
 
 impl Default for Params {
@@ -71,6 +78,24 @@
             max_listed_ends: 500,
             displace_long_running: false,
             cost_of_delay: false,
+            loaned_max_lease: None,
+        }
+    }
+}
+
+impl Params {
+    /// Adds loans of the right to renew leases, on workers whose leases last at most `max_lease`; see
+    /// [`loans`](crate::sched::loans).
+    ///
+    /// Runs of an earlier leader may then continue until its last loan has passed, on a clock that is 2%
+    /// slow and whose estimate may be ahead by that share of the age of the last report.
+    #[must_use]
+    pub fn with_loans(self, max_lease: Duration) -> Self {
+        let extra = max_lease.min(MAX_LOAN).saturating_sub(self.lease);
+        Self {
+            unknown_run_limit: self.unknown_run_limit + extra * 103 / 100 + LOAN_MARGIN,
+            loaned_max_lease: Some(max_lease),
+            ..self
         }
     }
 }
@@ -256,6 +281,11 @@
     pub incarnations: u64,
     /// The worker's clock as estimated from its reports, and the end of its leases.
     pub clock: LeaseClock,
+    /// Whether a loan of this leader has ever named the worker.
+    pub was_lent: bool,
+    /// When this leader observed a restart of the worker since which its new fencing token may not have
+    /// reached the worker; `None` if it has, or there was none.
+    pub restarted_at: Option<Instant>,
     /// When the leader first found the worker's leases expired; `None` while the worker responds.
     pub leases_expired_at: Option<Instant>,
     /// When the worker's last report arrived; `None` before the first.
@@ -432,6 +462,8 @@
     pub(super) evacuation: Evacuation,
     /// The long-running tasks that were stopped to make room for short work.
     pub(super) displacement: Displacement,
+    /// The loans that may be in use.
+    pub(super) loans: LoanLedger,
     /// Approvals by job, occurrence and step.
     pub(super) approvals: HashMap<(JobId, u32, u16), Approvals>,
     /// The ids of workers that this dispatch holds back; see the module `waiting`.
@@ -507,6 +539,7 @@
             interference: Interference::default(),
             evacuation: Evacuation::default(),
             displacement: Displacement::default(),
+            loans: LoanLedger::default(),
             approvals: HashMap::default(),
             held_back_workers: HashSet::default(),
             held_back_for: None,
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -405,6 +405,7 @@
         // Only instances that schedule jobs (module `scheduling`) have shards.
         Call::JobState { .. } => Reply::JobState(None),
         Call::Evacuations { .. } => Reply::Evacuations(None),
+        Call::Loan(_) => Reply::Loan(None),
         Call::Snapshot(domain) => {
             let directory = router.directory();
             let (version, row) = &directory.row;
--- a/crates/entry/src/scheduling.rs
+++ b/crates/entry/src/scheduling.rs
@@ -22,7 +22,7 @@
     },
     marigoldbend_scheduler::{
         control::{
-            Control, Event, GetEvacuations, GetJobState, HasResignedAll, TICK,
+            Control, Event, GetEvacuations, GetJobState, GetLoan, HasResignedAll, TICK,
             deliver_urgent_event, send_event,
         },
         intake::Intake,
@@ -275,6 +275,10 @@
             let evacuations = actor.send(GetEvacuations(shard)).await;
             Reply::Evacuations(evacuations.ok().flatten())
         }
+        Call::Loan(request) => {
+            let loan = actor.send(GetLoan(request)).await;
+            Reply::Loan(loan.ok().flatten())
+        }
         Call::Offer(_) | Call::Snapshot(_) => Reply::NotRun {
             reason: "this instance schedules jobs only".to_owned(),
         },
--- a/crates/peer/src/call.rs
+++ b/crates/peer/src/call.rs
@@ -6,7 +6,11 @@
         config::Config,
         ids::{Domain, Version},
         ownership::DomainRow,
-        sched::{job::JobId, progress::JobState},
+        sched::{
+            job::JobId,
+            loans::{Loan, LoanRequest},
+            progress::JobState,
+        },
     },
     serde::{Deserialize, Serialize},
     snafu::Snafu,
@@ -93,6 +97,8 @@
         /// The shard that they belong to.
         shard: String,
     },
+    /// Asks the leader of a shard for a loan.
+    Loan(LoanRequest),
 }
 
 /// An evacuated failure domain, and what still runs there.
@@ -131,6 +137,8 @@
     JobState(Option<JobState>),
     /// The evacuated domains; `None` if the instance does not lead the shard.
     Evacuations(Option<Vec<DomainEvacuation>>),
+    /// The loan; `None` if the instance lends nothing.
+    Loan(Option<Loan>),
 }
 
 /// A call or a reply, with the id by which a reply is matched to its call.
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -1,5 +1,6 @@
 //! The control thread: peers, shard leadership, the configuration and the list of workers.
 
+mod delegation;
 mod effects;
 mod evacuations;
 mod events;
@@ -9,9 +10,11 @@
 mod restoring;
 mod watches;
 
+pub use delegation::RenewalResult;
+
 pub use events::{
-    EvacuationUpdate, Event, GetEvacuations, GetJobState, HasResignedAll, NextReportRequest,
-    QueuedEvent, deliver_event, deliver_urgent_event, send_event,
+    EvacuationUpdate, Event, GetEvacuations, GetJobState, GetLoan, HasResignedAll,
+    NextReportRequest, QueuedEvent, deliver_event, deliver_urgent_event, send_event,
 };
 
 use {
@@ -27,6 +30,7 @@
         watch::{self, CatchUp, Update, WatchEvent, WatchTarget},
     },
     arc_swap::ArcSwap,
+    delegation::Delegation,
     marigoldbend_core::{
         clock::Clock,
         hash::{HashMap, HashSet},
@@ -35,7 +39,7 @@
             job::{JobId, JobSpec, TaskName},
             leadership::{
                 LeadershipView, MAX_HEARTBEAT_DELAY, PeerView, RejectionCheck, TakeoverDelay,
-                TakeoverReason, is_majority, is_minority, is_unconfirmed, is_unwritten,
+                TakeoverReason, is_cut_off, is_majority, is_minority, is_unconfirmed, is_unwritten,
                 takeover_reason,
             },
             progress::JobState,
@@ -90,6 +94,8 @@
     discovered_at: Instant,
     /// When this instance last sent a heartbeat to the peer; `None` before the first.
     heartbeat_sent: Option<Instant>,
+    /// Whether the peer, as a leader, waits for loans of earlier leaders.
+    waits_for_loans: bool,
 }
 
 /// The leadership of one shard, as seen by this instance in heartbeats and the store. It does not
@@ -191,6 +197,8 @@
     rejection: RejectionCheck,
     /// When calls to the store were last sent again because it serves a peer; `None` if never.
     store_retried_at: Option<Instant>,
+    /// The loans of the right to renew leases.
+    delegation: Delegation,
 }
 
 impl Actor for Control {
@@ -221,7 +229,7 @@
         let now = clock.now();
         let leadership = settings.shards.iter();
         let leadership = leadership.map(|s| (s.name.clone(), ShardLeadership::default()));
-        Self {
+        let mut control = Self {
             leadership: leadership.collect(),
             approval_service: settings.advice.map(|a| Arc::new(ConnectionPool::new(a))),
             settings,
@@ -256,7 +264,10 @@
             sent_store_reachable: true,
             rejection: RejectionCheck::default(),
             store_retried_at: None,
-        }
+            delegation: Delegation::default(),
+        };
+        control.update_delegation();
+        control
     }
 
     /// Does the work that is due every [`TICK`].
@@ -276,6 +287,7 @@
         self.send_heartbeats(now, has_changed);
         self.check_leadership(now);
         self.check_restoring(now);
+        self.run_deputy(now);
         self.read_awaited_leases(now);
         self.write_store_heartbeats(now);
         self.hold_starts(now);
@@ -381,6 +393,7 @@
                 self.settings.config_max_age = config_max_age;
                 self.settings.evacuation_max_age = evacuation_max_age;
                 self.settings.features = features;
+                self.update_delegation();
                 let params = self.params();
                 for leader in self.led_shards.values_mut() {
                     leader.shard.set_params(params);
@@ -493,6 +506,10 @@
                     leader.shard.on_move_result(job, succeeded, now);
                 }
             }
+            Event::Loan(request, loan) => self.on_loan(&request, loan, now),
+            Event::Renewal(call, sent_at, result) => {
+                self.on_renewal(&call, sent_at, result, now);
+            }
             Event::Written(shard, token, batch, result) => {
                 if self.shard_leader(&shard, token).is_some() {
                     self.on_write_result(&shard, batch, &result, now);
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -27,13 +27,17 @@
 impl Control {
     /// Returns the parameters of a led shard under the current settings.
     pub(super) fn params(&self) -> Params {
-        Params {
+        let params = Params {
             lease: Params::default().lease.min(self.settings.max_lease),
             drain: self.settings.drain,
             max_listed_ends: worker_wire::MAX_LISTED_ENDS,
             displace_long_running: self.settings.features.displace_long_running,
             cost_of_delay: self.settings.features.displace_long_running,
             ..Params::default()
+        };
+        match self.delegation.max_lease {
+            Some(max_lease) => params.with_loans(max_lease),
+            None => params,
         }
     }
 
