--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -36,6 +36,7 @@
     ("peers", &["seeds"]),
     ("traffic", &["threads"]),
     ("shutdown", &["balancer_wait_ms"]),
+    ("limits", &["memory_mb", "max_fds"]),
     ("log", &["level"]),
 ];
 
@@ -82,6 +83,10 @@
     /// How long an instance that shuts down still accepts connections, so that the load balancer
     /// has time to stop sending them.
     pub balancer_wait: Duration,
+    /// The memory that the process may use, in megabytes; `None` if there is no limit.
+    pub memory_mb: Option<u64>,
+    /// The number of file descriptors that the process may have open; `None` if there is no limit.
+    pub max_fds: Option<u64>,
     /// The least severe level that is logged.
     pub log_level: LogLevel,
 }
@@ -130,6 +135,8 @@
             seeds: reader.list("peers", "seeds")?,
             threads: usize::try_from(threads).unwrap_or(1),
             balancer_wait: Duration::from_millis(balancer_ms),
+            memory_mb: reader.optional_number("limits", "memory_mb", 16, 1 << 24)?,
+            max_fds: reader.optional_number("limits", "max_fds", 64, 1 << 24)?,
             log_level: reader.optional("log", "level")?.unwrap_or(LogLevel::Info),
         })
     }
