Bound messages in flight, connections and their times

A crowd of clients that don't finish their requests could fill the memory and the descriptors of an instance: bodies were bounded one by one, and a connection without a request stayed open.

All listeners now share a byte budget (an eighth of [limits] memory_mb) that is reserved before a buffer grows and freed when the message is dropped; a quarter of it is kept for messages of up to 16 KiB. When it is exhausted, unfinished messages with the most bytes and age are closed first. Connections are bounded by max_fds, less those kept for outgoing connections, and by memory_mb; a connection without a request is closed for a new one. A body has 20 s in all and at least 5 KiB in each 5 s. Without [limits], only the time limits apply.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,8 +34,10 @@
 //! ```
 
 pub mod admission;
+pub mod byte_budget;
 pub mod clock;
 pub mod config;
+pub mod connection_table;
 pub mod ejection;
 pub mod group_commit;
 pub mod hash;
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -22,7 +22,10 @@
             ids::Version,
             task::{Job, Phase},
         },
-        http::body::{BodyError, HttpResponse, json, read_whole},
+        http::{
+            body::{BodyError, HttpResponse, json},
+            budget::Budget,
+        },
         platform::{
             table::{CommitOutcome, Table},
             wire::Commit,
@@ -52,6 +55,7 @@
     table: Table,
     jobs: Address<Jobs>,
     metrics: Arc<Metrics>,
+    budget: Arc<Budget>,
 }
 
 impl CallerApi {
@@ -62,6 +66,7 @@
         table: Table,
         jobs: Address<Jobs>,
         metrics: Arc<Metrics>,
+        budget: Arc<Budget>,
     ) -> Self {
         Self {
             router,
@@ -69,17 +74,21 @@
             table,
             jobs,
             metrics,
+            budget,
         }
     }
 
     /// Handles one request.
     pub async fn handle(&self, req: Request<Incoming>) -> HttpResponse {
         let (parts, body) = req.into_parts();
-        let body = match read_whole(body, MAX_BODY_BYTES).await {
+        let body = match self.budget.read(&parts, body, MAX_BODY_BYTES).await {
             Ok(body) => body,
+            Err(e @ BodyError::Overloaded) => return response::unavailable(&e.to_string()),
             Err(e) => {
                 let status = match e {
                     BodyError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+                    BodyError::TooSlow => StatusCode::REQUEST_TIMEOUT,
+                    BodyError::Overloaded => StatusCode::SERVICE_UNAVAILABLE,
                     BodyError::Truncated => StatusCode::BAD_REQUEST,
                 };
                 return self.reject(status, &e.to_string());
--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -7,6 +7,7 @@
         directory::Directory,
         idempotency::IdempotencyRouter,
         jobs::{self, Jobs, JobsConfig},
+        limits::{self, InstanceLimits},
         listen::{self, ListenError},
         metrics::{Metrics, MetricsError},
         operators::OperatorApi,
@@ -21,7 +22,7 @@
             ids::Incarnation,
             ownership::{Member, Timing},
         },
-        http::server::{Limits, serve},
+        http::server::serve,
         peer::{
             call::{Call, Reply, Snapshot},
             datagram::{self, Datagram},
@@ -61,6 +62,9 @@
 /// How often a shutdown checks whether its current step is complete.
 const SHUTDOWN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// The maximum length of a call by a peer, in bytes: an offer with the longest body, and its header.
+const MAX_CALL_BYTES: usize = 2 << 20;
+
 /// A result of starting an instance.
 pub type Result<T, E = EntryError> = std::result::Result<T, E>;
 
@@ -279,6 +283,8 @@
     spawn_ticks(jobs.clone(), jobs::TICK, || jobs::Tick);
     tokio::spawn(receive(datagrams, control.clone(), ctx.metrics.clone()));
 
+    let limits = InstanceLimits::new(settings.memory_mb, settings.max_fds, MAX_CALL_BYTES);
+    tokio::spawn(limits::report(limits.counters.clone()));
     let router = Arc::new(Router::new(directory, ctx.metrics.clone()));
     let (callers_stop, callers_stopped) = watch::channel(false);
     let (internal_stop, internal_stopped) = watch::channel(false);
@@ -287,6 +293,7 @@
         control.clone(),
         table(settings),
         ctx.metrics.clone(),
+        limits.budget.clone(),
         ctx.stop.clone(),
     ));
     let listener = tokio::net::TcpListener::from_std(sockets.operators)?;
@@ -296,7 +303,7 @@
     };
     tokio::spawn(serve(
         listener,
-        Limits::default(),
+        limits.internal,
         handler,
         internal_stopped.clone(),
     ));
@@ -309,16 +316,18 @@
         table(settings),
         jobs.clone(),
         ctx.metrics.clone(),
+        limits.budget,
     ));
     let listener = tokio::net::TcpListener::from_std(sockets.callers)?;
     let handler = move |_, req| {
         let callers = callers.clone();
         async move { callers.handle(req).await }
     };
-    let callers = traffic.spawn(serve(listener, Limits::default(), handler, callers_stopped));
+    let callers = traffic.spawn(serve(listener, limits.callers, handler, callers_stopped));
     let listener = tokio::net::TcpListener::from_std(sockets.peers)?;
     let handler = move |call| handle_peer_call(router.clone(), call);
-    let peers = marigoldbend::peer::server::serve(listener, handler, internal_stopped);
+    let peers =
+        marigoldbend::peer::server::serve(listener, limits.peers, handler, internal_stopped);
     let peers = traffic.spawn(peers);
     drop(runtime_guard);
     Ok(RunningInstance {
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod entry;
 mod idempotency;
 mod jobs;
+pub mod limits;
 pub mod listen;
 pub mod log_writer;
 mod metrics;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -2,8 +2,8 @@
 
 use {
     prometheus::{
-        Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-        TextEncoder,
+        Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+        Registry, TextEncoder,
     },
     snafu::Snafu,
 };
@@ -52,6 +52,8 @@
     pub workers_owned: IntGauge,
     /// Whether the platform answered the latest read: 1 or 0.
     pub platform_up: IntGauge,
+    /// What the listeners hold, refused and closed, by name.
+    limits: IntGaugeVec,
 }
 
 impl Metrics {
@@ -83,7 +85,14 @@
         );
         let latency = Histogram::with_opts(latency.buckets(LATENCY_BUCKETS.to_vec()))?;
         registry.register(Box::new(latency.clone()))?;
+        let limits = Opts::new(
+            "marigoldbend_limits",
+            "What the listeners hold, refused and closed.",
+        );
+        let limits = IntGaugeVec::new(limits, &["name"])?;
+        registry.register(Box::new(limits.clone()))?;
         Ok(Self {
+            limits,
             requests: counters(
                 "marigoldbend_requests_total",
                 "Requests by outcome.",
@@ -130,6 +139,14 @@
         })
     }
 
+    /// Sets what the listeners hold, refused and closed.
+    pub fn set_limits(&self, values: &[(&str, u64)]) {
+        for (name, value) in values {
+            let value = i64::try_from(*value).unwrap_or(i64::MAX);
+            self.limits.with_label_values(&[*name]).set(value);
+        }
+    }
+
     /// Writes the metrics in the text format.
     ///
     /// # Errors
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -20,7 +20,10 @@
             ids::Version,
             task::Job,
         },
-        http::body::{HttpResponse, json, problem, read_whole, text},
+        http::{
+            body::{BodyError, HttpResponse, json, problem, text},
+            budget::Budget,
+        },
         operator::client::{etag, parse_etag},
         platform::{
             table::{CommitOutcome, Table},
@@ -43,6 +46,7 @@
     control: Address<Control>,
     table: Table,
     metrics: Arc<Metrics>,
+    budget: Arc<Budget>,
     stop: watch::Sender<bool>,
 }
 
@@ -53,6 +57,7 @@
         control: Address<Control>,
         table: Table,
         metrics: Arc<Metrics>,
+        budget: Arc<Budget>,
         stop: watch::Sender<bool>,
     ) -> Self {
         Self {
@@ -60,6 +65,7 @@
             control,
             table,
             metrics,
+            budget,
             stop,
         }
     }
@@ -67,18 +73,23 @@
     /// Handles one request.
     pub async fn handle(&self, req: Request<Incoming>) -> HttpResponse {
         let (parts, body) = req.into_parts();
-        match (parts.method, parts.uri.path()) {
-            (Method::GET, "/livez") => text(StatusCode::OK, "live\n"),
-            (Method::GET, "/readyz") => self.readyz(),
-            (Method::GET, "/metrics") => self.metrics(),
-            (Method::GET, "/status") => self.status().await,
-            (Method::GET, "/config") => self.get_config(),
-            (Method::PUT, "/config") => match read_whole(body, MAX_BODY_BYTES).await {
+        match (&parts.method, parts.uri.path()) {
+            (&Method::GET, "/livez") => text(StatusCode::OK, "live\n"),
+            (&Method::GET, "/readyz") => self.readyz(),
+            (&Method::GET, "/metrics") => self.metrics(),
+            (&Method::GET, "/status") => self.status().await,
+            (&Method::GET, "/config") => self.get_config(),
+            (&Method::PUT, "/config") => match self.budget.read(&parts, body, MAX_BODY_BYTES).await
+            {
                 Ok(body) => self.put_config(&parts.headers, &body).await,
+                Err(e @ BodyError::Overloaded) => {
+                    problem(StatusCode::SERVICE_UNAVAILABLE, &e.to_string())
+                }
+                Err(e @ BodyError::TooSlow) => problem(StatusCode::REQUEST_TIMEOUT, &e.to_string()),
                 Err(e) => problem(StatusCode::BAD_REQUEST, &e.to_string()),
             },
-            (Method::POST, "/drain") => self.drain(),
-            (Method::GET, path) => match path.strip_prefix("/jobs/") {
+            (&Method::POST, "/drain") => self.drain(),
+            (&Method::GET, path) => match path.strip_prefix("/jobs/") {
                 Some(id) => self.job(id).await,
                 None => problem(StatusCode::NOT_FOUND, "there is nothing at this path"),
             },
@@ -106,6 +117,7 @@
     }
 
     fn metrics(&self) -> HttpResponse {
+        self.metrics.set_limits(&self.budget.counters().values());
         match self.metrics.encode() {
             Ok(metrics) => text(StatusCode::OK, &metrics),
             Err(e) => problem(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
--- a/crates/entry/src/scheduling.rs
+++ b/crates/entry/src/scheduling.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        limits::{self, InstanceLimits},
         listen::{self, ListenError},
         log_writer,
         reload::SettingsReloader,
@@ -12,6 +13,7 @@
         core::clock::{Clock, SystemClock},
         http::{
             body,
+            counters::Counters,
             server::{Limits, serve},
         },
         peer::{
@@ -59,6 +61,9 @@
 /// The interval at which the settings file is checked, since it may change without a signal.
 const SETTINGS_POLL_INTERVAL: Duration = Duration::from_secs(2);
 
+/// The maximum length of a call by a peer, in bytes. Peers ask for the state of one job.
+const MAX_CALL_BYTES: usize = 64 << 10;
+
 /// The interval at which a shutdown checks whether the instance has resigned.
 const RESIGN_POLL_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -114,6 +119,7 @@
         settings.scheduler.store,
     );
     let metrics = Arc::new(Metrics::new()?);
+    let limits = InstanceLimits::new(settings.memory_mb, settings.max_fds, MAX_CALL_BYTES);
     let clock: Arc<dyn Clock> = Arc::new(SystemClock);
     let wire = marigoldbend_wire::store::WIRE;
     let view = Arc::new(ArcSwap::<View>::default());
@@ -147,29 +153,35 @@
             view,
             actor.clone(),
             metrics.clone(),
+            limits.budget.clone(),
         ));
+        tokio::spawn(limits::report(limits.counters.clone()));
         let (stop, stopped) = watch::channel(false);
         let (internal_stop, internal_stopped) = watch::channel(false);
         let listen = |listener: TcpListener| {
             let _runtime_guard = traffic_handle.enter();
             tokio::net::TcpListener::from_std(listener)
         };
-        let limits = Limits {
+        let internal = Limits {
+            drain_timeout: settings.grace,
+            ..limits.internal
+        };
+        let caller_limits = Limits {
             drain_timeout: settings.grace,
-            ..Limits::default()
+            ..limits.callers
         };
         let caller_intake = intake.clone();
         let callers = listen(callers)?;
         let callers = traffic_handle.spawn(serve(
             callers,
-            limits,
+            caller_limits,
             move |_, req| caller_intake.clone().serve(req),
             stopped,
         ));
         let readiness = listen(readiness)?;
         traffic_handle.spawn(serve(
             readiness,
-            limits,
+            internal.clone(),
             move |_, req| {
                 let response = intake.readiness(req.uri().path());
                 async move { response }
@@ -178,11 +190,12 @@
         ));
         if let Some(listener) = metrics_listener {
             let listener = listen(listener)?;
+            let counters = limits.counters.clone();
             traffic_handle.spawn(serve(
                 listener,
-                limits,
+                internal,
                 move |_, _| {
-                    let response = metrics_response(&metrics, &store);
+                    let response = metrics_response(&metrics, &store, &counters);
                     async move { response }
                 },
                 internal_stopped.clone(),
@@ -192,6 +205,7 @@
         let peer_actor = actor.clone();
         traffic_handle.spawn(marigoldbend::peer::server::serve(
             peers,
+            limits.peers,
             move |call| respond_to_peer(call, peer_actor.clone()),
             internal_stopped,
         ));
@@ -253,7 +267,8 @@
 }
 
 /// Updates the count of dropped log lines and returns all metrics as a response.
-fn metrics_response(metrics: &Metrics, store: &Store) -> body::HttpResponse {
+fn metrics_response(metrics: &Metrics, store: &Store, counters: &Counters) -> body::HttpResponse {
+    metrics.set_limits(&counters.values());
     metrics
         .log_dropped
         .set(i64::try_from(log_writer::dropped_lines()).unwrap_or(i64::MAX));
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -23,6 +23,12 @@
     /// The body ended early or was malformed.
     #[snafu(display("the body was cut short"))]
     Truncated,
+    /// The body took too long.
+    #[snafu(display("the body arrived too slowly"))]
+    TooSlow,
+    /// Too many bytes of other bodies are in memory.
+    #[snafu(display("too many request bodies are in flight"))]
+    Overloaded,
 }
 
 /// Reads a whole body of at most `max_bytes` bytes.
--- /dev/null
+++ b/crates/http/src/budget.rs
@@ -0,0 +1,346 @@
+//! Reads messages within the byte budget of the process and within time limits.
+//!
+//! The buffer of a message grows as its bytes arrive, and each growth is reserved before it is
+//! allocated. The reservation lasts until the message is dropped, so it also bounds how many
+//! messages are handled at the same time.
+
+use {
+    crate::{
+        body::{BodyError, Result},
+        connections::Activity,
+        counters::Counters,
+    },
+    bytes::Bytes,
+    http_body_util::BodyExt,
+    hyper::{HeaderMap, body::Body, http::request::Parts},
+    marigoldbend_core::{
+        byte_budget::{BudgetLimits, ByteBudget, Grant, MessageId},
+        hash::HashMap,
+    },
+    parking_lot::Mutex,
+    std::{
+        mem,
+        pin::pin,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tokio::{sync::Notify, time::timeout_at},
+};
+
+/// The size of a message's first buffer, in bytes; most jobs fit.
+const FIRST_BUFFER_BYTES: usize = 4 << 10;
+
+/// What a message takes beside its bytes: the request and the tasks that serve it.
+const MESSAGE_OVERHEAD_BYTES: usize = 1 << 10;
+
+/// What a header field takes beside its name and its value, in bytes.
+const FIELD_OVERHEAD_BYTES: usize = 64;
+
+/// How many times its length a long message takes in addition while it is handled: the parsed form
+/// and the encoded requests that it causes.
+const HANDLING_FACTOR: usize = 3;
+
+/// The time limits of a message.
+#[derive(Clone, Copy, Debug)]
+pub struct MessageTimes {
+    /// The time limit for the whole message.
+    pub total: Duration,
+    /// The length of the windows in which the rate is measured.
+    pub window: Duration,
+    /// The number of bytes that have to arrive in each window.
+    pub min_window_bytes: usize,
+}
+
+impl Default for MessageTimes {
+    /// Callers wait for their responses for up to 3 s, so a body that is of use has arrived before
+    /// the first window ends.
+    fn default() -> Self {
+        Self {
+            total: Duration::from_secs(20),
+            window: Duration::from_secs(5),
+            min_window_bytes: 5 << 10,
+        }
+    }
+}
+
+/// The messages of a process and the bytes that they hold.
+#[derive(Debug)]
+pub struct Budget {
+    state: Mutex<State>,
+    times: MessageTimes,
+    small_message: usize,
+    counters: Arc<Counters>,
+}
+
+#[derive(Debug)]
+struct State {
+    budget: ByteBudget,
+    buffers: HashMap<MessageId, Buffer>,
+}
+
+/// The bytes of an unfinished message. It is kept with the budget, so that closing a message frees
+/// its memory immediately.
+#[derive(Debug)]
+struct Buffer {
+    data: Vec<u8>,
+    overhead: usize,
+    closed: Arc<Notify>,
+}
+
+impl Budget {
+    /// Creates a budget that no message uses.
+    pub fn new(limits: BudgetLimits, times: MessageTimes, counters: Arc<Counters>) -> Arc<Self> {
+        let state = State {
+            budget: ByteBudget::new(limits),
+            buffers: HashMap::default(),
+        };
+        Arc::new(Self {
+            state: Mutex::new(state),
+            times,
+            small_message: limits.small_message,
+            counters,
+        })
+    }
+
+    /// Returns the counters of the process.
+    pub fn counters(&self) -> &Arc<Counters> {
+        &self.counters
+    }
+
+    /// Reads the whole body of a request, of at most `max_bytes` bytes. The bytes stay reserved
+    /// until the result is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the body is too long, is malformed, ends early, arrives too slowly, or
+    /// exceeds the budget. The request had no effect then.
+    pub async fn read<B>(
+        self: &Arc<Self>,
+        parts: &Parts,
+        body: B,
+        max_bytes: usize,
+    ) -> Result<Bytes>
+    where
+        B: Body<Data = Bytes>,
+    {
+        if body.is_end_stream() {
+            return Ok(Bytes::new());
+        }
+        let declared = body.size_hint().exact();
+        let declared = declared.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
+        if declared.is_some_and(|bytes| bytes > max_bytes) {
+            return Err(BodyError::TooLong);
+        }
+        let _receiving = parts.extensions.get::<Activity>().map(Activity::receive);
+        let message = self.open(header_bytes(&parts.headers))?;
+        let max_buffer = declared.unwrap_or(max_bytes);
+        let result = self.receive(&message, body, max_bytes, max_buffer).await;
+        if result == Err(BodyError::TooSlow) {
+            self.counters.messages_slow.add(1);
+        }
+        result?;
+        message.finish()
+    }
+
+    async fn receive<B>(
+        &self,
+        message: &Message,
+        body: B,
+        max_bytes: usize,
+        max_buffer: usize,
+    ) -> Result<()>
+    where
+        B: Body<Data = Bytes>,
+    {
+        let mut body = pin!(body);
+        let end = Instant::now() + self.times.total;
+        let mut window_end = Instant::now() + self.times.window;
+        let mut window_bytes = 0;
+        loop {
+            let wake_at = window_end.min(end);
+            let next = tokio::select! {
+                biased;
+                () = message.closed.notified() => return Err(BodyError::Overloaded),
+                next = timeout_at(wake_at.into(), body.frame()) => next,
+            };
+            match next {
+                Ok(None) => return Ok(()),
+                Ok(Some(Err(_))) => return Err(BodyError::Truncated),
+                Ok(Some(Ok(frame))) => {
+                    if let Ok(data) = frame.into_data() {
+                        message.extend(&data, max_bytes, max_buffer)?;
+                        window_bytes += data.len();
+                    }
+                }
+                Err(_) => {}
+            }
+            let now = Instant::now();
+            if now >= end {
+                return Err(BodyError::TooSlow);
+            }
+            if now >= window_end {
+                if window_bytes < self.times.min_window_bytes {
+                    return Err(BodyError::TooSlow);
+                }
+                window_end = now + self.times.window;
+                window_bytes = 0;
+            }
+        }
+    }
+
+    /// Adds an unfinished message that takes `bytes` bytes beside its own.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BodyError::Overloaded`] if the budget is exhausted.
+    pub fn open(self: &Arc<Self>, bytes: usize) -> Result<Message> {
+        let now = Instant::now();
+        let closed = Arc::new(Notify::new());
+        let overhead = MESSAGE_OVERHEAD_BYTES + bytes;
+        let mut state = self.state.lock();
+        let id = state.budget.open(now);
+        let buffer = Buffer {
+            data: Vec::new(),
+            overhead,
+            closed: closed.clone(),
+        };
+        state.buffers.insert(id, buffer);
+        // If the reservation fails, the drop of the message removes it.
+        let message = Message {
+            budget: self.clone(),
+            id,
+            closed,
+        };
+        let reserved = self.reserve(&mut state, id, overhead, now);
+        drop(state);
+        reserved.map(|()| message)
+    }
+
+    /// Reserves bytes for a message, and closes others for it.
+    fn reserve(&self, state: &mut State, id: MessageId, bytes: usize, now: Instant) -> Result<()> {
+        let Grant::Granted(victims) = state.budget.reserve(id, bytes, now) else {
+            self.counters.messages_refused.add(1);
+            return Err(BodyError::Overloaded);
+        };
+        self.counters.messages_displaced.add(victims.len() as u64);
+        for victim in victims {
+            if let Some(buffer) = state.buffers.remove(&victim) {
+                buffer.closed.notify_one();
+            }
+        }
+        self.publish(state);
+        Ok(())
+    }
+
+    /// Sets the levels in the counters.
+    fn publish(&self, state: &State) {
+        let used = state.budget.used();
+        let bytes = (used.large + used.small) as u64;
+        self.counters.bytes_in_flight.set(bytes);
+        self.counters.messages_in_flight.set(used.messages as u64);
+    }
+}
+
+/// A message in flight; dropping it frees its bytes.
+#[derive(Debug)]
+pub struct Message {
+    budget: Arc<Budget>,
+    id: MessageId,
+    closed: Arc<Notify>,
+}
+
+impl Message {
+    /// Waits until the message is closed for another one.
+    pub async fn closed(&self) {
+        self.closed.notified().await;
+    }
+
+    /// Appends bytes to a message of at most `max_bytes` bytes. `max_buffer` is the length that
+    /// the buffer is never grown beyond in advance.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the message gets too long, the budget is exhausted or the message was
+    /// closed.
+    pub fn extend(&self, data: &[u8], max_bytes: usize, max_buffer: usize) -> Result<()> {
+        let mut guard = self.budget.state.lock();
+        let state = &mut *guard;
+        let Some(buffer) = state.buffers.get(&self.id) else {
+            return Err(BodyError::Overloaded);
+        };
+        let (old, overhead) = (buffer.data.capacity(), buffer.overhead);
+        let len = buffer.data.len() + data.len();
+        if len > max_bytes {
+            return Err(BodyError::TooLong);
+        }
+        if len > old {
+            let ahead = (2 * old).max(FIRST_BUFFER_BYTES).min(max_buffer);
+            let capacity = len.max(ahead);
+            let now = Instant::now();
+            self.budget
+                .reserve(state, self.id, overhead + capacity, now)?;
+            if let Some(buffer) = state.buffers.get_mut(&self.id) {
+                buffer.data.reserve_exact(capacity - buffer.data.len());
+            }
+        }
+        if let Some(buffer) = state.buffers.get_mut(&self.id) {
+            buffer.data.extend_from_slice(data);
+        }
+        Ok(())
+    }
+
+    /// Returns the bytes of the complete message, which is no longer closed for others.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BodyError::Overloaded`] if the message was closed, or the budget does not suffice
+    /// to handle it.
+    pub fn finish(self) -> Result<Bytes> {
+        let mut guard = self.budget.state.lock();
+        let state = &mut *guard;
+        let Some(buffer) = state.buffers.get_mut(&self.id) else {
+            return Err(BodyError::Overloaded);
+        };
+        let data = mem::take(&mut buffer.data);
+        let mut bytes = buffer.overhead + data.capacity();
+        if data.len() > self.budget.small_message {
+            bytes = bytes.saturating_add(HANDLING_FACTOR * data.len());
+        }
+        self.budget.reserve(state, self.id, bytes, Instant::now())?;
+        state.budget.complete(self.id);
+        drop(guard);
+        Ok(Bytes::from_owner(Held {
+            data,
+            _message: self,
+        }))
+    }
+}
+
+impl Drop for Message {
+    fn drop(&mut self) {
+        let mut state = self.budget.state.lock();
+        state.budget.release(self.id);
+        state.buffers.remove(&self.id);
+        self.budget.publish(&state);
+    }
+}
+
+/// The bytes of a complete message and their reservation.
+struct Held {
+    data: Vec<u8>,
+    _message: Message,
+}
+
+impl AsRef<[u8]> for Held {
+    fn as_ref(&self) -> &[u8] {
+        &self.data
+    }
+}
+
+/// Returns about how many bytes the header fields of a request take.
+fn header_bytes(headers: &HeaderMap) -> usize {
+    let field = |(name, value): (&hyper::header::HeaderName, &hyper::header::HeaderValue)| {
+        name.as_str().len() + value.len() + FIELD_OVERHEAD_BYTES
+    };
+    headers.iter().map(field).sum()
+}
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -21,6 +21,9 @@
 //! ```
 
 pub mod body;
+pub mod budget;
 pub mod client;
 pub mod connection;
+pub mod connections;
+pub mod counters;
 pub mod server;
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -1,45 +1,81 @@
 //! A server loop for HTTP/1.1 and cleartext HTTP/2 with graceful shutdown.
 
 use {
-    crate::body::HttpResponse,
+    crate::{
+        body::HttpResponse,
+        connections::{Connections, OpenConnection},
+        counters::Counters,
+    },
     hyper::{Request, body::Incoming, service::service_fn},
     hyper_util::{
         rt::{TokioExecutor, TokioIo, TokioTimer},
         server::{conn::auto, graceful::GracefulShutdown},
     },
+    marigoldbend_core::connection_table::IdleLimits,
     std::{convert::Infallible, future::Future, net::SocketAddr, sync::Arc, time::Duration},
     tokio::{
         net::TcpListener,
-        sync::{Semaphore, watch},
+        sync::watch,
         time::{sleep, timeout},
     },
 };
 
 /// Limits of one listener.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Limits {
     /// The maximum number of open connections; further ones wait to be accepted.
     pub connections: usize,
+    /// Whether a connection without a request is closed for a new one when the maximum is reached.
+    pub closes_for_new: bool,
     /// The maximum length of a request's header section, in bytes; for HTTP/1.1, a smaller value
     /// than 8 KiB is raised to 8 KiB.
     pub header_bytes: usize,
-    /// The time limit for receiving the header section of an HTTP/1.1 request.
+    /// The time limit for receiving the header section of an HTTP/1.1 request, and for the first
+    /// request of a connection.
     pub header_timeout: Duration,
+    /// How long a connection over HTTP/2 may be without a request after an earlier one.
+    pub idle_timeout: Duration,
+    /// The limits of connections over HTTP/2; `None` for the library's.
+    pub http2: Option<Http2Limits>,
+    /// The size of the system's receive buffer of each connection, in bytes; `None` for the
+    /// system's choice.
+    pub receive_buffer: Option<usize>,
     /// How long [`serve`] waits for open connections to finish after it was told to stop.
     pub drain_timeout: Duration,
+    /// What the listener counts.
+    pub counters: Arc<Counters>,
+}
+
+/// Limits of a connection over HTTP/2.
+#[derive(Clone, Copy, Debug)]
+pub struct Http2Limits {
+    /// The maximum number of requests in flight.
+    pub streams: u32,
+    /// The maximum number of bytes of one request that have been received and not read.
+    pub stream_window: u32,
+    /// The same, for all requests of the connection.
+    pub connection_window: u32,
 }
 
 impl Default for Limits {
     fn default() -> Self {
         Self {
             connections: 4_096,
+            closes_for_new: false,
             header_bytes: 32 << 10,
             header_timeout: Duration::from_secs(10),
+            idle_timeout: Duration::from_secs(60),
+            http2: None,
+            receive_buffer: None,
             drain_timeout: Duration::from_secs(20),
+            counters: Arc::default(),
         }
     }
 }
 
+/// How often and how long a client over HTTP/2 is probed that sends nothing.
+const HTTP2_PROBE_INTERVAL: Duration = Duration::from_secs(20);
+
 /// The delay after a failed accept. The usual cause of a failure is a lack of file descriptors;
 /// without the delay, the loop would be busy until one is free.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
@@ -58,40 +94,50 @@
     F: Future<Output = HttpResponse> + Send + 'static,
 {
     let graceful = GracefulShutdown::new();
-    let permits = Arc::new(Semaphore::new(limits.connections));
+    let idle = IdleLimits {
+        first: limits.header_timeout,
+        next: limits.idle_timeout,
+    };
+    let connections = Connections::new(
+        limits.connections,
+        limits.closes_for_new,
+        idle,
+        limits.counters.clone(),
+    );
+    let builder = builder(&limits);
     loop {
         let accepted = tokio::select! {
-            accepted = accept(&listener, &permits) => accepted,
+            accepted = accept(&listener, &limits, &connections) => accepted,
             _ = stop.wait_for(|&stop| stop) => break,
         };
-        let Some((stream, peer, permit)) = accepted else {
+        let Some((stream, peer, open)) = accepted else {
             sleep(ACCEPT_BACKOFF).await;
             continue;
         };
         let handler = handler.clone();
-        let service = service_fn(move |req| {
+        let activity = open.activity();
+        let service = service_fn(move |mut req: Request<Incoming>| {
+            let serving = activity.serve();
+            req.extensions_mut().insert(activity.clone());
             let response = handler(peer, req);
-            async move { Ok::<_, Infallible>(response.await) }
+            async move {
+                let response = response.await;
+                drop(serving);
+                Ok::<_, Infallible>(response)
+            }
         });
-        let mut builder = auto::Builder::new(TokioExecutor::new());
-        builder
-            .http1()
-            .timer(TokioTimer::new())
-            .header_read_timeout(limits.header_timeout)
-            .max_buf_size(limits.header_bytes.max(8 << 10));
-        builder
-            .http2()
-            .timer(TokioTimer::new())
-            .max_header_list_size(limits.header_bytes as u32);
         let connection = builder
             .serve_connection(TokioIo::new(stream), service)
             .into_owned();
         let connection = graceful.watch(connection);
         tokio::spawn(async move {
-            // The error is ignored because only the client is affected, and it sees its connection
+            // An error is ignored because only the client is affected, and it sees its connection
             // end.
-            let _ = connection.await;
-            drop(permit);
+            tokio::select! {
+                _ = connection => {}
+                () = open.closed() => {}
+            }
+            drop(open);
         });
     }
     drop(listener);
@@ -100,23 +146,51 @@
         .is_ok()
 }
 
-/// A connection, the client's address, and the permit that counts the connection as open.
-type Accepted = (
-    tokio::net::TcpStream,
-    SocketAddr,
-    tokio::sync::OwnedSemaphorePermit,
-);
+fn builder(limits: &Limits) -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.header_timeout)
+        .max_buf_size(limits.header_bytes.max(8 << 10));
+    let mut http2 = builder.http2();
+    http2
+        .timer(TokioTimer::new())
+        .max_header_list_size(limits.header_bytes as u32)
+        .keep_alive_interval(HTTP2_PROBE_INTERVAL)
+        .keep_alive_timeout(HTTP2_PROBE_INTERVAL);
+    if let Some(own) = limits.http2 {
+        http2
+            .max_concurrent_streams(own.streams)
+            .initial_stream_window_size(own.stream_window)
+            .initial_connection_window_size(own.connection_window);
+    }
+    builder
+}
+
+/// A connection, the client's address, and what counts the connection as open.
+type Accepted = (tokio::net::TcpStream, SocketAddr, OpenConnection);
 
-async fn accept(listener: &TcpListener, permits: &Arc<Semaphore>) -> Option<Accepted> {
-    let permit = permits.clone().acquire_owned().await.ok()?;
+async fn accept(
+    listener: &TcpListener,
+    limits: &Limits,
+    connections: &Arc<Connections>,
+) -> Option<Accepted> {
     match listener.accept().await {
         Ok((stream, peer)) => {
             // Without this option, small responses wait for the acknowledgement of earlier ones.
             let _ = stream.set_nodelay(true);
-            Some((stream, peer, permit))
+            if let Some(bytes) = limits.receive_buffer {
+                // If the system refuses, its own limits apply.
+                let _ = socket2::SockRef::from(&stream).set_recv_buffer_size(bytes);
+            }
+            let open = connections.admit(peer.ip()).await;
+            Some((stream, peer, open))
         }
         Err(e) => {
-            log::warn!("http: accept failed: {e}.");
+            // A line for each would fill the log while descriptors are lacking.
+            limits.counters.accepts_failed.add(1);
+            log::debug!("http: accept failed: {e}.");
             None
         }
     }
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -29,7 +29,10 @@
             queues::Queue,
         },
     },
-    marigoldbend_http::body::{BodyError, HttpResponse, read_whole},
+    marigoldbend_http::{
+        body::{BodyError, HttpResponse},
+        budget::Budget,
+    },
     marigoldbend_peer::{
         call::{Call, Reply},
         link::Link,
@@ -83,6 +86,7 @@
     view: Arc<ArcSwap<View>>,
     control: Address<Control>,
     metrics: Arc<Metrics>,
+    budget: Arc<Budget>,
     links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
     job_cache: Mutex<JobCache>,
     /// The reads of the leaders' heartbeats in the store, by shard.
@@ -116,13 +120,15 @@
 }
 
 impl Intake {
-    /// Creates the handler; the actor `control` publishes its snapshots in `view`.
+    /// Creates the handler; the actor `control` publishes its snapshots in `view`, and `budget`
+    /// bounds the bodies in flight.
     pub fn new(
         settings: Settings,
         store: Arc<Store>,
         view: Arc<ArcSwap<View>>,
         control: Address<Control>,
         metrics: Arc<Metrics>,
+        budget: Arc<Budget>,
     ) -> Self {
         Self {
             settings,
@@ -130,6 +136,7 @@
             view,
             control,
             metrics,
+            budget,
             links: Mutex::default(),
             job_cache: Mutex::default(),
             heartbeat_ages: Mutex::default(),
@@ -187,12 +194,22 @@
         };
         match parts.method {
             Method::POST => {
-                let body = read_whole(body, queues.body_limit).await;
+                let body = self.budget.read(&parts, body, queues.body_limit).await;
                 let response = match body {
                     Ok(body) => {
                         self.submit(&view, queue, id, &body, (deadline_at, respond_by))
                             .await
                     }
+                    // These are counted with the limits and not logged one by one, so that many
+                    // of them don't displace other lines.
+                    Err(e @ BodyError::Overloaded) => {
+                        return self.finish("submit", start, unavailable(&e.to_string()));
+                    }
+                    Err(e @ BodyError::TooSlow) => {
+                        let body = wire::write_error(&e.to_string(), None);
+                        let response = respond(StatusCode::REQUEST_TIMEOUT, body);
+                        return self.finish("submit", start, response);
+                    }
                     Err(BodyError::TooLong) => respond(
                         StatusCode::PAYLOAD_TOO_LARGE,
                         wire::write_error("the body is longer than the limit", None),
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -66,6 +66,8 @@
     pub store_calls: IntGaugeVec,
     /// Log lines that were dropped because the output was too slow.
     pub log_dropped: IntGauge,
+    /// What the listeners hold, refused and closed, by name.
+    limits: IntGaugeVec,
 }
 
 impl Metrics {
@@ -129,6 +131,11 @@
         )?;
         registry.register(Box::new(config_age.clone()))?;
         let store_calls = gauges("mgb_store_calls", "Calls to the store.", &["kind"])?;
+        let limits = gauges(
+            "mgb_limits",
+            "What the listeners hold, refused and closed.",
+            &["name"],
+        )?;
         let log_dropped = IntGauge::new(
             "mgb_log_lines_dropped",
             "Log lines dropped because the output was too slow.",
@@ -152,6 +159,7 @@
             config_age,
             store_calls,
             log_dropped,
+            limits,
         })
     }
 
@@ -189,6 +197,14 @@
         }
     }
 
+    /// Sets what the listeners hold, refused and closed.
+    pub fn set_limits(&self, values: &[(&str, u64)]) {
+        for (name, value) in values {
+            let value = i64::try_from(*value).unwrap_or(i64::MAX);
+            self.limits.with_label_values(&[*name]).set(value);
+        }
+    }
+
     /// Writes the metrics as text.
     ///
     /// # Errors
--- a/crates/upstream/src/exchange.rs
+++ b/crates/upstream/src/exchange.rs
@@ -191,7 +191,9 @@
             .await
             .map_err(|e| match e {
                 BodyError::TooLong => Kind::TooLong,
-                BodyError::Truncated => Kind::Truncated,
+                BodyError::Truncated | BodyError::TooSlow | BodyError::Overloaded => {
+                    Kind::Truncated
+                }
             })?;
         self.put_back(connection).await;
         Ok(Response::from_parts(parts, body))
