--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -65,6 +65,10 @@
 /// The maximum length of a call by a peer, in bytes: an offer with the longest body, and its header.
 const MAX_CALL_BYTES: usize = 2 << 20;
 
+/// How many times its length a long body takes in addition while it is handled: the copy in an
+/// offer to a peer.
+const HANDLING_FACTOR: usize = 1;
+
 /// A result of starting an instance.
 pub type Result<T, E = EntryError> = std::result::Result<T, E>;
 
@@ -283,7 +287,12 @@
     spawn_ticks(jobs.clone(), jobs::TICK, || jobs::Tick);
     tokio::spawn(receive(datagrams, control.clone(), ctx.metrics.clone()));
 
-    let limits = InstanceLimits::new(settings.memory_mb, settings.max_fds, MAX_CALL_BYTES);
+    let limits = InstanceLimits::new(
+        settings.memory_mb,
+        settings.max_fds,
+        MAX_CALL_BYTES,
+        HANDLING_FACTOR,
+    );
     tokio::spawn(limits::report(limits.counters.clone()));
     let router = Arc::new(Router::new(directory, ctx.metrics.clone()));
     let (callers_stop, callers_stopped) = watch::channel(false);
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -9,7 +9,7 @@
         http::{
             budget::{Budget, MessageTimes},
             counters::Counters,
-            server::{Http2Limits, Limits},
+            server::{Http2Limits, Limits, SocketLimits},
         },
         peer::server::Limits as PeerLimits,
     },
@@ -32,16 +32,21 @@
 const MIN_CLOSE_AGE: Duration = Duration::from_millis(500);
 
 /// Connections from callers per megabyte of memory. A connection takes up to 40 KiB while its
-/// header section is received, so these take less than a quarter of the memory.
-const CONNECTIONS_PER_MB: u64 = 6;
+/// header section is received, so these take less than a sixth of the memory.
+const CONNECTIONS_PER_MB: u64 = 4;
 
 /// Descriptors that are kept for outgoing connections and files: three for each of 350 workers, and
 /// those to peers and to the store. An instance with fewer descriptors keeps half of them.
 const OUTGOING_FDS: u64 = 1_280;
 
-/// The system's receive buffer of a connection, in bytes; the system doubles the value. At 100 ms
-/// of delay, 262,144 bytes still arrive within a second.
-const RECEIVE_BUFFER_BYTES: usize = 32 << 10;
+/// The limits of the system's buffers, which count towards the machine's memory while the process
+/// has no processor time to read them. The system doubles the size of the receive buffer; at 100 ms
+/// of delay, 262,144 bytes still arrive within a second. The backlog takes the connections of some
+/// seconds.
+const SOCKETS: SocketLimits = SocketLimits {
+    receive_buffer: 32 << 10,
+    backlog: 256,
+};
 
 /// The limits of a connection over HTTP/2. The windows are four times the size of ordinary jobs, and
 /// as large as the longest job.
@@ -75,8 +80,13 @@
 impl InstanceLimits {
     /// Derives the limits from the memory in megabytes and the number of descriptors that the
     /// process may use; `None` for no limit. `max_call_bytes` is the maximum length of a call by a
-    /// peer.
-    pub fn new(memory_mb: Option<u64>, max_fds: Option<u64>, max_call_bytes: usize) -> Self {
+    /// peer, and `handling_factor` is that of [`Budget::new`].
+    pub fn new(
+        memory_mb: Option<u64>,
+        max_fds: Option<u64>,
+        max_call_bytes: usize,
+        handling_factor: usize,
+    ) -> Self {
         let counters = Arc::<Counters>::default();
         let bytes = memory_mb.map(|mb| to_usize((mb << 20) / BUDGET_DIVISOR));
         let budget = bytes.map_or(BudgetLimits::UNLIMITED, |bytes| BudgetLimits {
@@ -85,15 +95,20 @@
             small_message: SMALL_MESSAGE_BYTES,
             min_close_age: MIN_CLOSE_AGE,
         });
-        let budget = Budget::new(budget, MessageTimes::default(), counters.clone());
+        let budget = Budget::new(
+            budget,
+            MessageTimes::default(),
+            handling_factor,
+            counters.clone(),
+        );
         let shares = Shares::new(memory_mb, max_fds);
         let is_limited = memory_mb.is_some() || max_fds.is_some();
-        let receive_buffer = memory_mb.map(|_| RECEIVE_BUFFER_BYTES);
+        let sockets = memory_mb.map(|_| SOCKETS);
         let callers = Limits {
             connections: shares.callers,
             closes_for_new: is_limited,
             http2: memory_mb.map(|_| HTTP2),
-            receive_buffer,
+            sockets,
             counters: counters.clone(),
             ..Limits::default()
         };
@@ -108,7 +123,7 @@
             connections: shares.peers,
             closes_for_new: is_limited,
             budget: budget.clone(),
-            receive_buffer,
+            sockets,
             ..PeerLimits::default()
         };
         let peers = PeerLimits {
--- a/crates/entry/src/scheduling.rs
+++ b/crates/entry/src/scheduling.rs
@@ -13,6 +13,7 @@
         core::clock::{Clock, SystemClock},
         http::{
             body,
+            budget::JOB_HANDLING_FACTOR,
             counters::Counters,
             server::{Limits, serve},
         },
@@ -119,7 +120,12 @@
         settings.scheduler.store,
     );
     let metrics = Arc::new(Metrics::new()?);
-    let limits = InstanceLimits::new(settings.memory_mb, settings.max_fds, MAX_CALL_BYTES);
+    let limits = InstanceLimits::new(
+        settings.memory_mb,
+        settings.max_fds,
+        MAX_CALL_BYTES,
+        JOB_HANDLING_FACTOR,
+    );
     let clock: Arc<dyn Clock> = Arc::new(SystemClock);
     let wire = marigoldbend_wire::store::WIRE;
     let view = Arc::new(ArcSwap::<View>::default());
--- a/crates/entry/tests/binary.rs
+++ b/crates/entry/tests/binary.rs
@@ -49,6 +49,7 @@
 #[test_case("callers = 127.0.0.1:0", "callers = 127.0.0.1", "line 5: [listen] callers"; "bad address")]
 #[test_case("url = http:", "url = ftp:", "line 9: [platform] url"; "bad scheme")]
 #[test_case("threads = 1", "threads = 1\nthreads = 2", "[traffic] threads: the key is given twice"; "given twice")]
+#[test_case("[traffic]", "[limits]\nmemory_mb = 1\n[traffic]", "line 11: [limits] memory_mb"; "too little memory")]
 #[test_case("[instance]", "name = a1\n[instance]", "line 1: key \"name\" is outside any section"; "no section")]
 #[test_case("[instance]", "[instance", "a1.ini: line"; "broken section")]
 fn invalid_settings_are_reported_with_exit_code_2(valid: &str, invalid: &str, message: &str) {
--- a/crates/http/src/budget.rs
+++ b/crates/http/src/budget.rs
@@ -20,11 +20,14 @@
     parking_lot::Mutex,
     std::{
         mem,
-        pin::pin,
+        pin::{Pin, pin},
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::{sync::Notify, time::timeout_at},
+    tokio::{
+        sync::Notify,
+        time::{timeout, timeout_at},
+    },
 };
 
 /// The size of a message's first buffer, in bytes; most jobs fit.
@@ -36,9 +39,13 @@
 /// What a header field takes beside its name and its value, in bytes.
 const FIELD_OVERHEAD_BYTES: usize = 64;
 
-/// How many times its length a long message takes in addition while it is handled: the parsed form
-/// and the encoded requests that it causes.
-const HANDLING_FACTOR: usize = 3;
+/// How many times its length the body of a long job takes in addition while it is handled: the
+/// parsed form and the encoded write to the store.
+pub const JOB_HANDLING_FACTOR: usize = 3;
+
+/// How long the rest of a refused body is read and dropped. A client that still sends would see a
+/// reset connection instead of the response.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The time limits of a message.
 #[derive(Clone, Copy, Debug)]
@@ -69,6 +76,7 @@
     state: Mutex<State>,
     times: MessageTimes,
     small_message: usize,
+    handling_factor: usize,
     counters: Arc<Counters>,
 }
 
@@ -88,8 +96,14 @@
 }
 
 impl Budget {
-    /// Creates a budget that no message uses.
-    pub fn new(limits: BudgetLimits, times: MessageTimes, counters: Arc<Counters>) -> Arc<Self> {
+    /// Creates a budget that no message uses. While a message is handled that is too long for the
+    /// small pool, `handling_factor` times its length is reserved in addition.
+    pub fn new(
+        limits: BudgetLimits,
+        times: MessageTimes,
+        handling_factor: usize,
+        counters: Arc<Counters>,
+    ) -> Arc<Self> {
         let state = State {
             budget: ByteBudget::new(limits),
             buffers: HashMap::default(),
@@ -98,6 +112,7 @@
             state: Mutex::new(state),
             times,
             small_message: limits.small_message,
+            handling_factor,
             counters,
         })
     }
@@ -128,31 +143,37 @@
         }
         let declared = body.size_hint().exact();
         let declared = declared.map(|bytes| usize::try_from(bytes).unwrap_or(usize::MAX));
-        if declared.is_some_and(|bytes| bytes > max_bytes) {
-            return Err(BodyError::TooLong);
-        }
         let _receiving = parts.extensions.get::<Activity>().map(Activity::receive);
-        let message = self.open(header_bytes(&parts.headers))?;
-        let max_buffer = declared.unwrap_or(max_bytes);
-        let result = self.receive(&message, body, max_bytes, max_buffer).await;
-        if result == Err(BodyError::TooSlow) {
-            self.counters.messages_slow.add(1);
+        let mut body = pin!(body);
+        let result = if declared.is_some_and(|bytes| bytes > max_bytes) {
+            Err(BodyError::TooLong)
+        } else {
+            let max_buffer = declared.unwrap_or(max_bytes);
+            self.receive(&parts.headers, body.as_mut(), max_bytes, max_buffer)
+                .await
+        };
+        match result {
+            Err(BodyError::TooSlow) => self.counters.messages_slow.add(1),
+            Err(BodyError::TooLong | BodyError::Overloaded) => {
+                // The response is sent whether or not the rest arrives.
+                let _ = timeout(DRAIN_TIMEOUT, drain(body, max_bytes)).await;
+            }
+            _ => {}
         }
-        result?;
-        message.finish()
+        result
     }
 
     async fn receive<B>(
-        &self,
-        message: &Message,
-        body: B,
+        self: &Arc<Self>,
+        headers: &HeaderMap,
+        mut body: Pin<&mut B>,
         max_bytes: usize,
         max_buffer: usize,
-    ) -> Result<()>
+    ) -> Result<Bytes>
     where
         B: Body<Data = Bytes>,
     {
-        let mut body = pin!(body);
+        let message = self.open(header_bytes(headers))?;
         let end = Instant::now() + self.times.total;
         let mut window_end = Instant::now() + self.times.window;
         let mut window_bytes = 0;
@@ -164,7 +185,7 @@
                 next = timeout_at(wake_at.into(), body.frame()) => next,
             };
             match next {
-                Ok(None) => return Ok(()),
+                Ok(None) => return message.finish(),
                 Ok(Some(Err(_))) => return Err(BodyError::Truncated),
                 Ok(Some(Ok(frame))) => {
                     if let Ok(data) = frame.into_data() {
@@ -188,6 +209,17 @@
         }
     }
 
+    /// Reserves what a request without a body takes, until the result is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BodyError::Overloaded`] if the budget is exhausted.
+    pub fn hold(self: &Arc<Self>, headers: &HeaderMap) -> Result<Message> {
+        let message = self.open(header_bytes(headers))?;
+        self.state.lock().budget.complete(message.id);
+        Ok(message)
+    }
+
     /// Adds an unfinished message that takes `bytes` bytes beside its own.
     ///
     /// # Errors
@@ -304,7 +336,7 @@
         let data = mem::take(&mut buffer.data);
         let mut bytes = buffer.overhead + data.capacity();
         if data.len() > self.budget.small_message {
-            bytes = bytes.saturating_add(HANDLING_FACTOR * data.len());
+            bytes = bytes.saturating_add(self.budget.handling_factor * data.len());
         }
         self.budget.reserve(state, self.id, bytes, Instant::now())?;
         state.budget.complete(self.id);
@@ -337,6 +369,16 @@
     }
 }
 
+/// Reads and drops about `max_bytes` bytes of a body.
+async fn drain<B: Body<Data = Bytes>>(mut body: Pin<&mut B>, max_bytes: usize) {
+    let mut bytes = 0;
+    while bytes <= max_bytes
+        && let Some(Ok(frame)) = body.frame().await
+    {
+        bytes += frame.data_ref().map_or(0, Bytes::len);
+    }
+}
+
 /// Returns about how many bytes the header fields of a request take.
 fn header_bytes(headers: &HeaderMap) -> usize {
     let field = |(name, value): (&hyper::header::HeaderName, &hyper::header::HeaderValue)| {
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -37,9 +37,8 @@
     pub idle_timeout: Duration,
     /// The limits of connections over HTTP/2; `None` for the library's.
     pub http2: Option<Http2Limits>,
-    /// The size of the system's receive buffer of each connection, in bytes; `None` for the
-    /// system's choice.
-    pub receive_buffer: Option<usize>,
+    /// The limits of the system's buffers; `None` for the system's choice.
+    pub sockets: Option<SocketLimits>,
     /// How long [`serve`] waits for open connections to finish after it was told to stop.
     pub drain_timeout: Duration,
     /// What the listener counts.
@@ -57,6 +56,25 @@
     pub connection_window: u32,
 }
 
+/// Limits of the bytes that the system holds for a listener.
+#[derive(Clone, Copy, Debug)]
+pub struct SocketLimits {
+    /// The size of the receive buffer of each connection, in bytes.
+    pub receive_buffer: usize,
+    /// The maximum number of connections that have not been accepted yet.
+    pub backlog: i32,
+}
+
+impl SocketLimits {
+    /// Applies the limits to a listening socket; its connections inherit the size of the buffer.
+    pub fn apply(&self, listener: &TcpListener) {
+        let socket = socket2::SockRef::from(listener);
+        // If the system refuses, its own limits apply.
+        let _ = socket.set_recv_buffer_size(self.receive_buffer);
+        let _ = socket.listen(self.backlog);
+    }
+}
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
@@ -66,7 +84,7 @@
             header_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(60),
             http2: None,
-            receive_buffer: None,
+            sockets: None,
             drain_timeout: Duration::from_secs(20),
             counters: Arc::default(),
         }
@@ -105,6 +123,9 @@
         limits.counters.clone(),
     );
     let builder = builder(&limits);
+    if let Some(sockets) = limits.sockets {
+        sockets.apply(&listener);
+    }
     loop {
         let accepted = tokio::select! {
             accepted = accept(&listener, &limits, &connections) => accepted,
@@ -180,10 +201,6 @@
         Ok((stream, peer)) => {
             // Without this option, small responses wait for the acknowledgement of earlier ones.
             let _ = stream.set_nodelay(true);
-            if let Some(bytes) = limits.receive_buffer {
-                // If the system refuses, its own limits apply.
-                let _ = socket2::SockRef::from(&stream).set_recv_buffer_size(bytes);
-            }
             let open = connections.admit(peer.ip()).await;
             Some((stream, peer, open))
         }
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -8,6 +8,7 @@
     marigoldbend_http::{
         budget::{Budget, MessageTimes},
         connections::{Connections, OpenConnection},
+        server::SocketLimits,
     },
     std::{future::Future, sync::Arc, time::Duration},
     tokio::{
@@ -47,9 +48,8 @@
     pub max_call_bytes: usize,
     /// The budget for calls in flight.
     pub budget: Arc<Budget>,
-    /// The size of the system's receive buffer of each connection, in bytes; `None` for the
-    /// system's choice.
-    pub receive_buffer: Option<usize>,
+    /// The limits of the system's buffers; `None` for the system's choice.
+    pub sockets: Option<SocketLimits>,
 }
 
 impl Default for Limits {
@@ -64,8 +64,8 @@
             },
             call_timeout: Duration::from_secs(10),
             max_call_bytes: MAX_FRAME_BYTES,
-            budget: Budget::new(BudgetLimits::UNLIMITED, times, Arc::default()),
-            receive_buffer: None,
+            budget: Budget::new(BudgetLimits::UNLIMITED, times, 0, Arc::default()),
+            sockets: None,
         }
     }
 }
@@ -88,6 +88,9 @@
         limits.idle,
         counters.clone(),
     );
+    if let Some(sockets) = limits.sockets {
+        sockets.apply(&listener);
+    }
     let limits = Arc::new(limits);
     loop {
         let accept = async {
@@ -131,10 +134,6 @@
 {
     // Without this option, small replies wait for the acknowledgement of earlier ones.
     let _ = stream.set_nodelay(true);
-    if let Some(bytes) = limits.receive_buffer {
-        // If the system refuses, its own limits apply.
-        let _ = socket2::SockRef::from(&stream).set_recv_buffer_size(bytes);
-    }
     let (reader, writer) = stream.into_split();
     let mut reader = BufReader::with_capacity(READ_BUFFER_BYTES, reader);
     let mut sink = FramedWrite::new(writer, codec());
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -179,6 +179,11 @@
             );
             return self.finish("none", start, response);
         };
+        // A request with a body reserves its bytes when it reads the body.
+        let held = (parts.method != Method::POST).then(|| self.budget.hold(&parts.headers));
+        if let Some(Err(e)) = held {
+            return self.finish("none", start, unavailable(&e.to_string()));
+        }
         let deadline = wire::read_deadline(&parts.headers).map(Duration::from_millis);
         let deadline = deadline.unwrap_or(DEFAULT_DEADLINE);
         let deadline_at = start + deadline;
