Give new connections and the shortest messages room in a crowd

A connection is now closed for a new one only 500 ms after its last change, and in the reserve a message that is much longer is closed at any age.

--- a/crates/core/src/byte_budget.rs
+++ b/crates/core/src/byte_budget.rs
@@ -6,7 +6,9 @@
 //!
 //! If a pool is exhausted, unfinished messages in it are closed for a new one: first those with the
 //! largest product of bytes held and age, since these take most from others. A message that is
-//! complete is never closed.
+//! complete is never closed. A message is closed only after a minimum age, but in the small pool at
+//! any age for a message that is much shorter, so that a crowd that sends again at once can't keep
+//! out the shortest messages.
 
 use {
     crate::hash::HashMap,
@@ -38,6 +40,10 @@
     };
 }
 
+/// How many times longer than a new message in the small pool another one must be to be closed for
+/// it before the minimum age.
+const CLOSABLE_RATIO: usize = 4;
+
 /// The identifier of a message in a [`ByteBudget`].
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct MessageId(u64);
@@ -54,7 +60,7 @@
     /// How much this message takes from others: bytes held times age.
     fn weight(&self, now: Instant) -> u128 {
         let age = now.saturating_duration_since(self.since);
-        self.bytes as u128 * age.as_millis()
+        self.bytes as u128 * (age.as_millis() + 1)
     }
 }
 
@@ -154,7 +160,8 @@
                         && !m.is_complete
                         && m.is_large == is_large
                         && m.bytes > 0
-                        && now.saturating_duration_since(m.since) >= self.limits.min_close_age
+                        && (now.saturating_duration_since(m.since) >= self.limits.min_close_age
+                            || (!is_large && m.bytes >= bytes.saturating_mul(CLOSABLE_RATIO)))
                 })
                 .map(|(other, m)| (m.weight(now), *other, m.bytes))
                 .collect();
--- a/crates/core/tests/byte_budget.rs
+++ b/crates/core/tests/byte_budget.rs
@@ -59,6 +59,21 @@
     assert_eq!(budget.used().large, 1_000);
 }
 
+/// Guards against short messages that find the reserve full again and again, since the crowd in it
+/// is always young.
+#[test]
+fn the_shortest_messages_displace_young_ones_in_the_reserve() {
+    let now = Instant::now();
+    let mut budget = ByteBudget::new(LIMITS);
+    for _ in 0..10 {
+        add(&mut budget, 10, now);
+    }
+    assert_eq!(add(&mut budget, 3, now).1, Grant::Refused);
+    let (_, grant) = add(&mut budget, 2, now);
+    assert!(matches!(grant, Grant::Granted(closed) if closed.len() == 1));
+    assert!(budget.used().small <= LIMITS.small_pool);
+}
+
 /// Guards against a victim that is smaller or younger than another.
 #[test]
 fn the_message_with_the_most_bytes_and_age_is_closed_first() {
--- a/crates/core/tests/connection_table.rs
+++ b/crates/core/tests/connection_table.rs
@@ -35,8 +35,12 @@
     let of_few = table.open(peer(2), at(4));
     let silent = table.open(peer(1), at(5));
     let younger = table.open(peer(1), at(6));
-    let victims: Vec<_> = std::iter::from_fn(|| table.choose_victim()).collect();
+    let new = table.open(peer(3), at(400));
+    // Guards against new connections that are closed before they can send their requests.
+    assert_eq!(table.choose_victim(at(400)), None);
+    let victims: Vec<_> = std::iter::from_fn(|| table.choose_victim(at(600))).collect();
     assert_eq!(victims, [silent, younger, of_few, reused, receiving]);
+    assert_eq!(table.choose_victim(at(900)), Some(new));
 }
 
 /// Guards against connections that stay open without a request, and against the end of those that
--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -71,9 +71,10 @@
 
     fn try_admit(self: &Arc<Self>, peer: IpAddr) -> Option<OpenConnection> {
         let mut state = self.state.lock();
+        let now = Instant::now();
         if state.table.len() >= self.limit {
             if self.closes_for_new
-                && let Some(victim) = state.table.choose_victim()
+                && let Some(victim) = state.table.choose_victim(now)
                 && let Some(closing) = state.closing.get(&victim)
             {
                 closing.notify_one();
@@ -81,7 +82,7 @@
             }
             return None;
         }
-        let id = state.table.open(peer, Instant::now());
+        let id = state.table.open(peer, now);
         let closing = Arc::new(Notify::new());
         state.closing.insert(id, closing.clone());
         self.counters.connections_open.add(1);
