Close silent connections at internal listeners sooner

A readiness listener has few connections. With 500 ms for each, a probe would wait for seconds behind many silent connections, and the platform takes an instance out after two missed probes. Its clients send their requests at once, so 50 ms suffice.

--- a/crates/core/src/connection_table.rs
+++ b/crates/core/src/connection_table.rs
@@ -14,10 +14,6 @@
     },
 };
 
-/// How long a connection is kept at least before it is closed for a new one. Without this time, a
-/// crowd that connects again at once would displace ordinary clients before they send a request.
-const MIN_AGE: Duration = Duration::from_millis(500);
-
 /// The identifier of a connection in a [`ConnectionTable`].
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct ConnectionId(u64);
@@ -115,11 +111,12 @@
     }
 
     /// Chooses the connection to be closed for a new one, at most once for each; `None` if all
-    /// others have a request that is being handled, or changed within [`MIN_AGE`].
+    /// others have a request that is being handled, or changed within `min_age`. Without that time,
+    /// a crowd that connects again at once would displace clients before they send a request.
     ///
     /// Connections without a request come first, of these those that never had one; then those of
     /// the address with the most connections; then the one that has been waiting longest.
-    pub fn choose_victim(&mut self, now: Instant) -> Option<ConnectionId> {
+    pub fn choose_victim(&mut self, min_age: Duration, now: Instant) -> Option<ConnectionId> {
         let mut by_peer: HashMap<IpAddr, usize> = HashMap::default();
         for connection in self.connections.values() {
             *by_peer.entry(connection.peer).or_default() += 1;
@@ -128,7 +125,7 @@
             .connections
             .iter()
             .filter(|(_, c)| c.in_flight == c.receiving && !c.is_closing)
-            .filter(|(_, c)| now.saturating_duration_since(c.since) >= MIN_AGE);
+            .filter(|(_, c)| now.saturating_duration_since(c.since) >= min_age);
         let rank = |c: &Connection| {
             let of_peer = by_peer.get(&c.peer).copied().unwrap_or_default();
             (c.receiving > 0, c.has_served, Reverse(of_peer), c.since)
--- a/crates/core/tests/connection_table.rs
+++ b/crates/core/tests/connection_table.rs
@@ -13,6 +13,9 @@
     next: Duration::from_secs(60),
 };
 
+/// The age at which a connection may be closed for a new one.
+const MIN_AGE: Duration = Duration::from_millis(500);
+
 fn peer(last: u8) -> IpAddr {
     Ipv4Addr::new(10, 0, 0, last).into()
 }
@@ -37,10 +40,10 @@
     let younger = table.open(peer(1), at(6));
     let new = table.open(peer(3), at(400));
     // Guards against new connections that are closed before they can send their requests.
-    assert_eq!(table.choose_victim(at(400)), None);
-    let victims: Vec<_> = std::iter::from_fn(|| table.choose_victim(at(600))).collect();
+    assert_eq!(table.choose_victim(MIN_AGE, at(400)), None);
+    let victims: Vec<_> = std::iter::from_fn(|| table.choose_victim(MIN_AGE, at(600))).collect();
     assert_eq!(victims, [silent, younger, of_few, reused, receiving]);
-    assert_eq!(table.choose_victim(at(900)), Some(new));
+    assert_eq!(table.choose_victim(MIN_AGE, at(900)), Some(new));
 }
 
 /// Guards against connections that stay open without a request, and against the end of those that
--- a/crates/entry/src/limits.rs
+++ b/crates/entry/src/limits.rs
@@ -32,6 +32,13 @@
 /// takes 0.2 s on the slowest link of an instance (10 Mbit/s).
 const MIN_CLOSE_AGE: Duration = Duration::from_millis(500);
 
+/// The age at which a connection without a request is closed for a new one, if the listener is full.
+const CLOSE_AGE: Duration = Duration::from_millis(500);
+
+/// The same at an internal listener. These have few connections, whose clients send their requests
+/// at once, and a readiness probe must not wait for many silent connections.
+const INTERNAL_CLOSE_AGE: Duration = Duration::from_millis(50);
+
 /// Connections from callers per megabyte of memory. A connection takes up to 40 KiB while it
 /// receives a request, so these take less than a sixth of the memory.
 const CONNECTIONS_PER_MB: u64 = 4;
@@ -112,7 +119,7 @@
         let sockets = memory_mb.map(|_| SOCKETS);
         let mut callers = Limits {
             connections: shares.callers,
-            closes_for_new: is_limited,
+            close_age: is_limited.then_some(CLOSE_AGE),
             http2: memory_mb.map(|_| HTTP2),
             sockets,
             counters: counters.clone(),
@@ -120,6 +127,7 @@
         };
         let mut internal = Limits {
             connections: shares.internal,
+            close_age: is_limited.then_some(INTERNAL_CLOSE_AGE),
             ..callers.clone()
         };
         if memory_mb.is_some() {
@@ -128,7 +136,7 @@
         }
         let peers = PeerLimits {
             connections: shares.peers,
-            closes_for_new: is_limited,
+            close_age: is_limited.then_some(CLOSE_AGE),
             budget: budget.clone(),
             sockets,
             ..PeerLimits::default()
--- a/crates/entry/tests/limits.rs
+++ b/crates/entry/tests/limits.rs
@@ -27,7 +27,7 @@
     assert_eq!(limits.callers.connections, 4_096);
     assert_eq!(limits.internal.connections, 4_096);
     assert_eq!(limits.peers.connections, 1_024);
-    assert!(!limits.callers.closes_for_new && !limits.peers.closes_for_new);
+    assert!(limits.callers.close_age.is_none() && limits.peers.close_age.is_none());
     assert!(limits.callers.http2.is_none() && limits.callers.sockets.is_none());
     let parts = hyper::Request::new(()).into_parts().0;
     let held: Vec<_> = (0..10_000)
--- a/crates/http/src/connections.rs
+++ b/crates/http/src/connections.rs
@@ -26,7 +26,7 @@
 #[derive(Debug)]
 pub struct Connections {
     limit: usize,
-    closes_for_new: bool,
+    close_age: Option<Duration>,
     idle: IdleLimits,
     state: Mutex<State>,
     freed: Notify,
@@ -40,17 +40,18 @@
 }
 
 impl Connections {
-    /// Creates an empty set of at most `limit` connections. If `closes_for_new` is set, a
-    /// connection without a request is closed for a new one once the limit is reached.
+    /// Creates an empty set of at most `limit` connections. Once the
+    /// limit is reached, a connection without a request is closed for a new one if it is at least
+    /// as old as `close_age`; none is closed if that is `None`.
     pub fn new(
         limit: usize,
-        closes_for_new: bool,
+        close_age: Option<Duration>,
         idle: IdleLimits,
         counters: Arc<Counters>,
     ) -> Arc<Self> {
         Arc::new(Self {
             limit: limit.max(1),
-            closes_for_new,
+            close_age,
             idle,
             state: Mutex::default(),
             freed: Notify::new(),
@@ -73,8 +74,8 @@
         let mut state = self.state.lock();
         let now = Instant::now();
         if state.table.len() >= self.limit {
-            if self.closes_for_new
-                && let Some(victim) = state.table.choose_victim(now)
+            if let Some(min_age) = self.close_age
+                && let Some(victim) = state.table.choose_victim(min_age, now)
                 && let Some(closing) = state.closing.get(&victim)
             {
                 closing.notify_one();
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -25,8 +25,9 @@
 pub struct Limits {
     /// The maximum number of open connections; further ones wait to be accepted.
     pub connections: usize,
-    /// Whether a connection without a request is closed for a new one when the maximum is reached.
-    pub closes_for_new: bool,
+    /// The age at which a connection without a request is closed for a new one when the maximum is
+    /// reached; `None` to close none.
+    pub close_age: Option<Duration>,
     /// The maximum length of a request's header section, in bytes; for HTTP/1.1, a smaller value
     /// than 8 KiB is raised to 8 KiB.
     pub header_bytes: usize,
@@ -79,7 +80,7 @@
     fn default() -> Self {
         Self {
             connections: 4_096,
-            closes_for_new: false,
+            close_age: None,
             header_bytes: 32 << 10,
             header_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(60),
@@ -118,7 +119,7 @@
     };
     let connections = Connections::new(
         limits.connections,
-        limits.closes_for_new,
+        limits.close_age,
         idle,
         limits.counters.clone(),
     );
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -37,8 +37,9 @@
 pub struct Limits {
     /// The maximum number of open connections; further ones wait to be accepted.
     pub connections: usize,
-    /// Whether a connection without a call is closed for a new one when the maximum is reached.
-    pub closes_for_new: bool,
+    /// The age at which a connection without a call is closed for a new one when the maximum is
+    /// reached; `None` to close none.
+    pub close_age: Option<Duration>,
     /// How long a connection may be without a call. The second limit is long, because peers keep
     /// their connections, and a call that meets the end of its connection has no reply.
     pub idle: IdleLimits,
@@ -57,7 +58,7 @@
         let times = MessageTimes::default();
         Self {
             connections: 1_024,
-            closes_for_new: false,
+            close_age: None,
             idle: IdleLimits {
                 first: Duration::from_secs(10),
                 next: Duration::from_secs(600),
@@ -84,7 +85,7 @@
     let counters = limits.budget.counters().clone();
     let connections = Connections::new(
         limits.connections,
-        limits.closes_for_new,
+        limits.close_age,
         limits.idle,
         counters.clone(),
     );
