--- a/crates/entry/src/reload.rs
+++ b/crates/entry/src/reload.rs
@@ -84,7 +84,7 @@
         next.log_level = new.log_level;
         if next != new {
             log::warn!(
-                "settings: changed names, addresses or shards take effect at the next start."
+                "settings: changed names, addresses, shards or limits take effect at the next start."
             );
         }
         let changed = next != self.settings;
--- a/review/harness/src/deployment.rs
+++ b/review/harness/src/deployment.rs
@@ -176,6 +176,8 @@
                 .replace("{{node_name}}", &name)
                 .replace("{{zone}}", zone)
                 .replace("{{limits.cpu_share}}", "0.1")
+                .replace("{{limits.memory_mb}}", "160")
+                .replace("{{limits.max_fds}}", "4100")
                 .replace("{{listen.frontend}}", &at(0).to_string())
                 .replace("{{listen.readiness}}", &at(1).to_string())
                 .replace("{{ip}}:{{port_range.0}}", &at(2).to_string())
