Let a run count as stuck only by what it could have shown

A run whose whole percent did not change within 2.5 s was stopped, and its worker got no tasks for 6 s.

The allowed pause now follows from the run's own pace, else from the paces of its step's other runs, else from the caller's estimate and its error, and is 2.5 s at the least. Each stop doubles it for the task's next run. A worker is ejected only if nothing on it has progressed and several steps stand still there and not elsewhere; on less evidence it comes last in the ranking. At most 20% of a service's workers are ejected for this at a time.

--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -17,5 +17,6 @@
 pub mod queues;
 pub mod shard;
 pub mod size_fairness;
+pub mod stuck;
 pub mod throttle;
 pub mod worker;
--- a/crates/core/src/sched/placement.rs
+++ b/crates/core/src/sched/placement.rs
@@ -33,6 +33,8 @@
     pub forced: bool,
     /// Whether a task that is suspected of crashing workers has just started on the worker.
     pub on_probation: bool,
+    /// Whether a run on the worker stood still a short time ago, so that it may hang.
+    pub doubted: bool,
     /// The number of attempts on the worker from the same step and occurrence; counted only if
     /// [`Step::max_per_worker`] sets a limit.
     pub sibling_runs: u32,
@@ -64,6 +66,9 @@
 /// other parts of the score.
 const PROBATION_SCORE: i64 = 100_000_000;
 
+/// What is subtracted from the score of a worker that may hang; it outweighs the preferred rack.
+const DOUBT_SCORE: i64 = 40_000_000;
+
 impl Candidate<'_> {
     /// Returns whether a task of the step may be placed on this worker.
     pub fn fits(&self, step: &Step) -> bool {
@@ -122,7 +127,8 @@
         } else {
             0
         };
-        rack_score + own_score - probation_score
+        let doubt_score = if self.doubted { DOUBT_SCORE } else { 0 };
+        rack_score + own_score - probation_score - doubt_score
     }
 }
 
--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -5,7 +5,7 @@
 //!
 //! - `approvals`: approvals that some queues require before a worker may run a task.
 //! - `candidates`: finds the best worker for a task.
-//! - `checks`: stops stuck runs and runs on draining workers.
+//! - `checks`: stops runs on draining workers.
 //! - `commits`: batches of rows to store, and the effects of the writes' results.
 //! - `crashes`: tasks that crash their workers.
 //! - `dispatch`: [`Shard::poll`], which chooses workers for tasks and starts them.
@@ -21,8 +21,10 @@
 //! - `reports`: the reports of workers: runs that are confirmed, found or lost.
 //! - `restoring`: a new leader, before it has dispatched the work of earlier leaders.
 //! - `runs`: adds and removes runs on workers, and accounts for their resources.
+//! - `stalls`: runs that stand still, and what this says of their workers.
 //! - `summary`: what waits and what is free, for the log and the metrics.
 //! - `tails`: tail latencies of serving tasks, and the throttles that follow from them.
+//! - `trust`: workers that get no new tasks because of what their runs have shown.
 //! - `waiting`: which waiting job gets resources first.
 //! - `workers`: the list of workers, and their replies to commands.
 
@@ -44,9 +46,11 @@
 mod reports;
 mod restoring;
 mod runs;
+mod stalls;
 mod state;
 mod summary;
 mod tails;
+mod trust;
 mod waiting;
 mod workers;
 
--- a/crates/core/src/sched/shard/ends.rs
+++ b/crates/core/src/sched/shard/ends.rs
@@ -51,6 +51,7 @@
             && let Some(worker) = self.workers.get_mut(worker_id)
         {
             worker.consecutive_failures = 0;
+            worker.progressed_at = Some(now);
         }
         let Some(job) = self.jobs.get_mut(&row.task.job) else {
             return;
--- a/crates/core/src/sched/shard/reports.rs
+++ b/crates/core/src/sched/shard/reports.rs
@@ -91,6 +91,9 @@
         worker.omits_inherited_ends = false;
         worker.consecutive_failures = 0;
         worker.ejected_until = None;
+        worker.doubted_until = None;
+        worker.progressed_at = None;
+        worker.stalls.clear();
         worker.throttles.clear();
         let is_reported = |task: &TaskName, attempt| {
             let same = |row: &RunningRow| row.task == *task && row.attempt == attempt;
@@ -147,10 +150,19 @@
                 }
             }
             if row.percent != run.progress_percent {
+                let is_progress = run.progress_percent >= 0.0 && row.percent > run.progress_percent;
                 run.progress_percent = row.percent;
                 run.progressed_at = now;
+                run.pace.record(row.percent, now);
+                if is_progress && !run.is_long_running {
+                    worker.progressed_at = Some(now);
+                }
             }
             if !row.checkpoint.is_empty() {
+                // A new checkpoint shows progress, too.
+                if row.checkpoint != run.checkpoint {
+                    run.progressed_at = now;
+                }
                 row.checkpoint.clone_into(&mut run.checkpoint);
             }
             if is_unconfirmed {
--- a/crates/core/src/sched/shard/runs.rs
+++ b/crates/core/src/sched/shard/runs.rs
@@ -5,7 +5,7 @@
         crashes::PROBATION,
         state::{Command, Run, RunPhase, Shard},
     },
-    crate::sched::{job::TaskName, placement::reserved},
+    crate::sched::{job::TaskName, placement::reserved, stuck::Pace},
     std::time::Instant,
 };
 
@@ -125,6 +125,7 @@
             process_started_ms: worker.info.started_ms,
             progress_percent: -1.0,
             progressed_at: now,
+            pace: Pace::default(),
             speed_percent: 100,
             checkpoint: String::new(),
         };
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -8,6 +8,7 @@
         dispatch::{MIN_DISPATCH_INTERVAL, PlacementKey},
         evacuations::Evacuation,
         losses::{Losses, Processes},
+        stalls::Stall,
     },
     crate::{
         hash::{HashMap, HashSet},
@@ -16,6 +17,7 @@
             job::{JobId, JobSpec, Resources, TaskName},
             progress::{JobOutcome, LossRecord, PlacementRecord, Progress, TaskRecord},
             size_fairness::SizeFairness,
+            stuck::Pace,
             throttle::Throttle,
             worker::{LeaseClock, WorkerInfo},
         },
@@ -221,6 +223,8 @@
     pub progress_percent: f64,
     /// When the progress or the throttle last changed; initially `added_at`.
     pub progressed_at: Instant,
+    /// The progress that the run has shown.
+    pub pace: Pace,
     /// The last throttle sent: the share of full speed at which the run may work, in percent; 100
     /// if none was sent.
     pub speed_percent: u8,
@@ -284,6 +288,12 @@
     /// The worker gets no new tasks before this time, after failed or stuck runs or a reply that it
     /// is unhealthy.
     pub ejected_until: Option<Instant>,
+    /// The worker comes last in the ranking before this time, after a stuck run.
+    pub doubted_until: Option<Instant>,
+    /// When a run on the worker last showed progress or was done; `None` if none has.
+    pub progressed_at: Option<Instant>,
+    /// The runs that were recently stopped as stuck.
+    pub stalls: Vec<Stall>,
     /// Whether the last report may leave out ended attempts; see [`Params::max_listed_ends`].
     pub omits_ends: bool,
     /// Whether all reports to this leader may leave out ended attempts, so that those of an earlier
@@ -333,6 +343,8 @@
     pub confirmed_on: Option<String>,
     /// The workers that the task has lost; `None` if none.
     pub losses: Option<Box<Losses>>,
+    /// How often the task was stopped as stuck without its worker being at fault.
+    pub stuck_stops: u32,
 }
 
 #[derive(Clone, Debug)]
--- /dev/null
+++ b/crates/core/tests/uneven/main.rs
@@ -0,0 +1,4 @@
+//! Tests of scheduling when work and workers are uneven, without a network.
+
+mod stuck;
+mod world;
