Learn run times from ends, and use them for lateness and remaining work

The order of jobs and the lateness of a job followed the caller's estimate, which may be off by ten, and counted a running task as if it had not begun.

Run times are now kept as distributions by image, request and power of two of the estimate. From 12 ends on their median replaces the estimate, and a running task counts with the time it has left, by its pace or by the distribution and the time passed. Within a job the steps with the longest remaining chain start first. The distributions follow the interference estimates in the row @learnt (at most 8,000 bytes); earlier versions read the part they know.

No run on a whole deployment yet.

--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -259,9 +259,13 @@
     /// Returns the duration within which the job should finish, in milliseconds: its critical
     /// path times `slack_percent`, plus `extra_ms`.
     pub fn target_duration_ms(&self) -> u64 {
-        let critical_path_ms = self.critical_path_ms(&[]);
-        critical_path_ms.saturating_mul(u64::from(self.slack_percent)) / 100
-            + u64::from(self.extra_ms)
+        self.target_for_ms(self.critical_path_ms(&[]))
+    }
+
+    /// Returns the duration within which the job should finish if its longest chain of steps takes
+    /// `chain_ms`, in milliseconds.
+    pub fn target_for_ms(&self, chain_ms: u64) -> u64 {
+        chain_ms.saturating_mul(u64::from(self.slack_percent)) / 100 + u64::from(self.extra_ms)
     }
 
     /// Returns the number of occurrences of the job, at least one.
--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -10,6 +10,7 @@
 //! - `crashes`: tasks that crash their workers.
 //! - `dispatch`: [`Shard::poll`], which chooses workers for tasks and starts them.
 //! - `ends`: the ends of runs, and their effects on tasks and jobs.
+//! - `estimates`: how long tasks take, and how long the running ones still take.
 //! - `evacuations`: evacuated failure domains, where nothing starts and long-running tasks move away.
 //! - `gangs`: steps whose tasks run only together.
 //! - `jobs`: one job, with its occurrences, runs and stored progress.
@@ -35,6 +36,7 @@
 mod crashes;
 mod dispatch;
 mod ends;
+mod estimates;
 mod evacuations;
 mod gangs;
 mod jobs;
--- a/crates/core/src/sched/shard/commits.rs
+++ b/crates/core/src/sched/shard/commits.rs
@@ -2,7 +2,7 @@
 
 use {
     super::state::{Batch, Shard, Worker},
-    crate::sched::{job::JobId, progress::JobOutcome},
+    crate::sched::{job::JobId, learnt, progress::JobOutcome},
     std::time::{Duration, Instant},
 };
 
@@ -51,6 +51,7 @@
         if now.duration_since(self.interference_stored_at) >= INTERFERENCE_WRITE_INTERVAL {
             self.interference_stored_at = now;
             batch.interference = Some(self.interference.pairs());
+            batch.run_times = self.run_times.records(learnt::MAX_BYTES);
         }
         self.storing = true;
         if self.dirty.is_empty() {
--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -9,7 +9,10 @@
         job::{JobId, Step, TaskName},
         progress::JobOutcome,
     },
-    std::time::{Duration, Instant},
+    std::{
+        cmp::Reverse,
+        time::{Duration, Instant},
+    },
 };
 
 /// The minimum time between two checks of conditions that change with time alone, such as the
@@ -120,6 +123,7 @@
 
     /// Dispatches the open jobs in the order that the module `waiting` sets.
     fn dispatch(&mut self, now: Instant) {
+        self.update_estimates(now);
         let order = self.dispatch_order(now);
         self.held_back_workers.clear();
         self.held_back_for = None;
@@ -172,7 +176,13 @@
             let ready = steps.filter(|(i, step)| occurrence.is_ready(*i, step));
             ready.map(|(i, _)| (occurrence.number, i as u16))
         });
-        let ready_steps: Vec<_> = ready_steps.collect();
+        let mut ready_steps: Vec<_> = ready_steps.collect();
+        if ready_steps.len() > 1 {
+            // The steps with the longest remaining chain come first.
+            let chains = job.chains_from_ms();
+            ready_steps
+                .sort_by_key(|(occurrence, i)| (*occurrence, Reverse(chains[usize::from(*i)])));
+        }
         for (occurrence, step) in ready_steps {
             let name = TaskName {
                 job: id,
--- a/crates/core/src/sched/shard/ends.rs
+++ b/crates/core/src/sched/shard/ends.rs
@@ -34,7 +34,11 @@
         });
         let stale = run.is_some_and(|run| run.attempt > row.attempt);
         if run.is_some_and(|run| run.attempt <= row.attempt) {
-            self.remove_run(worker_id, row.task, now);
+            let run = self.remove_run(worker_id, row.task, now);
+            let done = run.filter(|r| row.reason == EndReason::Done && r.attempt == row.attempt);
+            if let Some(run) = done {
+                self.learn_run_time(row.task, &run, now);
+            }
         }
         log::info!(
             "jobs: task={} attempt={} worker={worker_id} ended {:?} n={} ms={} fills={} pace={}.",
--- /dev/null
+++ b/crates/core/src/sched/shard/estimates.rs
@@ -0,0 +1,211 @@
+//! How long tasks take, and how long the running ones still take.
+//!
+//! [`run_times`](crate::sched::run_times) learns from the ends of runs. What follows for each open job is
+//! computed anew a few times a second, so that a dispatch need not look at all runs.
+
+use {
+    super::state::{Job, Occurrence, Run, RunPhase, Shard},
+    crate::{
+        hash::HashMap,
+        sched::{
+            job::{JobId, JobSpec, TaskName},
+            progress::JobOutcome,
+            run_times::{Remaining, ShapeTimes},
+        },
+    },
+    std::time::{Duration, Instant},
+};
+
+/// The time between two computations of the jobs' estimates. Most tasks take longer.
+const ESTIMATE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The time that the running tasks of a step still take.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RunningStep {
+    occurrence: u32,
+    step: u16,
+    /// The number of tasks that have a run.
+    tasks: u32,
+    /// The longest time that any of them still takes, in milliseconds.
+    longest_ms: u64,
+    /// The time that all of them still take, in milliseconds.
+    total_ms: u64,
+}
+
+/// The estimates for one job.
+#[derive(Clone, Debug, Default)]
+pub(super) struct JobEstimates {
+    /// The usual run time of each step's tasks, in milliseconds.
+    task_ms: Vec<u64>,
+    /// The steps that have running tasks.
+    running: Vec<RunningStep>,
+}
+
+impl JobEstimates {
+    /// Returns the estimates of the caller.
+    pub(super) fn new(spec: &JobSpec) -> Self {
+        let steps = spec.steps.iter();
+        Self {
+            task_ms: steps.map(|step| u64::from(step.estimate_ms)).collect(),
+            running: Vec::new(),
+        }
+    }
+
+    fn running(&self, occurrence: u32, step: usize) -> RunningStep {
+        let is_step = |r: &&RunningStep| r.occurrence == occurrence && usize::from(r.step) == step;
+        self.running
+            .iter()
+            .find(is_step)
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Returns the time that a step still takes if its tasks start at once, in milliseconds.
+    fn step_ms(&self, occurrence: u32, step: usize, remaining: u32) -> u64 {
+        if remaining == 0 {
+            return 0;
+        }
+        let running = self.running(occurrence, step);
+        if running.tasks >= remaining {
+            running.longest_ms
+        } else {
+            running.longest_ms.max(self.task_ms[step])
+        }
+    }
+}
+
+impl Shard {
+    /// Restores the run times that an earlier leader stored.
+    pub fn restore_run_times(&mut self, records: &[ShapeTimes]) {
+        self.run_times.restore(records);
+    }
+
+    /// Learns from a run that was done at `now`.
+    pub(super) fn learn_run_time(&mut self, name: TaskName, run: &Run, now: Instant) {
+        let job = self.jobs.get(&name.job);
+        let Some(step) = job.and_then(|j| j.spec.steps.get(usize::from(name.step))) else {
+            return;
+        };
+        if run.is_whole && run.speed_percent == 100 && !step.long_running && !step.gang {
+            let time = now.duration_since(run.added_at);
+            self.run_times.record(step, time);
+        }
+    }
+
+    /// Computes the estimates of all open jobs, unless that was done a short time ago.
+    pub(super) fn update_estimates(&mut self, now: Instant) {
+        let is_recent = |at: Instant| now.duration_since(at) < ESTIMATE_INTERVAL;
+        if self.estimated_at.is_some_and(is_recent) {
+            return;
+        }
+        self.estimated_at = Some(now);
+        let mut running: HashMap<JobId, Vec<RunningStep>> = HashMap::default();
+        let mut by_step: HashMap<(JobId, u16), Remaining> = HashMap::default();
+        for worker in self.workers.values() {
+            for (name, run) in worker.runs.iter().filter(|(_, run)| !run.is_long_running) {
+                let job = self.jobs.get(&name.job);
+                let Some(step) = job.and_then(|j| j.spec.steps.get(usize::from(name.step))) else {
+                    continue;
+                };
+                let by_step = by_step.entry((name.job, name.step));
+                let by_step = by_step.or_insert_with(|| self.run_times.remaining(step));
+                let remaining = run.remaining(by_step, now);
+                let steps = running.entry(name.job).or_default();
+                add_running(steps, name, remaining.as_millis() as u64);
+            }
+        }
+        let run_times = &self.run_times;
+        let open = self
+            .jobs
+            .iter_mut()
+            .filter(|(_, job)| job.outcome == JobOutcome::Open);
+        for (id, job) in open {
+            let steps = job.spec.steps.iter();
+            let usual = steps.map(|step| run_times.usual(step).as_millis() as u64);
+            job.estimates.task_ms.clear();
+            job.estimates.task_ms.extend(usual);
+            job.estimates.running = running.remove(id).unwrap_or_default();
+        }
+    }
+}
+
+/// Adds a run that still takes `remaining_ms` to its step.
+fn add_running(steps: &mut Vec<RunningStep>, name: &TaskName, remaining_ms: u64) {
+    let is_step = |r: &RunningStep| (r.occurrence, r.step) == (name.occurrence, name.step);
+    let index = steps.iter().position(is_step).unwrap_or_else(|| {
+        steps.push(RunningStep {
+            occurrence: name.occurrence,
+            step: name.step,
+            ..RunningStep::default()
+        });
+        steps.len() - 1
+    });
+    let step = &mut steps[index];
+    step.tasks += 1;
+    step.longest_ms = step.longest_ms.max(remaining_ms);
+    step.total_ms += remaining_ms;
+}
+
+impl Run {
+    /// Returns the time that the run still takes: by its own pace if it has shown one, else by the
+    /// run times of its shape and the time that has passed.
+    pub(super) fn remaining(&self, by_step: &Remaining, now: Instant) -> Duration {
+        if let Some(percent) = self.pace.percent_time() {
+            let left = (100.0 - self.progress_percent).clamp(0.0, 100.0);
+            let since = now.saturating_duration_since(self.progressed_at);
+            return percent.mul_f64(left).saturating_sub(since);
+        }
+        let elapsed = match self.phase {
+            RunPhase::Sent => Duration::ZERO,
+            RunPhase::Running(_) | RunPhase::Stopping(_) => now.duration_since(self.added_at),
+        };
+        by_step.after(elapsed)
+    }
+}
+
+impl Job {
+    /// Returns the estimated time of the longest chain of unfinished steps, in milliseconds; of all
+    /// steps if no occurrence is given.
+    pub(super) fn chain_ms(&self, occurrence: Option<&Occurrence>) -> u64 {
+        let mut path_ms: Vec<u64> = Vec::with_capacity(self.spec.steps.len());
+        for (i, step) in self.spec.steps.iter().enumerate() {
+            let after = step.after.iter();
+            let predecessors = after.filter_map(|a| path_ms.get(usize::from(*a)));
+            let own_ms = match occurrence {
+                Some(o) => self.estimates.step_ms(o.number, i, o.remaining[i]),
+                None => self.estimates.task_ms[i],
+            };
+            path_ms.push(predecessors.copied().max().unwrap_or(0) + own_ms);
+        }
+        path_ms.into_iter().max().unwrap_or(0)
+    }
+
+    /// Returns for each step the estimated time from its start to the end of the job, in
+    /// milliseconds, if nothing waits.
+    pub(super) fn chains_from_ms(&self) -> Vec<u64> {
+        let mut chains = self.estimates.task_ms.clone();
+        for (i, step) in self.spec.steps.iter().enumerate().rev() {
+            for predecessor in &step.after {
+                let predecessor = usize::from(*predecessor);
+                let own_ms = self.estimates.task_ms[predecessor];
+                chains[predecessor] = chains[predecessor].max(own_ms + chains[i]);
+            }
+        }
+        chains
+    }
+
+    /// Returns the remaining work of an occurrence, in thousandths of a core times milliseconds.
+    pub(super) fn occurrence_work(&self, occurrence: &Occurrence) -> u64 {
+        let steps = self.spec.steps.iter().zip(&occurrence.remaining);
+        let work = steps.enumerate().map(|(i, (step, remaining))| {
+            let cpu = u64::try_from(step.request.cpu).unwrap_or(0);
+            let running = self.estimates.running(occurrence.number, i);
+            let waiting = remaining.saturating_sub(running.tasks);
+            let waiting_ms = self.estimates.task_ms[i].saturating_mul(u64::from(waiting));
+            waiting_ms
+                .saturating_add(running.total_ms)
+                .saturating_mul(cpu)
+        });
+        work.fold(0, u64::saturating_add)
+    }
+}
--- a/crates/core/src/sched/shard/jobs.rs
+++ b/crates/core/src/sched/shard/jobs.rs
@@ -148,11 +148,10 @@
 }
 
 impl Job {
-    /// Returns the remaining work of the added occurrences according to the caller's estimates, in
-    /// thousandths of a core times milliseconds.
+    /// Returns the estimated remaining work of the added occurrences, in thousandths of a core times
+    /// milliseconds.
     pub(super) fn remaining_work(&self) -> u64 {
-        let work_of = |occurrence: &Occurrence| self.work_of(occurrence.remaining.iter().copied());
-        let works = self.occurrences.iter().map(work_of);
+        let works = self.occurrences.iter().map(|o| self.occurrence_work(o));
         works.fold(0, u64::saturating_add)
     }
 
@@ -167,19 +166,15 @@
         work.fold(0, u64::saturating_add)
     }
 
-    /// Returns how late the job will finish according to the caller's estimates; a scheduled job
-    /// always counts as in time.
+    /// Returns how late the job will finish according to the estimates of its tasks' run times; a
+    /// scheduled job always counts as in time.
     pub(super) fn lateness(&self, now: Instant) -> Lateness {
         if self.spec.occurrences > 0 {
             return Lateness::InTime;
         }
-        let remaining = self
-            .occurrences
-            .first()
-            .map_or(&[][..], |occurrence| &occurrence.remaining);
-        let remaining_ms = self.spec.critical_path_ms(remaining);
+        let remaining_ms = self.chain_ms(self.occurrences.first());
         let elapsed_ms = now.duration_since(self.accepted_at).as_millis() as u64;
-        let target_duration_ms = self.spec.target_duration_ms();
+        let target_duration_ms = self.spec.target_for_ms(self.chain_ms(None));
         if elapsed_ms + remaining_ms <= target_duration_ms {
             Lateness::InTime
         } else if elapsed_ms + remaining_ms <= target_duration_ms.saturating_mul(LATE_FACTOR) {
--- a/crates/core/src/sched/shard/runs.rs
+++ b/crates/core/src/sched/shard/runs.rs
@@ -94,6 +94,7 @@
         let on_probation = losses.is_some_and(|losses| losses.is_suspected());
         job_task.workers.push(worker_id.to_owned());
         job_task.attempt = job_task.attempt.max(attempt);
+        let is_resumed = !job_task.checkpoint.is_empty();
         let reserved = reserved(&step);
         let best_effort_cpu = if step.best_effort {
             step.request.cpu
@@ -123,6 +124,7 @@
             has_unlisted_end: false,
             on_probation,
             process_started_ms: worker.info.started_ms,
+            is_whole: phase == RunPhase::Sent && !is_resumed,
             progress_percent: -1.0,
             progressed_at: now,
             pace: Pace::default(),
--- a/crates/core/src/sched/shard/stalls.rs
+++ b/crates/core/src/sched/shard/stalls.rs
@@ -148,7 +148,7 @@
         Some(Knowledge {
             own,
             siblings,
-            ended: None,
+            ended: self.run_times.quantile(step, 0.99),
             estimate: Duration::from_millis(u64::from(step.estimate_ms)),
             speed: f64::from(run.speed_percent) / 100.0,
             stops: tasks.get(task.index as usize)?.stuck_stops,
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -6,6 +6,7 @@
 use {
     super::{
         dispatch::{MIN_DISPATCH_INTERVAL, PlacementKey},
+        estimates::JobEstimates,
         evacuations::Evacuation,
         losses::{Losses, Processes},
         stalls::Stall,
@@ -16,6 +17,7 @@
             interference::{Image, Interference, PairEstimate, Pressure},
             job::{JobId, JobSpec, Resources, TaskName},
             progress::{JobOutcome, LossRecord, PlacementRecord, Progress, TaskRecord},
+            run_times::{RunTimes, ShapeTimes},
             size_fairness::SizeFairness,
             stuck::Pace,
             throttle::Throttle,
@@ -151,6 +153,8 @@
     pub workers_in_use: Option<Vec<(String, String)>>,
     /// Interference estimates; `None` if none are due to be stored.
     pub interference: Option<Vec<PairEstimate>>,
+    /// Run times, stored in the same row as the interference estimates.
+    pub run_times: Vec<ShapeTimes>,
     /// Run ends that may be acknowledged once the batch is stored: worker id, the worker's
     /// `started_ms`, and the number of its newest run end.
     pub(super) acks: Vec<(String, u64, u64)>,
@@ -219,6 +223,9 @@
     pub on_probation: bool,
     /// When the worker's process at the time of the start had started, in milliseconds of Unix time.
     pub process_started_ms: u64,
+    /// Whether the run was started by this leader and does the whole task, so that the time until its
+    /// end is the run time of the task.
+    pub is_whole: bool,
     /// The progress in the last report, in percent; -1 before the first report.
     pub progress_percent: f64,
     /// When the progress or the throttle last changed; initially `added_at`.
@@ -397,6 +404,8 @@
     pub held_since: Option<Instant>,
     /// Whether [`Shard::size_fairness`] has counted the job.
     pub is_counted: bool,
+    /// How long its tasks take.
+    pub estimates: JobEstimates,
     /// The earliest time of the next move; `None` unless a move has failed.
     pub move_retry_at: Option<Instant>,
 }
@@ -430,6 +439,10 @@
     /// The workers' processes, and those that were lost.
     pub(super) processes: Processes,
     pub(super) interference: Interference,
+    /// The run times of tasks that were done.
+    pub(super) run_times: RunTimes,
+    /// When the estimates of the jobs were last computed.
+    pub(super) estimated_at: Option<Instant>,
     /// The evacuated failure domains.
     pub(super) evacuation: Evacuation,
     /// Approvals by job, occurrence and step.
@@ -501,6 +514,8 @@
             workers: HashMap::default(),
             processes: Processes::new(now),
             interference: Interference::default(),
+            run_times: RunTimes::default(),
+            estimated_at: None,
             evacuation: Evacuation::default(),
             approvals: HashMap::default(),
             held_back_workers: HashSet::default(),
@@ -556,6 +571,7 @@
         }
         let spec_text = Arc::from(spec.spec.as_str());
         let job = Job {
+            estimates: JobEstimates::new(&spec),
             spec: Arc::new(spec),
             spec_text,
             started: progress.started,
--- a/crates/core/tests/uneven/main.rs
+++ b/crates/core/tests/uneven/main.rs
@@ -1,4 +1,5 @@
 //! Tests of scheduling when work and workers are uneven, without a network.
 
+mod run_times;
 mod stuck;
 mod world;
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -375,10 +375,11 @@
             return;
         };
         log::info!(
-            "lead: shard={shard} taken over token={token} jobs={} workers={} pairs={}.",
+            "lead: shard={shard} taken over token={token} jobs={} workers={} pairs={} shapes={}.",
             state.jobs.len(),
             state.workers_in_use.len(),
             state.interference.len(),
+            state.run_times.len(),
         );
         leadership.takeover_delay.on_decided(now);
         leadership.leader = Some((name, self.incarnation));
--- a/crates/scheduler/src/shard_leader.rs
+++ b/crates/scheduler/src/shard_leader.rs
@@ -14,6 +14,7 @@
         sched::{
             job::{JobId, JobSpec},
             journal::{Journal, Write, WriteResult},
+            learnt,
             progress::Progress,
             shard::{Batch, Command, JobOrigin, Params, Shard},
             worker::{Report, WorkerInfo},
@@ -135,6 +136,7 @@
         times.record(Part::Rows, now, &metrics);
         let mut shard = Shard::new(params, lease.token, now);
         shard.restore_interference(&state.interference);
+        shard.restore_run_times(&state.run_times);
         for (worker, address) in &state.workers_in_use {
             shard.add_worker_in_use(worker, address, now);
         }
@@ -377,7 +379,7 @@
             tx.puts.push((keys::workers_in_use(&self.name), value));
         }
         if let Some(interference) = &batch.interference {
-            let value = postcard::to_stdvec(interference).unwrap_or_default();
+            let value = learnt::encode(interference, &batch.run_times);
             tx.puts.push((keys::interference(&self.name), value));
         }
         Some((batch, tx))
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -9,7 +9,9 @@
         interference::PairEstimate,
         job::{JobId, JobSpec},
         leadership::LeaseRow,
+        learnt,
         progress::{JobOutcome, Progress},
+        run_times::ShapeTimes,
     },
     marigoldbend_platform::{
         backoff::Backoff,
@@ -103,6 +105,8 @@
     pub workers_in_use: Vec<(String, String)>,
     /// The interference estimates of the previous leader.
     pub interference: Vec<PairEstimate>,
+    /// The run times that the previous leader has learned.
+    pub run_times: Vec<ShapeTimes>,
     /// Rows of the job table that have changed while the tables were read, such as cancellations.
     pub changed_jobs: Vec<Row>,
     /// The version up to which the job table was read; a watch delivers the later changes.
@@ -225,6 +229,7 @@
         cancelled: Vec::new(),
         workers_in_use: Vec::new(),
         interference: Vec::new(),
+        run_times: Vec::new(),
         changed_jobs: Vec::new(),
         watch_from: jobs.version,
     };
@@ -233,7 +238,7 @@
         if row.name.key == keys::WORKERS_KEY {
             state.workers_in_use = read_or_default(&row);
         } else if row.name.key == keys::INTERFERENCE_KEY {
-            state.interference = read_or_default(&row);
+            (state.interference, state.run_times) = read_learnt(&row);
         } else if row.name.key == keys::HEAD_KEY {
             state.head_version = row.version;
         } else if let Ok(id) = row.name.key.parse::<JobId>() {
@@ -325,6 +330,18 @@
     decoded.unwrap_or_default()
 }
 
+/// Decodes the row with what the previous leader has learned; if it is invalid, logs that and returns
+/// nothing.
+fn read_learnt(row: &Row) -> (Vec<PairEstimate>, Vec<ShapeTimes>) {
+    let decoded = learnt::decode(&row.value).inspect_err(|e| {
+        log::error!(
+            "lead: row={} can't be decoded and is ignored: {e}.",
+            row.name
+        )
+    });
+    decoded.unwrap_or_default()
+}
+
 /// Writes a lease row that names this instance, with the next fencing token, in a takeover that
 /// started at `started_at`.
 async fn take_lease(
