Rank workers by their speed, and eject those that fail too many runs

A worker that failed 8% to 45% of its runs was never noticed, since only three failures in a row counted; and three tasks that fail everywhere ejected any worker. A slow worker got as much work as the others.

The failures of a worker's last 64 runs are now compared with those of the same steps and of all steps elsewhere. At four deviations more the worker gets no tasks for 5 s, doubled up to 40 s if it relapses within a minute. A worker's speed is the median of its last ratios of a step's run time to its own; slow workers come last, fast ones first. A worker that refuses starts as unhealthy is asked again after 0.8, 1.6 and then 3.2 s, with one start at a time.

--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -7,6 +7,7 @@
 //! report, the reply to a command) and emits commands to workers and rows to store.
 
 pub mod evacuation;
+pub mod failure_rates;
 pub mod heartbeat_age;
 pub mod interference;
 pub mod job;
@@ -22,3 +23,4 @@
 pub mod stuck;
 pub mod throttle;
 pub mod worker;
+pub mod worker_speed;
--- a/crates/core/src/sched/placement.rs
+++ b/crates/core/src/sched/placement.rs
@@ -33,6 +33,8 @@
     pub forced: bool,
     /// Whether a task that is suspected of crashing workers has just started on the worker.
     pub on_probation: bool,
+    /// The worker's current speed, where 1 is the usual one.
+    pub speed: f64,
     /// Whether a run on the worker stood still a short time ago, so that it may hang.
     pub doubted: bool,
     /// The number of attempts on the worker from the same step and occurrence; counted only if
@@ -66,6 +68,13 @@
 /// other parts of the score.
 const PROBATION_SCORE: i64 = 100_000_000;
 
+/// What the worker's speed adds to the score of a task that reserves CPU, for each unit above the usual
+/// speed; a worker at two thirds of that speed comes after one of 64 cores that is empty.
+const SPEED_SCORE: f64 = 200_000.0;
+
+/// The same for a best-effort task.
+const BEST_EFFORT_SPEED_SCORE: f64 = 2_000.0;
+
 /// What is subtracted from the score of a worker that may hang; it outweighs the preferred rack.
 const DOUBT_SCORE: i64 = 40_000_000;
 
@@ -128,7 +137,13 @@
             0
         };
         let doubt_score = if self.doubted { DOUBT_SCORE } else { 0 };
-        rack_score + own_score - probation_score - doubt_score
+        let per_unit = if step.best_effort {
+            BEST_EFFORT_SPEED_SCORE
+        } else {
+            SPEED_SCORE
+        };
+        let speed_score = ((self.speed - 1.0) * per_unit) as i64;
+        rack_score + own_score + speed_score - probation_score - doubt_score
     }
 }
 
--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -22,6 +22,7 @@
 //! - `reports`: the reports of workers: runs that are confirmed, found or lost.
 //! - `restoring`: a new leader, before it has dispatched the work of earlier leaders.
 //! - `runs`: adds and removes runs on workers, and accounts for their resources.
+//! - `speeds`: the current speeds of workers.
 //! - `stalls`: runs that stand still, and what this says of their workers.
 //! - `summary`: what waits and what is free, for the log and the metrics.
 //! - `tails`: tail latencies of serving tasks, and the throttles that follow from them.
@@ -48,6 +49,7 @@
 mod reports;
 mod restoring;
 mod runs;
+mod speeds;
 mod stalls;
 mod state;
 mod summary;
--- a/crates/core/src/sched/shard/candidates.rs
+++ b/crates/core/src/sched/shard/candidates.rs
@@ -211,6 +211,7 @@
             headroom,
             forced,
             on_probation: worker.is_on_probation(now),
+            speed: worker.current_speed,
             doubted: worker.is_doubted(now),
             sibling_runs: if step.max_per_worker > 0 {
                 worker.sibling_runs(name)
--- a/crates/core/src/sched/shard/ends.rs
+++ b/crates/core/src/sched/shard/ends.rs
@@ -37,7 +37,7 @@
             let run = self.remove_run(worker_id, row.task, now);
             let done = run.filter(|r| row.reason == EndReason::Done && r.attempt == row.attempt);
             if let Some(run) = done {
-                self.learn_run_time(row.task, &run, now);
+                self.learn_run_time(worker_id, row.task, &run, now);
             }
         }
         log::info!(
@@ -54,7 +54,6 @@
         if row.reason == EndReason::Done
             && let Some(worker) = self.workers.get_mut(worker_id)
         {
-            worker.consecutive_failures = 0;
             worker.progressed_at = Some(now);
         }
         let Some(job) = self.jobs.get_mut(&row.task.job) else {
@@ -96,7 +95,8 @@
         }
         match row.reason {
             EndReason::Done if !step.long_running => {
-                self.on_task_done(row.task, step.gang, now, unix_ms)
+                self.on_task_done(row.task, step.gang, now, unix_ms);
+                self.note_end(worker_id, row.task, false, now);
             }
             EndReason::Failed if !step.long_running => {
                 if task.failed_attempts.contains(&row.attempt) {
@@ -109,7 +109,7 @@
                 } else {
                     task.failed_attempts.len() as u32
                 };
-                self.count_failure(worker_id, now);
+                self.note_end(worker_id, row.task, true, now);
                 self.mark_dirty(row.task.job, false, now);
                 if failures >= max_attempts {
                     self.end_job(row.task.job, JobOutcome::Failed, unix_ms);
--- a/crates/core/src/sched/shard/estimates.rs
+++ b/crates/core/src/sched/shard/estimates.rs
@@ -32,6 +32,13 @@
     total_ms: u64,
 }
 
+/// The run times of a step's tasks.
+struct StepTimes {
+    remaining: Remaining,
+    /// The median of the tasks that were done; `None` if they are too few.
+    median: Option<Duration>,
+}
+
 /// The estimates for one job.
 #[derive(Clone, Debug, Default)]
 pub(super) struct JobEstimates {
@@ -80,8 +87,14 @@
         self.run_times.restore(records);
     }
 
-    /// Learns from a run that was done at `now`.
-    pub(super) fn learn_run_time(&mut self, name: TaskName, run: &Run, now: Instant) {
+    /// Learns from a run that was done at `now` on a worker.
+    pub(super) fn learn_run_time(
+        &mut self,
+        worker_id: &str,
+        name: TaskName,
+        run: &Run,
+        now: Instant,
+    ) {
         let job = self.jobs.get(&name.job);
         let Some(step) = job.and_then(|j| j.spec.steps.get(usize::from(name.step))) else {
             return;
@@ -89,6 +102,7 @@
         if run.is_whole && run.speed_percent == 100 && !step.long_running && !step.gang {
             let time = now.duration_since(run.added_at);
             self.run_times.record(step, time);
+            self.compare_run_time(worker_id, name, time, now);
         }
     }
 
@@ -100,20 +114,30 @@
         }
         self.estimated_at = Some(now);
         let mut running: HashMap<JobId, Vec<RunningStep>> = HashMap::default();
-        let mut by_step: HashMap<(JobId, u16), Remaining> = HashMap::default();
+        let mut by_step: HashMap<(JobId, u32, u16), StepTimes> = HashMap::default();
+        let mut overdue: HashMap<&str, (u32, u32)> = HashMap::default();
         for worker in self.workers.values() {
             for (name, run) in worker.runs.iter().filter(|(_, run)| !run.is_long_running) {
                 let job = self.jobs.get(&name.job);
                 let Some(step) = job.and_then(|j| j.spec.steps.get(usize::from(name.step))) else {
                     continue;
                 };
-                let by_step = by_step.entry((name.job, name.step));
-                let by_step = by_step.or_insert_with(|| self.run_times.remaining(step));
-                let remaining = run.remaining(by_step, now);
+                let key = (name.job, name.occurrence, name.step);
+                let times = by_step.entry(key).or_insert_with(|| StepTimes {
+                    remaining: self.run_times.remaining(step),
+                    median: job.and_then(|job| job.step_median(name)),
+                });
+                let counts = overdue.entry(&worker.info.id).or_default();
+                counts.0 += u32::from(run.is_overdue(times.median, now));
+                counts.1 += 1;
+                let remaining = run.remaining(&times.remaining, now);
                 let steps = running.entry(name.job).or_default();
                 add_running(steps, name, remaining.as_millis() as u64);
             }
         }
+        let overdue = overdue.into_iter().filter(|(_, (late, _))| *late > 0);
+        let overdue: Vec<_> = overdue.map(|(id, n)| (id.to_owned(), n)).collect();
+        self.update_speeds(&overdue, now);
         let run_times = &self.run_times;
         let open = self
             .jobs
--- a/crates/core/src/sched/shard/reports.rs
+++ b/crates/core/src/sched/shard/reports.rs
@@ -89,8 +89,9 @@
         worker.last_reported_end = 0;
         worker.last_acked_end = 0;
         worker.omits_inherited_ends = false;
-        worker.consecutive_failures = 0;
+        worker.ends = Default::default();
         worker.ejected_until = None;
+        worker.refused_until = None;
         worker.doubted_until = None;
         worker.progressed_at = None;
         worker.stalls.clear();
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -14,6 +14,7 @@
     crate::{
         hash::{HashMap, HashSet},
         sched::{
+            failure_rates::{FailureRates, WorkerEnds},
             interference::{Image, Interference, PairEstimate, Pressure},
             job::{JobId, JobSpec, Resources, TaskName},
             progress::{JobOutcome, LossRecord, PlacementRecord, Progress, TaskRecord},
@@ -22,6 +23,7 @@
             stuck::Pace,
             throttle::Throttle,
             worker::{LeaseClock, WorkerInfo},
+            worker_speed::WorkerSpeed,
         },
     },
     std::{
@@ -290,10 +292,19 @@
     pub headroom: Vec<(Image, f64)>,
     /// Since when any serving task has exceeded its tail-latency target; `None` if none does.
     pub over_target_since: Option<Instant>,
-    /// The number of failed runs since the last run that was done.
-    pub consecutive_failures: u32,
-    /// The worker gets no new tasks before this time, after failed or stuck runs or a reply that it
-    /// is unhealthy.
+    /// The last ends of runs.
+    pub ends: WorkerEnds,
+    /// The speed of the last runs.
+    pub speed: WorkerSpeed,
+    /// The speed by which the worker is ranked, where 1 is the usual one.
+    pub current_speed: f64,
+    /// How often the worker was ejected, each time shortly after the last.
+    pub ejections: u32,
+    /// The number of starts refused as unhealthy since the last that was not.
+    pub refusals: u32,
+    /// The worker gets no new tasks before this time, after it refused one as unhealthy.
+    pub refused_until: Option<Instant>,
+    /// The worker gets no new tasks before this time, because of failed or stuck runs.
     pub ejected_until: Option<Instant>,
     /// The worker comes last in the ranking before this time, after a stuck run.
     pub doubted_until: Option<Instant>,
@@ -404,6 +415,8 @@
     pub held_since: Option<Instant>,
     /// Whether [`Shard::size_fairness`] has counted the job.
     pub is_counted: bool,
+    /// The run times of the last tasks that were done, by occurrence and step, with their workers.
+    pub step_times: HashMap<(u32, u16), Vec<(String, Duration)>>,
     /// How long its tasks take.
     pub estimates: JobEstimates,
     /// The earliest time of the next move; `None` unless a move has failed.
@@ -441,6 +454,8 @@
     pub(super) interference: Interference,
     /// The run times of tasks that were done.
     pub(super) run_times: RunTimes,
+    /// The ends and failures of runs on all workers.
+    pub(super) failure_rates: FailureRates,
     /// When the estimates of the jobs were last computed.
     pub(super) estimated_at: Option<Instant>,
     /// The evacuated failure domains.
@@ -515,6 +530,7 @@
             processes: Processes::new(now),
             interference: Interference::default(),
             run_times: RunTimes::default(),
+            failure_rates: FailureRates::default(),
             estimated_at: None,
             evacuation: Evacuation::default(),
             approvals: HashMap::default(),
@@ -572,6 +588,7 @@
         let spec_text = Arc::from(spec.spec.as_str());
         let job = Job {
             estimates: JobEstimates::new(&spec),
+            step_times: HashMap::default(),
             spec: Arc::new(spec),
             spec_text,
             started: progress.started,
--- a/crates/core/src/sched/shard/trust.rs
+++ b/crates/core/src/sched/shard/trust.rs
@@ -5,13 +5,60 @@
 
 use {
     super::state::{Shard, Worker},
+    crate::sched::job::TaskName,
     std::time::{Duration, Instant},
 };
 
 /// The share of a service's workers that may be ejected at a time, in percent; at least one may be.
 const MAX_EJECTED_PERCENT: usize = 20;
 
+/// How long a worker that fails too many runs gets no new tasks; doubled each time if it is found at
+/// fault again within [`RELAPSE`].
+const FAILURE_EJECTION: Duration = Duration::from_secs(5);
+
+/// How often [`FAILURE_EJECTION`] is doubled at most, to 40 s.
+const MAX_DOUBLINGS: u32 = 3;
+
+/// The time after an ejection in which another one counts as a relapse.
+const RELAPSE: Duration = Duration::from_secs(60);
+
 impl Shard {
+    /// Records that a run of a short task was done or failed on a worker; ejects a worker that fails
+    /// more of its runs than others do.
+    pub(super) fn note_end(&mut self, worker_id: &str, name: TaskName, failed: bool, now: Instant) {
+        let step = (name.job, name.step);
+        self.failure_rates.record(step, failed);
+        let Some(worker) = self.workers.get_mut(worker_id) else {
+            return;
+        };
+        worker.ends.record(step, failed, now);
+        if !failed {
+            worker.progressed_at = Some(now);
+            return;
+        }
+        if worker.is_ejected(now) {
+            return;
+        }
+        let Some((failures, expected)) = self.failure_rates.fault(&worker.ends) else {
+            return;
+        };
+        let has_relapsed = worker
+            .ejected_until
+            .is_some_and(|until| now < until + RELAPSE);
+        let ejections = if has_relapsed { worker.ejections } else { 0 };
+        worker.ejections = ejections + 1;
+        worker.ends.start_over();
+        let duration = FAILURE_EJECTION * (1 << ejections.min(MAX_DOUBLINGS));
+        let reason = format!("{failures} of its last runs failed, expected {expected:.1}");
+        self.eject(worker_id, duration, &reason, now);
+    }
+
+    /// Returns the workers that get no new tasks because of what their runs have shown.
+    pub fn ejected_workers(&self, now: Instant) -> impl Iterator<Item = &str> {
+        let ejected = self.workers.values().filter(move |w| w.is_ejected(now));
+        ejected.map(|w| w.info.id.as_str())
+    }
+
     /// Gives a worker no new tasks for `duration`, unless too many workers of its service are ejected
     /// already; then it comes last in the ranking instead. Returns whether it is ejected.
     ///
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -12,18 +12,16 @@
 /// The time without a report after which a worker counts as unresponsive and gets no new tasks.
 pub(super) const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(1_700);
 
-/// How long a worker with consecutive failed runs gets no new tasks.
-const EJECTION_DURATION: Duration = Duration::from_secs(5);
-
-/// The number of consecutive failed runs that ejects a worker.
-const EJECTING_FAILURES: u32 = 3;
-
 /// How long a worker gets no new tasks after it refused one for lack of resources.
 const FULL_PAUSE: Duration = Duration::from_millis(150);
 
-/// How long a worker gets no new tasks after it replied that it is unhealthy.
+/// How long a worker gets no new tasks after it replied that it is unhealthy; doubled for each further
+/// such reply without a start in between.
 const UNHEALTHY_PAUSE: Duration = Duration::from_millis(800);
 
+/// How often [`UNHEALTHY_PAUSE`] is doubled at most: a worker that serves again gets work within 3.2 s.
+const MAX_UNHEALTHY_DOUBLINGS: u32 = 2;
+
 /// How long a responsive worker still gets new tasks after the platform has stopped listing it.
 /// After an outage of the platform, a worker's entry may return only 2 s later.
 const UNLISTED_GRACE: Duration = Duration::from_millis(2_300);
@@ -199,6 +197,7 @@
             CommandReply::Ok => {
                 run.phase = RunPhase::Running(now);
                 run.in_doubt = false;
+                worker.refusals = 0;
                 if let Some(job) = self.jobs.get_mut(&task.job)
                     && !job.started
                 {
@@ -225,8 +224,14 @@
                 );
             }
             CommandReply::Unhealthy => {
-                let until = now + UNHEALTHY_PAUSE;
-                worker.ejected_until = worker.ejected_until.max(Some(until));
+                let pause = UNHEALTHY_PAUSE * (1 << worker.refusals.min(MAX_UNHEALTHY_DOUBLINGS));
+                worker.refusals += 1;
+                worker.refused_until = worker.refused_until.max(Some(now + pause));
+                log::info!(
+                    "jobs: worker={worker_id} refused task={task} attempt={attempt} as unhealthy: refusals={} pause_ms={}.",
+                    worker.refusals,
+                    pause.as_millis(),
+                );
             }
             CommandReply::Unapproved => {
                 let key = (task.job, task.occurrence, task.step);
@@ -270,19 +275,6 @@
             _ => run.phase = RunPhase::Stopping(Some(now)),
         }
     }
-
-    /// Counts a failed run of a worker, and ejects the worker after too many in a row.
-    pub(super) fn count_failure(&mut self, worker_id: &str, now: Instant) {
-        if let Some(worker) = self.workers.get_mut(worker_id) {
-            worker.consecutive_failures += 1;
-            if worker.consecutive_failures >= EJECTING_FAILURES {
-                worker.ejected_until = Some(now + EJECTION_DURATION);
-                // After the ejection, a single further failure ejects the worker again.
-                worker.consecutive_failures = EJECTING_FAILURES - 1;
-                log::warn!("jobs: worker={worker_id} ejected after consecutive failed runs.");
-            }
-        }
-    }
 }
 
 impl Worker {
@@ -317,7 +309,12 @@
             pressure: Default::default(),
             headroom: Vec::new(),
             over_target_since: None,
-            consecutive_failures: 0,
+            ends: Default::default(),
+            speed: Default::default(),
+            current_speed: 1.0,
+            ejections: 0,
+            refusals: 0,
+            refused_until: None,
             ejected_until: None,
             doubted_until: None,
             progressed_at: None,
@@ -356,6 +353,12 @@
         !is_listed || self.draining_since.is_some()
     }
 
+    /// Returns whether a start was sent to the worker after it refused one, and has no reply yet: one at
+    /// a time shows whether it serves again.
+    fn is_asked_again(&self) -> bool {
+        self.refusals > 0 && self.runs.values().any(|run| run.phase == RunPhase::Sent)
+    }
+
     /// Returns whether new tasks may be placed on the worker.
     pub(super) fn accepts_work(&self, now: Instant) -> bool {
         let has_passed = |until: Option<Instant>| until.is_none_or(|until| until <= now);
@@ -366,6 +369,8 @@
             && self.connection_lost_at.is_none()
             && !self.has_unaccounted_runs
             && has_passed(self.ejected_until)
+            && has_passed(self.refused_until)
+            && !self.is_asked_again()
             && has_passed(self.full_until)
     }
 }
--- a/crates/core/tests/uneven/main.rs
+++ b/crates/core/tests/uneven/main.rs
@@ -1,5 +1,6 @@
 //! Tests of scheduling when work and workers are uneven, without a network.
 
+mod faulty;
 mod run_times;
 mod stuck;
 mod world;
--- a/crates/core/tests/uneven/world.rs
+++ b/crates/core/tests/uneven/world.rs
@@ -79,6 +79,8 @@
     pub done: Vec<Event>,
     pub failed: Vec<Event>,
     pub refused: Vec<Event>,
+    /// Whether a task fails wherever it runs.
+    pub poisoned: fn(TaskName) -> bool,
     base: Instant,
     workers: BTreeMap<String, SimWorker>,
     work_ms: Box<dyn Fn(TaskName, &mut StdRng) -> f64>,
@@ -102,6 +104,7 @@
             done: Vec::new(),
             failed: Vec::new(),
             refused: Vec::new(),
+            poisoned: |_| false,
             base,
             workers: BTreeMap::new(),
             work_ms: Box::new(work_ms),
@@ -149,6 +152,12 @@
         self.shard.job_state(JobId(id)) == Some(JobState::Completed)
     }
 
+    /// Returns the workers that get no tasks because of what their runs have shown.
+    pub fn ejected(&self) -> impl Iterator<Item = &str> {
+        let now = self.now();
+        self.shard.ejected_workers(now)
+    }
+
     /// Changes how a worker behaves from now on.
     pub fn set_behaviour(&mut self, worker: &str, behaviour: Behaviour) {
         let worker = self.workers.get_mut(worker).expect("the worker exists");
@@ -272,12 +281,13 @@
                 } else {
                     self.starts.push(event);
                     let fails_percent = worker.behaviour.fails_percent;
+                    let is_poisoned = (self.poisoned)(task);
                     worker.runs.push(SimRun {
                         task,
                         attempt,
                         work_ms: (self.work_ms)(task, &mut self.rng).max(1.0),
                         done_ms: 0.0,
-                        fails: self.rng.random_range(0..100) < fails_percent,
+                        fails: is_poisoned || self.rng.random_range(0..100) < fails_percent,
                     });
                     CommandReply::Ok
                 };
