Start a second run of a speculative task that is in its tail

No second run was started anywhere, also where the caller allows one: a job waited for a task on a slow worker beside idle fast ones.

No run on a whole deployment yet.

--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -196,6 +196,13 @@
     pub max_unavailable: Option<u32>,
 }
 
+impl Step {
+    /// Returns whether two runs of a task may exist at the same time.
+    pub fn allows_second_runs(&self) -> bool {
+        self.speculative && !self.long_running && !self.gang && self.latency_target_ms <= 0.0
+    }
+}
+
 /// An accepted job, with the settings of its queue at the time of acceptance.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct JobSpec {
--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -22,6 +22,7 @@
 //! - `reports`: the reports of workers: runs that are confirmed, found or lost.
 //! - `restoring`: a new leader, before it has dispatched the work of earlier leaders.
 //! - `runs`: adds and removes runs on workers, and accounts for their resources.
+//! - `second_runs`: second runs of tasks that take much longer than most.
 //! - `speeds`: the current speeds of workers.
 //! - `stalls`: runs that stand still, and what this says of their workers.
 //! - `summary`: what waits and what is free, for the log and the metrics.
@@ -49,6 +50,7 @@
 mod reports;
 mod restoring;
 mod runs;
+mod second_runs;
 mod speeds;
 mod stalls;
 mod state;
@@ -63,3 +65,4 @@
 pub use restoring::RestoringShard;
 pub use state::{Batch, Command, JobOrigin, Params, ServiceLoad, Shard};
 pub use summary::{Summary, Waiting, WorkKind};
+pub use trust::TrustCounts;
--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -132,6 +132,7 @@
         for id in order {
             self.dispatch_job(id, now);
         }
+        self.start_second_runs(now);
     }
 
     /// Updates whether the workers are mostly free, and since when each job has been idle.
--- a/crates/core/src/sched/shard/jobs.rs
+++ b/crates/core/src/sched/shard/jobs.rs
@@ -10,6 +10,11 @@
 };
 
 impl Job {
+    /// Returns whether tasks of any step may have second runs.
+    pub(super) fn has_speculative_steps(&self) -> bool {
+        self.spec.steps.iter().any(|step| step.allows_second_runs())
+    }
+
     /// Returns the worker id and the task of each run of the job, whose id is `id`.
     pub(super) fn runs(&self, id: JobId) -> impl Iterator<Item = (String, TaskName)> + '_ {
         self.occurrences.iter().flat_map(move |occurrence| {
--- a/crates/core/src/sched/shard/stalls.rs
+++ b/crates/core/src/sched/shard/stalls.rs
@@ -195,6 +195,7 @@
             stuck.limit.as_millis(),
             stuck.basis.name(),
         );
+        self.counts.stuck_runs += 1;
         let stall = Stall {
             task: stuck.task,
             progressed_at: run.progressed_at,
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -10,6 +10,7 @@
         evacuations::Evacuation,
         losses::{Losses, Processes},
         stalls::Stall,
+        trust::TrustCounts,
     },
     crate::{
         hash::{HashMap, HashSet},
@@ -456,6 +457,8 @@
     pub(super) run_times: RunTimes,
     /// The ends and failures of runs on all workers.
     pub(super) failure_rates: FailureRates,
+    /// The counts since they were last taken.
+    pub(super) counts: TrustCounts,
     /// When the estimates of the jobs were last computed.
     pub(super) estimated_at: Option<Instant>,
     /// The evacuated failure domains.
@@ -531,6 +534,7 @@
             interference: Interference::default(),
             run_times: RunTimes::default(),
             failure_rates: FailureRates::default(),
+            counts: TrustCounts::default(),
             estimated_at: None,
             evacuation: Evacuation::default(),
             approvals: HashMap::default(),
--- a/crates/core/src/sched/shard/trust.rs
+++ b/crates/core/src/sched/shard/trust.rs
@@ -22,7 +22,25 @@
 /// The time after an ejection in which another one counts as a relapse.
 const RELAPSE: Duration = Duration::from_secs(60);
 
+/// What was done about runs and workers, for metrics.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct TrustCounts {
+    /// Runs that were stopped as stuck.
+    pub stuck_runs: u64,
+    /// Workers that were ejected.
+    pub ejections: u64,
+    /// Workers that were not ejected, since too many others were.
+    pub withheld_ejections: u64,
+    /// Second runs that were started.
+    pub second_runs: u64,
+}
+
 impl Shard {
+    /// Returns the counts since the last call.
+    pub fn take_trust_counts(&mut self) -> TrustCounts {
+        std::mem::take(&mut self.counts)
+    }
+
     /// Records that a run of a short task was done or failed on a worker; ejects a worker that fails
     /// more of its runs than others do.
     pub(super) fn note_end(&mut self, worker_id: &str, name: TaskName, failed: bool, now: Instant) {
@@ -89,6 +107,12 @@
                 "jobs: worker={worker_id} not ejected, {ejected} of {listed} workers are already: {reason}."
             );
         }
+        let count = if is_allowed {
+            &mut self.counts.ejections
+        } else {
+            &mut self.counts.withheld_ejections
+        };
+        *count += 1;
         let Some(worker) = self.workers.get_mut(worker_id) else {
             return false;
         };
--- a/crates/core/tests/uneven/main.rs
+++ b/crates/core/tests/uneven/main.rs
@@ -2,5 +2,6 @@
 
 mod faulty;
 mod run_times;
+mod second_runs;
 mod stuck;
 mod world;
--- a/crates/core/tests/uneven/world.rs
+++ b/crates/core/tests/uneven/world.rs
@@ -170,6 +170,15 @@
         runs.filter(|run| run.task == name).count()
     }
 
+    /// Returns the largest number of runs that workers have of any task.
+    pub fn most_runs(&self) -> usize {
+        let mut counts = BTreeMap::new();
+        for run in self.workers.values().flat_map(|w| &w.runs) {
+            *counts.entry(run.task).or_insert(0) += 1;
+        }
+        counts.into_values().max().unwrap_or(0)
+    }
+
     /// Advances the simulation to `until_ms`, or until `is_over`.
     pub fn run(&mut self, until_ms: u64, is_over: impl Fn(&Self) -> bool) {
         while self.now_ms < until_ms && !is_over(self) {
