Keep a dispatch as fast as before the estimates

Lateness computed two chains for each job and the search for second runs looked at all runs in each dispatch.

--- a/crates/core/src/sched/shard/estimates.rs
+++ b/crates/core/src/sched/shard/estimates.rs
@@ -44,6 +44,8 @@
 pub(super) struct JobEstimates {
     /// The usual run time of each step's tasks, in milliseconds.
     task_ms: Vec<u64>,
+    /// The time of the longest chain of steps, in milliseconds.
+    chain_ms: u64,
     /// The steps that have running tasks.
     running: Vec<RunningStep>,
 }
@@ -52,10 +54,21 @@
     /// Returns the estimates of the caller.
     pub(super) fn new(spec: &JobSpec) -> Self {
         let steps = spec.steps.iter();
-        Self {
-            task_ms: steps.map(|step| u64::from(step.estimate_ms)).collect(),
-            running: Vec::new(),
-        }
+        let mut estimates = Self::default();
+        estimates.set_task_times(spec, steps.map(|step| u64::from(step.estimate_ms)));
+        estimates
+    }
+
+    /// Sets the usual run times of the steps' tasks, in milliseconds.
+    fn set_task_times(&mut self, spec: &JobSpec, task_ms: impl Iterator<Item = u64>) {
+        self.task_ms.clear();
+        self.task_ms.extend(task_ms);
+        self.chain_ms = longest_chain_ms(spec, |i| self.task_ms[i]);
+    }
+
+    /// Returns the time of the job's longest chain of steps, in milliseconds.
+    pub(super) fn chain_ms(&self) -> u64 {
+        self.chain_ms
     }
 
     fn running(&self, occurrence: u32, step: usize) -> RunningStep {
@@ -146,8 +159,7 @@
         for (id, job) in open {
             let steps = job.spec.steps.iter();
             let usual = steps.map(|step| run_times.usual(step).as_millis() as u64);
-            job.estimates.task_ms.clear();
-            job.estimates.task_ms.extend(usual);
+            job.estimates.set_task_times(&job.spec, usual);
             job.estimates.running = running.remove(id).unwrap_or_default();
         }
     }
@@ -170,6 +182,17 @@
     step.total_ms += remaining_ms;
 }
 
+/// Returns the time of the longest chain of steps that take `step_ms`, in milliseconds.
+fn longest_chain_ms(spec: &JobSpec, step_ms: impl Fn(usize) -> u64) -> u64 {
+    let mut path_ms: Vec<u64> = Vec::with_capacity(spec.steps.len());
+    for (i, step) in spec.steps.iter().enumerate() {
+        let after = step.after.iter();
+        let predecessors = after.filter_map(|a| path_ms.get(usize::from(*a)));
+        path_ms.push(predecessors.copied().max().unwrap_or(0) + step_ms(i));
+    }
+    path_ms.into_iter().max().unwrap_or(0)
+}
+
 impl Run {
     /// Returns the time that the run still takes: by its own pace if it has shown one, else by the
     /// run times of its shape and the time that has passed.
@@ -188,20 +211,15 @@
 }
 
 impl Job {
-    /// Returns the estimated time of the longest chain of unfinished steps, in milliseconds; of all
-    /// steps if no occurrence is given.
-    pub(super) fn chain_ms(&self, occurrence: Option<&Occurrence>) -> u64 {
-        let mut path_ms: Vec<u64> = Vec::with_capacity(self.spec.steps.len());
-        for (i, step) in self.spec.steps.iter().enumerate() {
-            let after = step.after.iter();
-            let predecessors = after.filter_map(|a| path_ms.get(usize::from(*a)));
-            let own_ms = match occurrence {
-                Some(o) => self.estimates.step_ms(o.number, i, o.remaining[i]),
-                None => self.estimates.task_ms[i],
-            };
-            path_ms.push(predecessors.copied().max().unwrap_or(0) + own_ms);
-        }
-        path_ms.into_iter().max().unwrap_or(0)
+    /// Returns the estimated time of the longest chain of unfinished steps of an occurrence, in
+    /// milliseconds; of all steps if there is none.
+    pub(super) fn remaining_chain_ms(&self, occurrence: Option<&Occurrence>) -> u64 {
+        let Some(occurrence) = occurrence else {
+            return self.estimates.chain_ms;
+        };
+        let number = occurrence.number;
+        let step_ms = |i: usize| self.estimates.step_ms(number, i, occurrence.remaining[i]);
+        longest_chain_ms(&self.spec, step_ms)
     }
 
     /// Returns for each step the estimated time from its start to the end of the job, in
--- a/crates/core/src/sched/shard/jobs.rs
+++ b/crates/core/src/sched/shard/jobs.rs
@@ -177,9 +177,9 @@
         if self.spec.occurrences > 0 {
             return Lateness::InTime;
         }
-        let remaining_ms = self.chain_ms(self.occurrences.first());
+        let remaining_ms = self.remaining_chain_ms(self.occurrences.first());
         let elapsed_ms = now.duration_since(self.accepted_at).as_millis() as u64;
-        let target_duration_ms = self.spec.target_for_ms(self.chain_ms(None));
+        let target_duration_ms = self.spec.target_for_ms(self.estimates.chain_ms());
         if elapsed_ms + remaining_ms <= target_duration_ms {
             Lateness::InTime
         } else if elapsed_ms + remaining_ms <= target_duration_ms.saturating_mul(LATE_FACTOR) {
--- a/crates/core/src/sched/shard/second_runs.rs
+++ b/crates/core/src/sched/shard/second_runs.rs
@@ -56,8 +56,12 @@
 
 impl Shard {
     /// Starts second runs of tasks whose run is in the tail of its distribution, the most overdue
-    /// first; called after all waiting tasks have been offered the room.
+    /// first; called after all waiting tasks have been offered the room. Does nothing in dispatches
+    /// without new estimates, since it looks at all runs.
     pub(super) fn start_second_runs(&mut self, now: Instant) {
+        if self.estimated_at != Some(now) {
+            return;
+        }
         let mut tails = self.tail_runs(now);
         if tails.is_empty() {
             return;
--- a/crates/core/src/sched/shard/stalls.rs
+++ b/crates/core/src/sched/shard/stalls.rs
@@ -74,12 +74,12 @@
                 continue;
             }
             for (task, run) in &worker.runs {
+                if now.saturating_duration_since(run.progressed_at) <= MIN_PAUSE {
+                    continue;
+                }
                 let Some(pause) = self.pause(*task, run, now) else {
                     continue;
                 };
-                if pause < MIN_PAUSE {
-                    continue;
-                }
                 let Some(knowledge) = self.knowledge(*task, run, &mut paces) else {
                     continue;
                 };
