Show what is done about uneven work in metrics, and describe it

Ejections, stuck and second runs were only in the log. A distribution counts from 50 ends on, since the tasks of one job are alike.

--- a/crates/core/src/sched/run_times.rs
+++ b/crates/core/src/sched/run_times.rs
@@ -19,8 +19,9 @@
     },
 };
 
-/// The number of ends from which on a distribution counts.
-const MIN_ENDS: u64 = 12;
+/// The number of ends from which on a distribution counts: those of several jobs, since the tasks of
+/// one are alike.
+const MIN_ENDS: u64 = 50;
 
 /// The number of ends from which on the highest quantiles count.
 const MIN_TAIL_ENDS: u64 = 100;
--- a/crates/core/src/sched/shard/summary.rs
+++ b/crates/core/src/sched/shard/summary.rs
@@ -79,6 +79,10 @@
     pub workers: usize,
     /// The workers that accept work.
     pub open_workers: usize,
+    /// The workers that get no new tasks because of failed or stuck runs.
+    pub ejected_workers: usize,
+    /// The workers that come last because they are slow or may hang.
+    pub slow_workers: usize,
     /// The jobs that are open, or whose outcome is not stored yet.
     pub jobs: usize,
     /// The capacity.
@@ -130,7 +134,11 @@
                 waiting.largest.cpu,
             )?;
         }
-        write!(f, " unsure={}", self.may_have_unknown_runs)
+        write!(
+            f,
+            " ejected={} slow={} unsure={}",
+            self.ejected_workers, self.slow_workers, self.may_have_unknown_runs
+        )
     }
 }
 
@@ -139,6 +147,8 @@
     pub fn summary(&self, now: Instant) -> Summary {
         let mut summary = Summary {
             workers: self.workers.len(),
+            ejected_workers: self.ejected_workers(now).count(),
+            slow_workers: self.slow_workers(now),
             jobs: self.jobs.len(),
             may_have_unknown_runs: self.may_have_unknown_runs(now),
             ..Summary::default()
--- a/crates/core/src/sched/shard/trust.rs
+++ b/crates/core/src/sched/shard/trust.rs
@@ -77,6 +77,12 @@
         ejected.map(|w| w.info.id.as_str())
     }
 
+    /// Returns the number of workers that come last in the ranking because of what their runs have shown.
+    pub(super) fn slow_workers(&self, now: Instant) -> usize {
+        let is_last = |w: &&Worker| w.current_speed < 1.0 || w.is_doubted(now);
+        self.workers.values().filter(is_last).count()
+    }
+
     /// Gives a worker no new tasks for `duration`, unless too many workers of its service are ejected
     /// already; then it comes last in the ranking instead. Returns whether it is ejected.
     ///
--- a/crates/core/tests/uneven/world.rs
+++ b/crates/core/tests/uneven/world.rs
@@ -70,6 +70,9 @@
     pub worker: String,
 }
 
+/// Returns the work of a task at full speed, in milliseconds.
+type Work = Box<dyn Fn(TaskName, &mut StdRng) -> f64>;
+
 /// A shard with its simulated workers.
 pub struct World {
     pub shard: Shard,
@@ -83,7 +86,7 @@
     pub poisoned: fn(TaskName) -> bool,
     base: Instant,
     workers: BTreeMap<String, SimWorker>,
-    work_ms: Box<dyn Fn(TaskName, &mut StdRng) -> f64>,
+    work_ms: Work,
     rng: StdRng,
 }
 
--- a/crates/scheduler/src/control/publish.rs
+++ b/crates/scheduler/src/control/publish.rs
@@ -101,6 +101,17 @@
                 let counter = self.metrics.losses.with_label_values(&[kind]);
                 counter.inc_by(count);
             }
+            let reactions = leader.shard.take_trust_counts();
+            let counts = [
+                ("stuck_run", reactions.stuck_runs),
+                ("ejection", reactions.ejections),
+                ("withheld_ejection", reactions.withheld_ejections),
+                ("second_run", reactions.second_runs),
+            ];
+            for (kind, count) in counts {
+                let counter = self.metrics.reactions.with_label_values(&[kind]);
+                counter.inc_by(count);
+            }
             let others = leaders.iter().filter(|(name, _)| *name != shard);
             let mut min_loads: HashMap<String, ServiceLoad> = HashMap::default();
             for (_, leader_view) in others {
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -46,6 +46,11 @@
     pub reports: IntCounterVec,
     /// Losses of runs in led shards: runs, crashes under tasks, and tasks that were given up.
     pub losses: IntCounterVec,
+    /// What was done about uneven runs and workers in led shards: stuck runs stopped, workers ejected
+    /// or not because too many were, and second runs.
+    pub reactions: IntCounterVec,
+    /// Workers of led shards that get no work or come last because of what their runs have shown.
+    pub suspect_workers: IntGaugeVec,
     /// Waiting work in led shards, by kind of work and unit: jobs, those that are too late, tasks,
     /// those that ran before, thousandths of a core, and the age of the oldest job in milliseconds.
     pub waiting: IntGaugeVec,
@@ -85,6 +90,8 @@
         let commands = counters("mgb_orders", "Commands to workers.", &["kind", "answer"])?;
         let reports = counters("mgb_reports", "Report requests to workers.", &["result"])?;
         let losses = counters("mgb_losses", "Runs lost with their workers.", &["kind"])?;
+        let help = "What was done about uneven runs and workers.";
+        let reactions = counters("mgb_reactions", help, &["kind"])?;
         let buckets = BUCKETS.to_vec();
         let opts = HistogramOpts::new("mgb_request_seconds", "Time to the response.");
         let latency = HistogramVec::new(opts.buckets(buckets.clone()), &["call"])?;
@@ -116,6 +123,11 @@
             &["kind"],
         )?;
         let cpu = gauges("mgb_cpu", "CPU of the workers, in m cores.", &["use"])?;
+        let suspect_workers = gauges(
+            "mgb_suspect_workers",
+            "Workers that get no work or come last because of their runs.",
+            &["state"],
+        )?;
         let led_shards = IntGauge::new("mgb_leads", "Shards led by this instance.")?;
         registry.register(Box::new(led_shards.clone()))?;
         let config_version = IntGauge::new(
@@ -143,6 +155,8 @@
             event_wait,
             reports,
             losses,
+            reactions,
+            suspect_workers,
             waiting,
             places,
             cpu,
@@ -187,6 +201,13 @@
         for (name, value) in values {
             self.cpu.with_label_values(&[name]).set(value);
         }
+        let values = [
+            ("ejected", sum(|s| s.ejected_workers as i64)),
+            ("slow", sum(|s| s.slow_workers as i64)),
+        ];
+        for (state, value) in values {
+            self.suspect_workers.with_label_values(&[state]).set(value);
+        }
     }
 
     /// Writes the metrics as text.
