Count running tasks only where there is an estimate

A job whose caller gave no estimate counted the rest of its running tasks, by their progress, but none of its waiting ones, so the job that had begun came behind.

--- a/crates/core/src/sched/shard/estimates.rs
+++ b/crates/core/src/sched/shard/estimates.rs
@@ -37,6 +37,8 @@
     remaining: Remaining,
     /// The median of the tasks that were done; `None` if they are too few.
     median: Option<Duration>,
+    /// Whether there is an estimate, of the caller or from ends.
+    is_estimated: bool,
 }
 
 /// The estimates for one job.
@@ -139,11 +141,17 @@
                 let times = by_step.entry(key).or_insert_with(|| StepTimes {
                     remaining: self.run_times.remaining(step),
                     median: job.and_then(|job| job.step_median(name)),
+                    is_estimated: !self.run_times.usual(step).is_zero(),
                 });
                 let counts = overdue.entry(&worker.info.id).or_default();
                 counts.0 += u32::from(run.is_overdue(times.median, now));
                 counts.1 += 1;
-                let remaining = run.remaining(&times.remaining, now);
+                // Without any estimate for the step's other tasks, running ones don't count either.
+                let remaining = if times.is_estimated {
+                    run.remaining(&times.remaining, now)
+                } else {
+                    Duration::ZERO
+                };
                 let steps = running.entry(name.job).or_default();
                 add_running(steps, name, remaining.as_millis() as u64);
             }
