--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -8,17 +8,22 @@
 
 pub mod deputy;
 pub mod evacuation;
+pub mod failure_rates;
 pub mod heartbeat_age;
 pub mod interference;
 pub mod job;
 pub mod journal;
 pub mod leadership;
+pub mod learnt;
 pub mod loans;
 pub mod placement;
 pub mod progress;
 pub mod queues;
+pub mod run_times;
 pub mod shard;
 pub mod shares;
 pub mod size_fairness;
+pub mod stuck;
 pub mod throttle;
 pub mod worker;
+pub mod worker_speed;
--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -5,7 +5,7 @@
 //!
 //! - `approvals`: approvals that some queues require before a worker may run a task.
 //! - `candidates`: finds the best worker for a task.
-//! - `checks`: stops stuck runs and runs on draining workers.
+//! - `checks`: stops runs on draining workers.
 //! - `commits`: batches of rows to store, and the effects of the writes' results.
 //! - `crashes`: tasks that crash their workers.
 //! - `delay_cost`: the order of waiting jobs by cost of delay, where a deployment asks for it.
@@ -13,6 +13,7 @@
 //! - `displacement`: stops long-running tasks to make room for short work that can be in time.
 //! - `disruption`: how many tasks of a step are away, which limits how many more may be stopped.
 //! - `ends`: the ends of runs, and their effects on tasks and jobs.
+//! - `estimates`: how long tasks take, and how long the running ones still take.
 //! - `evacuations`: evacuated failure domains, where nothing starts and long-running tasks move away.
 //! - `gangs`: steps whose tasks run only together.
 //! - `jobs`: one job, with its occurrences, runs and stored progress.
@@ -26,8 +27,12 @@
 //! - `reports`: the reports of workers: runs that are confirmed, found or lost.
 //! - `restoring`: a new leader, before it has dispatched the work of earlier leaders.
 //! - `runs`: adds and removes runs on workers, and accounts for their resources.
+//! - `second_runs`: second runs of tasks that take much longer than most.
+//! - `speeds`: the current speeds of workers.
+//! - `stalls`: runs that stand still, and what this says of their workers.
 //! - `summary`: what waits and what is free, for the log and the metrics.
 //! - `tails`: tail latencies of serving tasks, and the throttles that follow from them.
+//! - `trust`: workers that get no new tasks because of what their runs have shown.
 //! - `waiting`: which waiting job gets resources first.
 //! - `workers`: the list of workers, and their replies to commands.
 
@@ -41,6 +46,7 @@
 mod displacement;
 mod disruption;
 mod ends;
+mod estimates;
 mod evacuations;
 mod gangs;
 mod jobs;
@@ -54,9 +60,13 @@
 mod reports;
 mod restoring;
 mod runs;
+mod second_runs;
+mod speeds;
+mod stalls;
 mod state;
 mod summary;
 mod tails;
+mod trust;
 mod waiting;
 mod workers;
 
@@ -65,3 +75,4 @@
 pub use restoring::RestoringShard;
 pub use state::{Batch, Command, JobOrigin, Params, ServiceLoad, Shard};
 pub use summary::{Summary, Waiting, WorkKind};
+pub use trust::TrustCounts;
--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -9,7 +9,10 @@
         job::{JobId, Step, TaskName},
         progress::JobOutcome,
     },
-    std::time::{Duration, Instant},
+    std::{
+        cmp::Reverse,
+        time::{Duration, Instant},
+    },
 };
 
 /// The minimum time between two checks of conditions that change with time alone, such as the
@@ -121,6 +124,7 @@
 
     /// Dispatches the open jobs in the order that the module `waiting` sets.
     fn dispatch(&mut self, now: Instant) {
+        self.update_estimates(now);
         let order = self.dispatch_order(now);
         if self.held_back_workers.is_empty() {
             self.holding_since = None;
@@ -132,6 +136,7 @@
         for id in order {
             self.dispatch_job(id, now);
         }
+        self.start_second_runs(now);
     }
 
     /// Updates whether the workers are mostly free, and since when each job has been idle.
@@ -176,7 +181,13 @@
             let ready = steps.filter(|(i, step)| occurrence.is_ready(*i, step));
             ready.map(|(i, _)| (occurrence.number, i as u16))
         });
-        let ready_steps: Vec<_> = ready_steps.collect();
+        let mut ready_steps: Vec<_> = ready_steps.collect();
+        if ready_steps.len() > 1 {
+            // The steps with the longest remaining chain come first.
+            let chains = job.chains_from_ms();
+            ready_steps
+                .sort_by_key(|(occurrence, i)| (*occurrence, Reverse(chains[usize::from(*i)])));
+        }
         for (occurrence, step) in ready_steps {
             let name = TaskName {
                 job: id,
--- /dev/null
+++ b/crates/core/src/sched/shard/estimates.rs
@@ -0,0 +1,261 @@
+//! How long tasks take, and how long the running ones still take.
+//!
+//! [`run_times`](crate::sched::run_times) learns from the ends of runs. What follows for each open job is
+//! computed anew a few times a second, so that a dispatch need not look at all runs.
+
+use {
+    super::state::{Job, Occurrence, Run, RunPhase, Shard},
+    crate::{
+        hash::HashMap,
+        sched::{
+            job::{JobId, JobSpec, TaskName},
+            progress::JobOutcome,
+            run_times::{Remaining, ShapeTimes},
+        },
+    },
+    std::time::{Duration, Instant},
+};
+
+/// The time between two computations of the jobs' estimates. Most tasks take longer.
+const ESTIMATE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// The time that the running tasks of a step still take.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct RunningStep {
+    occurrence: u32,
+    step: u16,
+    /// The number of tasks that have a run.
+    tasks: u32,
+    /// The longest time that any of them still takes, in milliseconds.
+    longest_ms: u64,
+    /// The time that all of them still take, in milliseconds.
+    total_ms: u64,
+}
+
+/// The run times of a step's tasks.
+struct StepTimes {
+    remaining: Remaining,
+    /// The median of the tasks that were done; `None` if they are too few.
+    median: Option<Duration>,
+    /// Whether there is an estimate, of the caller or from ends.
+    is_estimated: bool,
+}
+
+/// The estimates for one job.
+#[derive(Clone, Debug, Default)]
+pub(super) struct JobEstimates {
+    /// The usual run time of each step's tasks, in milliseconds.
+    task_ms: Vec<u64>,
+    /// The time of the longest chain of steps, in milliseconds.
+    chain_ms: u64,
+    /// The steps that have running tasks.
+    running: Vec<RunningStep>,
+}
+
+impl JobEstimates {
+    /// Returns the estimates of the caller.
+    pub(super) fn new(spec: &JobSpec) -> Self {
+        let steps = spec.steps.iter();
+        let mut estimates = Self::default();
+        estimates.set_task_times(spec, steps.map(|step| u64::from(step.estimate_ms)));
+        estimates
+    }
+
+    /// Sets the usual run times of the steps' tasks, in milliseconds.
+    fn set_task_times(&mut self, spec: &JobSpec, task_ms: impl Iterator<Item = u64>) {
+        self.task_ms.clear();
+        self.task_ms.extend(task_ms);
+        self.chain_ms = longest_chain_ms(spec, |i| self.task_ms[i]);
+    }
+
+    /// Returns the time of the job's longest chain of steps, in milliseconds.
+    pub(super) fn chain_ms(&self) -> u64 {
+        self.chain_ms
+    }
+
+    fn running(&self, occurrence: u32, step: usize) -> RunningStep {
+        let is_step = |r: &&RunningStep| r.occurrence == occurrence && usize::from(r.step) == step;
+        self.running
+            .iter()
+            .find(is_step)
+            .copied()
+            .unwrap_or_default()
+    }
+
+    /// Returns the time that a step still takes if its tasks start at once, in milliseconds.
+    fn step_ms(&self, occurrence: u32, step: usize, remaining: u32) -> u64 {
+        if remaining == 0 {
+            return 0;
+        }
+        let running = self.running(occurrence, step);
+        if running.tasks >= remaining {
+            running.longest_ms
+        } else {
+            running.longest_ms.max(self.task_ms[step])
+        }
+    }
+}
+
+impl Shard {
+    /// Restores the run times that an earlier leader stored.
+    pub fn restore_run_times(&mut self, records: &[ShapeTimes]) {
+        self.run_times.restore(records);
+    }
+
+    /// Learns from a run that was done at `now` on a worker.
+    pub(super) fn learn_run_time(
+        &mut self,
+        worker_id: &str,
+        name: TaskName,
+        run: &Run,
+        now: Instant,
+    ) {
+        let job = self.jobs.get(&name.job);
+        let Some(step) = job.and_then(|j| j.spec.steps.get(usize::from(name.step))) else {
+            return;
+        };
+        if run.is_whole && run.speed_percent == 100 && !step.long_running && !step.gang {
+            let time = now.duration_since(run.added_at);
+            self.run_times.record(step, time);
+            self.compare_run_time(worker_id, name, time, now);
+        }
+    }
+
+    /// Computes the estimates of all open jobs, unless that was done a short time ago.
+    pub(super) fn update_estimates(&mut self, now: Instant) {
+        let is_recent = |at: Instant| now.duration_since(at) < ESTIMATE_INTERVAL;
+        if self.estimated_at.is_some_and(is_recent) {
+            return;
+        }
+        self.estimated_at = Some(now);
+        let mut running: HashMap<JobId, Vec<RunningStep>> = HashMap::default();
+        let mut by_step: HashMap<(JobId, u32, u16), StepTimes> = HashMap::default();
+        let mut overdue: HashMap<&str, (u32, u32)> = HashMap::default();
+        for worker in self.workers.values() {
+            for (name, run) in worker.runs.iter().filter(|(_, run)| !run.is_long_running) {
+                let job = self.jobs.get(&name.job);
+                let Some(step) = job.and_then(|j| j.spec.steps.get(usize::from(name.step))) else {
+                    continue;
+                };
+                let key = (name.job, name.occurrence, name.step);
+                let times = by_step.entry(key).or_insert_with(|| StepTimes {
+                    remaining: self.run_times.remaining(step),
+                    median: job.and_then(|job| job.step_median(name)),
+                    is_estimated: !self.run_times.usual(step).is_zero(),
+                });
+                let counts = overdue.entry(&worker.info.id).or_default();
+                counts.0 += u32::from(run.is_overdue(times.median, now));
+                counts.1 += 1;
+                // Without any estimate for the step's other tasks, running ones don't count either.
+                let remaining = if times.is_estimated {
+                    run.remaining(&times.remaining, now)
+                } else {
+                    Duration::ZERO
+                };
+                let steps = running.entry(name.job).or_default();
+                add_running(steps, name, remaining.as_millis() as u64);
+            }
+        }
+        let overdue = overdue.into_iter().filter(|(_, (late, _))| *late > 0);
+        let overdue: Vec<_> = overdue.map(|(id, n)| (id.to_owned(), n)).collect();
+        self.update_speeds(&overdue, now);
+        let run_times = &self.run_times;
+        let open = self
+            .jobs
+            .iter_mut()
+            .filter(|(_, job)| job.outcome == JobOutcome::Open);
+        for (id, job) in open {
+            let steps = job.spec.steps.iter();
+            let usual = steps.map(|step| run_times.usual(step).as_millis() as u64);
+            job.estimates.set_task_times(&job.spec, usual);
+            job.estimates.running = running.remove(id).unwrap_or_default();
+        }
+    }
+}
+
+/// Adds a run that still takes `remaining_ms` to its step.
+fn add_running(steps: &mut Vec<RunningStep>, name: &TaskName, remaining_ms: u64) {
+    let is_step = |r: &RunningStep| (r.occurrence, r.step) == (name.occurrence, name.step);
+    let index = steps.iter().position(is_step).unwrap_or_else(|| {
+        steps.push(RunningStep {
+            occurrence: name.occurrence,
+            step: name.step,
+            ..RunningStep::default()
+        });
+        steps.len() - 1
+    });
+    let step = &mut steps[index];
+    step.tasks += 1;
+    step.longest_ms = step.longest_ms.max(remaining_ms);
+    step.total_ms += remaining_ms;
+}
+
+/// Returns the time of the longest chain of steps that take `step_ms`, in milliseconds.
+fn longest_chain_ms(spec: &JobSpec, step_ms: impl Fn(usize) -> u64) -> u64 {
+    let mut path_ms: Vec<u64> = Vec::with_capacity(spec.steps.len());
+    for (i, step) in spec.steps.iter().enumerate() {
+        let after = step.after.iter();
+        let predecessors = after.filter_map(|a| path_ms.get(usize::from(*a)));
+        path_ms.push(predecessors.copied().max().unwrap_or(0) + step_ms(i));
+    }
+    path_ms.into_iter().max().unwrap_or(0)
+}
+
+impl Run {
+    /// Returns the time that the run still takes: by its own pace if it has shown one, else by the
+    /// run times of its shape and the time that has passed.
+    pub(super) fn remaining(&self, by_step: &Remaining, now: Instant) -> Duration {
+        if let Some(percent) = self.pace.percent_time() {
+            let left = (100.0 - self.progress_percent).clamp(0.0, 100.0);
+            let since = now.saturating_duration_since(self.progressed_at);
+            return percent.mul_f64(left).saturating_sub(since);
+        }
+        let elapsed = match self.phase {
+            RunPhase::Sent => Duration::ZERO,
+            RunPhase::Running(_) | RunPhase::Stopping(_) => now.duration_since(self.added_at),
+        };
+        by_step.after(elapsed)
+    }
+}
+
+impl Job {
+    /// Returns the estimated time of the longest chain of unfinished steps of an occurrence, in
+    /// milliseconds; of all steps if there is none.
+    pub(super) fn remaining_chain_ms(&self, occurrence: Option<&Occurrence>) -> u64 {
+        let Some(occurrence) = occurrence else {
+            return self.estimates.chain_ms;
+        };
+        let number = occurrence.number;
+        let step_ms = |i: usize| self.estimates.step_ms(number, i, occurrence.remaining[i]);
+        longest_chain_ms(&self.spec, step_ms)
+    }
+
+    /// Returns for each step the estimated time from its start to the end of the job, in
+    /// milliseconds, if nothing waits.
+    pub(super) fn chains_from_ms(&self) -> Vec<u64> {
+        let mut chains = self.estimates.task_ms.clone();
+        for (i, step) in self.spec.steps.iter().enumerate().rev() {
+            for predecessor in &step.after {
+                let predecessor = usize::from(*predecessor);
+                let own_ms = self.estimates.task_ms[predecessor];
+                chains[predecessor] = chains[predecessor].max(own_ms + chains[i]);
+            }
+        }
+        chains
+    }
+
+    /// Returns the remaining work of an occurrence, in thousandths of a core times milliseconds.
+    pub(super) fn occurrence_work(&self, occurrence: &Occurrence) -> u64 {
+        let steps = self.spec.steps.iter().zip(&occurrence.remaining);
+        let work = steps.enumerate().map(|(i, (step, remaining))| {
+            let cpu = u64::try_from(step.request.cpu).unwrap_or(0);
+            let running = self.estimates.running(occurrence.number, i);
+            let waiting = remaining.saturating_sub(running.tasks);
+            let waiting_ms = self.estimates.task_ms[i].saturating_mul(u64::from(waiting));
+            waiting_ms
+                .saturating_add(running.total_ms)
+                .saturating_mul(cpu)
+        });
+        work.fold(0, u64::saturating_add)
+    }
+}
--- a/crates/core/src/sched/shard/jobs.rs
+++ b/crates/core/src/sched/shard/jobs.rs
@@ -10,6 +10,11 @@
 };
 
 impl Job {
+    /// Returns whether tasks of any step may have second runs.
+    pub(super) fn has_speculative_steps(&self) -> bool {
+        self.spec.steps.iter().any(|step| step.allows_second_runs())
+    }
+
     /// Returns the worker id and the task of each run of the job, whose id is `id`.
     pub(super) fn runs(&self, id: JobId) -> impl Iterator<Item = (String, TaskName)> + '_ {
         self.occurrences.iter().flat_map(move |occurrence| {
@@ -148,11 +153,10 @@
 }
 
 impl Job {
-    /// Returns the remaining work of the added occurrences according to the caller's estimates, in
-    /// thousandths of a core times milliseconds.
+    /// Returns the estimated remaining work of the added occurrences, in thousandths of a core times
+    /// milliseconds.
     pub(super) fn remaining_work(&self) -> u64 {
-        let work_of = |occurrence: &Occurrence| self.work_of(occurrence.remaining.iter().copied());
-        let works = self.occurrences.iter().map(work_of);
+        let works = self.occurrences.iter().map(|o| self.occurrence_work(o));
         works.fold(0, u64::saturating_add)
     }
 
@@ -167,15 +171,15 @@
         work.fold(0, u64::saturating_add)
     }
 
-    /// Returns how late the job will finish according to the caller's estimates; a scheduled job
-    /// always counts as in time.
+    /// Returns how late the job will finish according to the estimates of its tasks' run times; a
+    /// scheduled job always counts as in time.
     pub(super) fn lateness(&self, now: Instant) -> Lateness {
         if self.spec.occurrences > 0 {
             return Lateness::InTime;
         }
-        let remaining_ms = self.remaining_path_ms();
+        let remaining_ms = self.remaining_chain_ms(self.occurrences.first());
         let elapsed_ms = now.duration_since(self.accepted_at).as_millis() as u64;
-        let target_duration_ms = self.spec.target_duration_ms();
+        let target_duration_ms = self.spec.target_for_ms(self.estimates.chain_ms());
         if elapsed_ms + remaining_ms <= target_duration_ms {
             Lateness::InTime
         } else if elapsed_ms + remaining_ms <= target_duration_ms.saturating_mul(LATE_FACTOR) {
@@ -190,21 +194,16 @@
     pub(super) fn time_left_ms(&self, now: Instant) -> Option<i64> {
         let elapsed_ms = now.duration_since(self.accepted_at).as_millis() as i64;
         let is_scheduled = self.spec.occurrences > 0;
-        (!is_scheduled).then(|| self.spec.target_duration_ms() as i64 - elapsed_ms)
+        let target_ms = self.spec.target_for_ms(self.estimates.chain_ms()) as i64;
+        (!is_scheduled).then_some(target_ms - elapsed_ms)
     }
 
     /// Returns how much later the job could start and still end within its target duration, in
     /// milliseconds, negative if it can't; `None` for a scheduled job.
     pub(super) fn slack_ms(&self, now: Instant) -> Option<i64> {
         let time_left_ms = self.time_left_ms(now)?;
-        Some(time_left_ms - self.remaining_path_ms() as i64)
-    }
-
-    /// Returns the estimated duration of the longest chain of unfinished steps, in milliseconds.
-    fn remaining_path_ms(&self) -> u64 {
-        let first = self.occurrences.first();
-        let remaining = first.map_or(&[][..], |occurrence| &occurrence.remaining);
-        self.spec.critical_path_ms(remaining)
+        let remaining_ms = self.remaining_chain_ms(self.occurrences.first());
+        Some(time_left_ms - remaining_ms as i64)
     }
 
     /// Adds the next occurrence with its stored progress, unless all its tasks are done.
--- a/crates/core/src/sched/shard/runs.rs
+++ b/crates/core/src/sched/shard/runs.rs
@@ -5,7 +5,7 @@
         crashes::PROBATION,
         state::{Command, Run, RunPhase, Shard},
     },
-    crate::sched::{job::TaskName, placement::reserved},
+    crate::sched::{job::TaskName, placement::reserved, stuck::Pace},
     std::time::Instant,
 };
 
@@ -98,6 +98,7 @@
         job_task.workers.push(worker_id.to_owned());
         job_task.idle_since = None;
         job_task.attempt = job_task.attempt.max(attempt);
+        let is_resumed = !job_task.checkpoint.is_empty();
         let reserved = reserved(&step);
         let best_effort_cpu = if step.best_effort {
             step.request.cpu
@@ -127,8 +128,10 @@
             has_unlisted_end: false,
             on_probation,
             process_started_ms: worker.info.started_ms,
+            is_whole: phase == RunPhase::Sent && !is_resumed,
             progress_percent: -1.0,
             progressed_at: now,
+            pace: Pace::default(),
             speed_percent: 100,
             checkpoint: String::new(),
         };
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -8,19 +8,26 @@
         delay_cost::OverdueJobs,
         dispatch::{MIN_DISPATCH_INTERVAL, PlacementKey},
         displacement::Displacement,
+        estimates::JobEstimates,
         evacuations::Evacuation,
         losses::{Losses, Processes},
+        stalls::Stall,
+        trust::TrustCounts,
     },
     crate::{
         hash::{HashMap, HashSet},
         sched::{
+            failure_rates::{FailureRates, WorkerEnds},
             interference::{Image, Interference, PairEstimate, Pressure},
             job::{JobId, JobSpec, Resources, TaskName},
             loans::{LoanLedger, MAX_LOAN},
             progress::{JobOutcome, LossRecord, PlacementRecord, Progress, TaskRecord},
+            run_times::{RunTimes, ShapeTimes},
             size_fairness::SizeFairness,
+            stuck::Pace,
             throttle::Throttle,
             worker::{LeaseClock, WorkerInfo},
+            worker_speed::WorkerSpeed,
         },
     },
     std::{
@@ -182,6 +189,8 @@
     pub workers_in_use: Option<Vec<(String, String)>>,
     /// Interference estimates; `None` if none are due to be stored.
     pub interference: Option<Vec<PairEstimate>>,
+    /// Run times, stored in the same row as the interference estimates.
+    pub run_times: Vec<ShapeTimes>,
     /// Run ends that may be acknowledged once the batch is stored: worker id, the worker's
     /// `started_ms`, and the number of its newest run end.
     pub(super) acks: Vec<(String, u64, u64)>,
@@ -250,10 +259,15 @@
     pub on_probation: bool,
     /// When the worker's process at the time of the start had started, in milliseconds of Unix time.
     pub process_started_ms: u64,
+    /// Whether the run was started by this leader and does the whole task, so that the time until its
+    /// end is the run time of the task.
+    pub is_whole: bool,
     /// The progress in the last report, in percent; -1 before the first report.
     pub progress_percent: f64,
     /// When the progress or the throttle last changed; initially `added_at`.
     pub progressed_at: Instant,
+    /// The progress that the run has shown.
+    pub pace: Pace,
     /// The last throttle sent: the share of full speed at which the run may work, in percent; 100
     /// if none was sent.
     pub speed_percent: u8,
@@ -317,11 +331,26 @@
     pub headroom: Vec<(Image, f64)>,
     /// Since when any serving task has exceeded its tail-latency target; `None` if none does.
     pub over_target_since: Option<Instant>,
-    /// The number of failed runs since the last run that was done.
-    pub consecutive_failures: u32,
-    /// The worker gets no new tasks before this time, after failed or stuck runs or a reply that it
-    /// is unhealthy.
+    /// The last ends of runs.
+    pub ends: WorkerEnds,
+    /// The speed of the last runs.
+    pub speed: WorkerSpeed,
+    /// The speed by which the worker is ranked, where 1 is the usual one.
+    pub current_speed: f64,
+    /// How often the worker was ejected, each time shortly after the last.
+    pub ejections: u32,
+    /// The number of starts refused as unhealthy since the last that was not.
+    pub refusals: u32,
+    /// The worker gets no new tasks before this time, after it refused one as unhealthy.
+    pub refused_until: Option<Instant>,
+    /// The worker gets no new tasks before this time, because of failed or stuck runs.
     pub ejected_until: Option<Instant>,
+    /// The worker comes last in the ranking before this time, after a stuck run.
+    pub doubted_until: Option<Instant>,
+    /// When a run on the worker last showed progress or was done; `None` if none has.
+    pub progressed_at: Option<Instant>,
+    /// The runs that were recently stopped as stuck.
+    pub stalls: Vec<Stall>,
     /// Whether the last report may leave out ended attempts; see [`Params::max_listed_ends`].
     pub omits_ends: bool,
     /// Whether all reports to this leader may leave out ended attempts, so that those of an earlier
@@ -373,6 +402,8 @@
     pub confirmed_on: Option<String>,
     /// The workers that the task has lost; `None` if none.
     pub losses: Option<Box<Losses>>,
+    /// How often the task was stopped as stuck without its worker being at fault.
+    pub stuck_stops: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -425,6 +456,10 @@
     pub held_since: Option<Instant>,
     /// Whether [`Shard::size_fairness`] has counted the job.
     pub is_counted: bool,
+    /// The run times of the last tasks that were done, by occurrence and step, with their workers.
+    pub step_times: HashMap<(u32, u16), Vec<(String, Duration)>>,
+    /// How long its tasks take.
+    pub estimates: JobEstimates,
     /// The earliest time of the next move; `None` unless a move has failed.
     pub move_retry_at: Option<Instant>,
 }
@@ -458,6 +493,14 @@
     /// The workers' processes, and those that were lost.
     pub(super) processes: Processes,
     pub(super) interference: Interference,
+    /// The run times of tasks that were done.
+    pub(super) run_times: RunTimes,
+    /// The ends and failures of runs on all workers.
+    pub(super) failure_rates: FailureRates,
+    /// The counts since they were last taken.
+    pub(super) counts: TrustCounts,
+    /// When the estimates of the jobs were last computed.
+    pub(super) estimated_at: Option<Instant>,
     /// The evacuated failure domains.
     pub(super) evacuation: Evacuation,
     /// The long-running tasks that were stopped to make room for short work.
@@ -537,6 +580,10 @@
             workers: HashMap::default(),
             processes: Processes::new(now),
             interference: Interference::default(),
+            run_times: RunTimes::default(),
+            failure_rates: FailureRates::default(),
+            counts: TrustCounts::default(),
+            estimated_at: None,
             evacuation: Evacuation::default(),
             displacement: Displacement::default(),
             loans: LoanLedger::default(),
@@ -596,6 +643,8 @@
         }
         let spec_text = Arc::from(spec.spec.as_str());
         let job = Job {
+            estimates: JobEstimates::new(&spec),
+            step_times: HashMap::default(),
             spec: Arc::new(spec),
             spec_text,
             started: progress.started,
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -50,6 +50,11 @@
     pub deputy_calls: IntCounterVec,
     /// Losses of runs in led shards: runs, crashes under tasks, and tasks that were given up.
     pub losses: IntCounterVec,
+    /// What was done about uneven runs and workers in led shards: stuck runs stopped, workers ejected
+    /// or not because too many were, and second runs.
+    pub reactions: IntCounterVec,
+    /// Workers of led shards that get no work or come last because of what their runs have shown.
+    pub suspect_workers: IntGaugeVec,
     /// Waiting work in led shards, by kind of work and unit: jobs, those that are too late, tasks,
     /// those that ran before, thousandths of a core, and the age of the oldest job in milliseconds.
     pub waiting: IntGaugeVec,
@@ -100,6 +105,8 @@
             &["result"],
         )?;
         let losses = counters("mgb_losses", "Runs lost with their workers.", &["kind"])?;
+        let help = "What was done about uneven runs and workers.";
+        let reactions = counters("mgb_reactions", help, &["kind"])?;
         let buckets = BUCKETS.to_vec();
         let opts = HistogramOpts::new("mgb_request_seconds", "Time to the response.");
         let latency = HistogramVec::new(opts.buckets(buckets.clone()), &["call"])?;
@@ -136,6 +143,11 @@
             "Long-running tasks stopped for short work.",
             &["count"],
         )?;
+        let suspect_workers = gauges(
+            "mgb_suspect_workers",
+            "Workers that get no work or come last because of their runs.",
+            &["state"],
+        )?;
         let led_shards = IntGauge::new("mgb_leads", "Shards led by this instance.")?;
         registry.register(Box::new(led_shards.clone()))?;
         let config_version = IntGauge::new(
@@ -170,6 +182,8 @@
             loans,
             deputy_calls,
             losses,
+            reactions,
+            suspect_workers,
             waiting,
             places,
             cpu,
@@ -223,6 +237,13 @@
         for (name, value) in values {
             self.displacements.with_label_values(&[name]).set(value);
         }
+        let values = [
+            ("ejected", sum(|s| s.ejected_workers as i64)),
+            ("slow", sum(|s| s.slow_workers as i64)),
+        ];
+        for (state, value) in values {
+            self.suspect_workers.with_label_values(&[state]).set(value);
+        }
     }
 
     /// Sets what the listeners hold, refused and closed.
