--- a/crates/core/src/sched/shard/delay_cost.rs
+++ b/crates/core/src/sched/shard/delay_cost.rs
@@ -92,19 +92,20 @@
         let overdue: HashSet<_> = overdue.map(|(id, _)| *id).collect();
         let reserved_cpu = self.reserved_cpu();
         let brought_forward = self.jobs_brought_forward(BROUGHT_FORWARD, now);
-        let is_in_time = |id: &&JobId| {
-            let job = self.jobs.get(id);
-            job.is_some_and(|j| !j.is_long_running() && j.lateness(now) == Lateness::InTime)
-        };
-        let in_time: Vec<_> = ids.iter().filter(is_in_time).copied().collect();
-        let below_share = self.queues_below_share(&in_time);
-        let place = |id: &JobId| {
+        let jobs = ids.iter().filter_map(|id| {
             let job = self.jobs.get(id)?;
-            let is_long_running = job.is_long_running();
+            Some((*id, job, job.is_long_running(), job.slack_ms(now)))
+        });
+        let jobs: Vec<_> = jobs.collect();
+        let in_time = jobs.iter().filter(|(_, job, is_long_running, slack_ms)| {
+            !is_long_running && job.lateness_at(*slack_ms) == Lateness::InTime
+        });
+        let below_share = self.queues_below_share(in_time.map(|(_, job, ..)| *job));
+        let place = |(id, job, is_long_running, slack_ms): (JobId, &Job, bool, Option<i64>)| {
             let reserved = reserved_cpu.get(job.spec.service.as_str());
             let long_running_first = reserved.is_some_and(|r| r.long_running < r.short);
             let rule = match is_long_running == long_running_first {
-                _ if overdue.contains(id) => Rule::Overdue,
+                _ if overdue.contains(&id) => Rule::Overdue,
                 true => Rule::FirstKind,
                 false => Rule::SecondKind,
             };
@@ -112,23 +113,23 @@
                 0
             } else {
                 let fairness = self.size_fairness.get(&job.spec.queue);
-                job.cost_of_delay(fairness.map_or(0.0, |f| f.mean_work()), now)
+                job.cost_of_delay(fairness.map_or(0.0, |f| f.mean_work()), slack_ms)
             };
-            let is_below_share =
-                below_share.contains(&job.queue_key()) && job.lateness(now) == Lateness::InTime;
+            let is_below_share = below_share.contains(&job.queue_key())
+                && job.lateness_at(slack_ms) == Lateness::InTime;
             let is_brought_forward =
-                brought_forward.contains(id) || (is_long_running && job.has_displaced_tasks());
+                brought_forward.contains(&id) || (is_long_running && job.has_displaced_tasks());
             let place = Place {
                 rule,
                 is_not_brought_forward: !is_brought_forward,
                 is_above_share: !is_long_running && !below_share.is_empty() && !is_below_share,
                 cost: Reverse(cost),
                 accepted_at: job.accepted_at,
-                id: *id,
+                id,
             };
-            Some((job.spec.priority, place))
+            (job.spec.priority, place)
         };
-        let mut order: Vec<_> = ids.iter().filter_map(place).collect();
+        let mut order: Vec<_> = jobs.into_iter().map(place).collect();
         order.sort_unstable();
         order.into_iter().map(|(_, place)| place.id).collect()
     }
@@ -171,13 +172,13 @@
 
     /// Returns the cost of delay of a short job, whose queue's jobs have `mean_work`; zero if it is of
     /// no use any more.
-    fn cost_of_delay(&self, mean_work: f64, now: Instant) -> u64 {
-        let value = match self.lateness(now) {
+    fn cost_of_delay(&self, mean_work: f64, slack_ms: Option<i64>) -> u64 {
+        let value = match self.lateness_at(slack_ms) {
             Lateness::InTime => 1.0,
             Lateness::Late => f64::from(LATE_VALUE_PERCENT) / 100.0,
             Lateness::TooLate => return 0,
         };
-        let slack_ms = self.slack_ms(now).unwrap_or(0).max(0) as f64;
+        let slack_ms = slack_ms.unwrap_or(0).max(0) as f64;
         let urgency = (-slack_ms / URGENCY.as_millis() as f64).exp();
         let relative_work = self.remaining_work().max(1) as f64 / mean_work.max(1.0);
         (UNIT_COST * value * urgency / relative_work) as u64
--- a/crates/core/src/sched/shard/jobs.rs
+++ b/crates/core/src/sched/shard/jobs.rs
@@ -133,7 +133,7 @@
 }
 
 /// A late job is still of some use if it finishes within this multiple of its target duration.
-const LATE_FACTOR: u64 = 3;
+const LATE_FACTOR: i64 = 3;
 
 /// How late a job will finish. Of two jobs that are equal in priority and in whether they are
 /// long-running, the one with the smaller value is dispatched first.
@@ -170,18 +170,15 @@
     /// Returns how late the job will finish according to the caller's estimates; a scheduled job
     /// always counts as in time.
     pub(super) fn lateness(&self, now: Instant) -> Lateness {
-        if self.spec.occurrences > 0 {
-            return Lateness::InTime;
-        }
-        let remaining_ms = self.remaining_path_ms();
-        let elapsed_ms = now.duration_since(self.accepted_at).as_millis() as u64;
-        let target_duration_ms = self.spec.target_duration_ms();
-        if elapsed_ms + remaining_ms <= target_duration_ms {
-            Lateness::InTime
-        } else if elapsed_ms + remaining_ms <= target_duration_ms.saturating_mul(LATE_FACTOR) {
-            Lateness::Late
-        } else {
-            Lateness::TooLate
+        self.lateness_at(self.slack_ms(now))
+    }
+
+    /// Returns the same for a slack from [`slack_ms`](Self::slack_ms).
+    pub(super) fn lateness_at(&self, slack_ms: Option<i64>) -> Lateness {
+        match slack_ms {
+            None | Some(0..) => Lateness::InTime,
+            Some(slack_ms) if slack_ms >= -(LATE_FACTOR - 1) * self.target_ms => Lateness::Late,
+            Some(_) => Lateness::TooLate,
         }
     }
 
@@ -190,7 +187,7 @@
     pub(super) fn time_left_ms(&self, now: Instant) -> Option<i64> {
         let elapsed_ms = now.duration_since(self.accepted_at).as_millis() as i64;
         let is_scheduled = self.spec.occurrences > 0;
-        (!is_scheduled).then(|| self.spec.target_duration_ms() as i64 - elapsed_ms)
+        (!is_scheduled).then_some(self.target_ms - elapsed_ms)
     }
 
     /// Returns how much later the job could start and still end within its target duration, in
--- a/crates/core/src/sched/shard/queue_shares.rs
+++ b/crates/core/src/sched/shard/queue_shares.rs
@@ -10,10 +10,7 @@
     super::state::{Job, Shard},
     crate::{
         hash::{HashMap, HashSet},
-        sched::{
-            job::JobId,
-            shares::{Demand, fair_shares},
-        },
+        sched::shares::{Demand, fair_shares},
     },
 };
 
@@ -32,16 +29,23 @@
 
 impl Shard {
     /// Returns the services and queues whose jobs come first among those that can be in time: those
-    /// that have less than their share. Empty if no service has more demand than room.
+    /// that have less than their share. Empty if only one queue has such jobs.
     ///
     /// `in_time` are the waiting short jobs that can be in time.
-    pub(super) fn queues_below_share<'a>(&'a self, in_time: &[JobId]) -> HashSet<QueueKey<'a>> {
+    pub(super) fn queues_below_share<'a>(
+        &'a self,
+        in_time: impl Iterator<Item = &'a Job>,
+    ) -> HashSet<QueueKey<'a>> {
+        let mut waiting: HashMap<QueueKey<'_>, i64> = HashMap::default();
+        for job in in_time {
+            *waiting.entry(job.queue_key()).or_default() += job.waiting_cpu();
+        }
+        if waiting.len() <= 1 {
+            return HashSet::default();
+        }
         let mut queues = self.reserved_by_queue();
-        for id in in_time {
-            if let Some(job) = self.jobs.get(id) {
-                let queue = queues.entry(job.queue_key()).or_default();
-                queue.waiting += job.waiting_cpu();
-            }
+        for (key, cpu) in waiting {
+            queues.entry(key).or_default().waiting = cpu;
         }
         let mut services: HashMap<&str, Vec<(QueueKey<'_>, QueueCpu)>> = HashMap::default();
         for (key, cpu) in queues {
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -358,6 +358,8 @@
     pub spec: Arc<JobSpec>,
     /// A copy of [`JobSpec::spec`] that start commands share.
     pub spec_text: Arc<str>,
+    /// The duration within which the job should finish, in milliseconds.
+    pub target_ms: i64,
     /// Whether a task has ever started.
     pub started: bool,
     /// Whether the job was accepted by an earlier leader, which may have started its tasks.
@@ -558,6 +560,7 @@
         }
         let spec_text = Arc::from(spec.spec.as_str());
         let job = Job {
+            target_ms: i64::try_from(spec.target_duration_ms()).unwrap_or(i64::MAX / 8),
             spec: Arc::new(spec),
             spec_text,
             started: progress.started,
