Displace no task while the store does not take its row

A displaced task starts again only after the row without its worker is stored, so during an outage each stop would lose the task until its end.

--- a/crates/core/src/sched/shard/displacement.rs
+++ b/crates/core/src/sched/shard/displacement.rs
@@ -12,8 +12,9 @@
 //! - A task is stopped only if a waiting task fits on its worker then, its step allows it (see the
 //!   module `disruption`), no other task of its step is displaced, and it has worked for
 //!   [`MIN_TIME_AT_WORK`].
-//! - None is stopped while long-running work holds less of the service than short work, or while runs
-//!   of an earlier leader may be unknown.
+//! - None is stopped while long-running work holds less of the service than short work, while runs of
+//!   an earlier leader may be unknown, or while a displaced task waits for its row to be stored, without
+//!   which it doesn't start again.
 //! - A stopped task may start again after [`MIN_TIME_AWAY`], before other long-running tasks and after
 //!   the short ones.
 
@@ -53,6 +54,10 @@
 /// its end is reported then.
 const STOP_MS: i64 = 500;
 
+/// The maximum time from the choice of a task until the row is stored without which it doesn't start
+/// again. Until then a stop, a report and a group commit take place; after it the store is slow or away.
+const MAX_STORE_TIME: Duration = Duration::from_secs(2);
+
 /// For how long a displaced task earns nothing at least: a stop, a wait and a start-up.
 const AWAY_MS: i64 = 3_000;
 
@@ -79,6 +84,7 @@
 #[derive(Clone, Debug)]
 struct Stopped {
     worker: String,
+    chosen_at: Instant,
     /// The CPU that short work gets by the stop, in thousandths of a core.
     usable_cpu: i64,
 }
@@ -121,7 +127,7 @@
         }
         self.displacement.chosen_at = Some(now);
         self.forget_restarted_tasks();
-        if self.has_unknown_runs {
+        if self.has_unknown_runs || self.awaits_stored_placement(now) {
             return;
         }
         for (name, stopped) in self.choose_displaced(now) {
@@ -168,6 +174,16 @@
         });
     }
 
+    /// Returns whether a displaced task has waited for [`MAX_STORE_TIME`] for its row to be stored.
+    fn awaits_stored_placement(&mut self, now: Instant) -> bool {
+        let jobs = &mut self.jobs;
+        self.displacement.away.iter().any(|(name, stopped)| {
+            let task = jobs.get_mut(&name.job).and_then(|j| j.task(name));
+            let awaits_row = task.is_some_and(|t| t.workers.is_empty() && t.placement.is_some());
+            awaits_row && now.duration_since(stopped.chosen_at) >= MAX_STORE_TIME
+        })
+    }
+
     /// Returns the short jobs that wait for room and can be in time if they get it after a stop, in
     /// the order in which they are served.
     fn short_needs(&self, now: Instant) -> Vec<Need<'_>> {
@@ -262,6 +278,7 @@
                 used_workers.insert(victim.worker.info.id.as_str());
                 let stopped = Stopped {
                     worker: victim.worker.info.id.clone(),
+                    chosen_at: now,
                     usable_cpu: *usable_cpu,
                 };
                 chosen.push((victim.name, stopped));
--- a/crates/core/tests/overload/hard_load.rs
+++ b/crates/core/tests/overload/hard_load.rs
@@ -197,6 +197,26 @@
     assert_eq!(world.stops, 0);
 }
 
+/// Guards against long-running tasks that are stopped one after the other while none can start again,
+/// since the store is away.
+#[test]
+fn few_tasks_are_displaced_without_a_store() {
+    let mut world = filled_world(&fleet(true), 1, 92);
+    world.is_store_away = true;
+    let mut stops_at_2_5_s = 0;
+    for step in 0..1_000 {
+        for _ in 0..world.arrivals(6.0) {
+            world.submit(&SHORT);
+        }
+        world.advance();
+        if step == 125 {
+            stops_at_2_5_s = world.stops;
+        }
+    }
+    assert!(stops_at_2_5_s > 0);
+    assert_eq!(world.stops, stops_at_2_5_s);
+}
+
 /// Guards against displaced tasks that stay away after the short work has ended, and against two of one
 /// step that are away at a time.
 #[test]
--- a/crates/core/tests/overload/world.rs
+++ b/crates/core/tests/overload/world.rs
@@ -131,6 +131,8 @@
     pub jobs: Vec<Job>,
     /// How many stop commands were sent for long-running tasks.
     pub stops: u64,
+    /// Whether the store takes no writes.
+    pub is_store_away: bool,
     fleet: Fleet,
     base: Instant,
     rng: SmallRng,
@@ -185,6 +187,7 @@
             now_ms: 0,
             jobs: Vec::new(),
             stops: 0,
+            is_store_away: false,
             fleet: *fleet,
             base,
             rng: SmallRng::seed_from_u64(seed),
@@ -379,7 +382,9 @@
         for index in 0..self.workers.len() {
             self.report(index);
         }
-        if let Some(batch) = self.shard.take_batch(90, now) {
+        if !self.is_store_away
+            && let Some(batch) = self.shard.take_batch(90, now)
+        {
             self.shard.on_batch_result(&batch, true, now);
         }
     }
