Refuse short jobs at the intake that would end too late to be of use

Under overload most jobs that failed their callers had been accepted: the intake knew nothing of the work that waits. The intake refuses a short job with 503 whose wait exceeds what is left of three times its objective by a quarter. It looks the identifier up first, so that a job which another instance has stored is answered 200.

--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -16,6 +16,9 @@
 /// Sums over all workers or tasks then stay far below the limits of the integers.
 pub const MAX_RESOURCE: i64 = 1_000_000_000;
 
+/// A late job is still of some use if it finishes within this multiple of its target duration.
+pub const LATE_FACTOR: u64 = 3;
+
 /// The result of parsing a name or checking a job.
 pub type Result<T, E = JobError> = std::result::Result<T, E>;
 
@@ -264,6 +267,17 @@
             + u64::from(self.extra_ms)
     }
 
+    /// Returns the work of `counts` tasks of each step according to the caller's estimates, in
+    /// thousandths of a core times milliseconds.
+    pub fn work_of(&self, counts: impl Iterator<Item = u32>) -> u64 {
+        let work = counts.zip(&self.steps).map(|(count, step)| {
+            let cpu = u64::try_from(step.request.cpu).unwrap_or(0);
+            let task_work = u64::from(step.estimate_ms).saturating_mul(cpu);
+            task_work.saturating_mul(u64::from(count))
+        });
+        work.fold(0, u64::saturating_add)
+    }
+
     /// Returns the number of occurrences of the job, at least one.
     pub fn occurrence_count(&self) -> u32 {
         self.occurrences.max(1)
--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -6,6 +6,7 @@
 //! [`Shard`](shard::Shard) is the leader's state machine: it consumes events (a job, a worker's
 //! report, the reply to a command) and emits commands to workers and rows to store.
 
+pub mod admission;
 pub mod evacuation;
 pub mod heartbeat_age;
 pub mod interference;
--- a/crates/core/src/sched/placement.rs
+++ b/crates/core/src/sched/placement.rs
@@ -39,11 +39,11 @@
 }
 
 /// The share of a best-effort task's requested CPU that must be unused on the worker, in percent.
-const MIN_UNUSED_PERCENT: i64 = 80;
+pub(crate) const MIN_UNUSED_PERCENT: i64 = 80;
 
 /// The share of their reserved CPU that serving tasks are assumed to use, in percent; best-effort
 /// tasks may use the rest.
-const SERVING_USE_PERCENT: i64 = 55;
+pub(crate) const SERVING_USE_PERCENT: i64 = 55;
 
 /// The tail latency of a serving task, as a share of its target, up to which best-effort tasks are
 /// placed beside it.
--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -16,6 +16,7 @@
 //! - `leases`: the expiry of leases, and the resending of commands.
 //! - `losses`: lost processes of workers, and the tasks that ran on them.
 //! - `moves`: moves jobs to less loaded shards before they start.
+//! - `outlook`: the expected waits of new jobs.
 //! - `placements`: the stored placements of long-running tasks.
 //! - `queries`: states of jobs, counts and loads, for callers and other instances.
 //! - `reports`: the reports of workers: runs that are confirmed, found or lost.
@@ -39,6 +40,7 @@
 mod leases;
 mod losses;
 mod moves;
+mod outlook;
 mod placements;
 mod queries;
 mod reports;
--- a/crates/core/src/sched/shard/ends.rs
+++ b/crates/core/src/sched/shard/ends.rs
@@ -33,6 +33,15 @@
             (ms, run.best_effort_cpu > 0, run.speed_percent)
         });
         let stale = run.is_some_and(|run| run.attempt > row.attempt);
+        let finished =
+            run.filter(|run| run.attempt == row.attempt && row.reason == EndReason::Done);
+        if let Some(duration) = finished.map(|run| now.duration_since(run.added_at))
+            && let Some(job) = self.jobs.get(&row.task.job)
+            && let Some(step) = job.spec.steps.get(usize::from(row.task.step))
+        {
+            self.outlook
+                .count_finished(&job.spec.service, step, duration);
+        }
         if run.is_some_and(|run| run.attempt <= row.attempt) {
             self.remove_run(worker_id, row.task, now);
         }
--- a/crates/core/src/sched/shard/jobs.rs
+++ b/crates/core/src/sched/shard/jobs.rs
@@ -3,7 +3,7 @@
 use {
     super::state::{Job, Occurrence, Task},
     crate::sched::{
-        job::{JobId, Step, TaskName},
+        job::{JobId, LATE_FACTOR, Step, TaskName},
         progress::{Progress, TaskRecord},
     },
     std::time::Instant,
@@ -132,9 +132,6 @@
     }
 }
 
-/// A late job is still of some use if it finishes within this multiple of its target duration.
-const LATE_FACTOR: u64 = 3;
-
 /// How late a job will finish. Of two jobs that are equal in priority and in whether they are
 /// long-running, the one with the smaller value is dispatched first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -159,12 +156,7 @@
     /// Returns the work of `counts` tasks of each step according to the caller's estimates, in
     /// thousandths of a core times milliseconds.
     pub(super) fn work_of(&self, counts: impl Iterator<Item = u32>) -> u64 {
-        let work = counts.zip(&self.spec.steps).map(|(count, step)| {
-            let cpu = u64::try_from(step.request.cpu).unwrap_or(0);
-            let task_work = u64::from(step.estimate_ms).saturating_mul(cpu);
-            task_work.saturating_mul(u64::from(count))
-        });
-        work.fold(0, u64::saturating_add)
+        self.spec.work_of(counts)
     }
 
     /// Returns how late the job will finish according to the caller's estimates; a scheduled job
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -8,6 +8,7 @@
         dispatch::{MIN_DISPATCH_INTERVAL, PlacementKey},
         evacuations::Evacuation,
         losses::{Losses, Processes},
+        outlook::OutlookState,
     },
     crate::{
         hash::{HashMap, HashSet},
@@ -420,6 +421,8 @@
     pub(super) interference: Interference,
     /// The evacuated failure domains.
     pub(super) evacuation: Evacuation,
+    /// The expected waits of new jobs, and the measurements that they need.
+    pub(super) outlook: OutlookState,
     /// Approvals by job, occurrence and step.
     pub(super) approvals: HashMap<(JobId, u32, u16), Approvals>,
     /// The ids of workers that this dispatch holds back; see the module `waiting`.
@@ -490,6 +493,7 @@
             processes: Processes::new(now),
             interference: Interference::default(),
             evacuation: Evacuation::default(),
+            outlook: OutlookState::default(),
             approvals: HashMap::default(),
             held_back_workers: HashSet::default(),
             held_back_for: None,
@@ -567,6 +571,9 @@
             move_retry_at: None,
         };
         self.processes.add_losses(id, &job.stored_losses);
+        if !job.inherited {
+            self.outlook.count_arrival(&job.spec);
+        }
         if !job.is_long_running() {
             let fairness = self.size_fairness.entry(job.spec.queue.clone());
             fairness.or_default().add_job(job.total_work());
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -353,11 +353,15 @@
         !is_listed || self.draining_since.is_some()
     }
 
+    /// Returns whether the worker gets new tasks as soon as nothing temporary is against it.
+    pub(super) fn may_get_work(&self, now: Instant) -> bool {
+        !self.is_leaving(now) && !self.is_evacuated
+    }
+
     /// Returns whether new tasks may be placed on the worker.
     pub(super) fn accepts_work(&self, now: Instant) -> bool {
         let has_passed = |until: Option<Instant>| until.is_none_or(|until| until <= now);
-        !self.is_leaving(now)
-            && !self.is_evacuated
+        self.may_get_work(now)
             && self.is_stored_in_use
             && self.is_responsive(now)
             && self.connection_lost_at.is_none()
--- a/crates/peer/src/heartbeat.rs
+++ b/crates/peer/src/heartbeat.rs
@@ -3,6 +3,7 @@
 
 use {
     crate::frame,
+    marigoldbend_core::sched::admission::Outlook,
     serde::{Deserialize, Serialize},
     snafu::Snafu,
     std::{net::SocketAddr, time::Duration},
@@ -48,6 +49,17 @@
     pub pending: Vec<(String, u32)>,
 }
 
+/// What new jobs in a shard have to expect.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ShardOutlook {
+    /// The shard, which the sender leads.
+    pub shard: String,
+    /// How long before the heartbeat the outlooks were computed, in milliseconds.
+    pub age_ms: u32,
+    /// The outlooks of the services for which jobs wait.
+    pub services: Vec<Outlook>,
+}
+
 /// A heartbeat.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Heartbeat {
@@ -81,9 +93,27 @@
     /// lately, also if its holder does not lead yet; empty from a sender of an earlier version.
     #[serde(skip)]
     pub newest_tokens: Vec<(String, u64)>,
+    /// The outlooks of the shards that the sender leads; empty from a sender of an earlier version,
+    /// and for a shard whose outlooks are not known.
+    #[serde(skip)]
+    pub outlooks: Vec<ShardOutlook>,
 }
 
 impl Heartbeat {
+    /// Leaves out outlooks until the heartbeat is no longer than [`MAX_BYTES`], or none is left;
+    /// returns how many services have none any more. Instances accept jobs without an outlook.
+    pub fn leave_out_outlooks(&mut self) -> usize {
+        let mut left_out = 0;
+        while !self.outlooks.is_empty() && self.encode().is_err() {
+            let longest = self.outlooks.iter_mut().max_by_key(|o| o.services.len());
+            match longest.and_then(|o| o.services.pop()) {
+                Some(_) => left_out += 1,
+                None => self.outlooks.clear(),
+            }
+        }
+        left_out
+    }
+
     /// Encodes the heartbeat.
     ///
     /// # Errors
@@ -93,7 +123,13 @@
         let store_age_ms = self
             .store_age
             .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
-        let message = (self, self.cpu_share, store_age_ms, &self.newest_tokens);
+        let message = (
+            self,
+            self.cpu_share,
+            store_age_ms,
+            &self.newest_tokens,
+            &self.outlooks,
+        );
         frame::encode(MAGIC, MAX_BYTES, &message).ok_or(HeartbeatError::TooLong)
     }
 
@@ -106,13 +142,15 @@
         let body = buf.strip_prefix(MAGIC).ok_or(HeartbeatError::Damaged)?;
         let decoded = postcard::take_from_bytes::<Self>(body);
         let (heartbeat, rest) = decoded.map_err(|_| HeartbeatError::Damaged)?;
-        // Earlier versions end after the first, the second or the third part.
+        // Earlier versions end after the first, the second, the third or the fourth part.
         let (cpu_share, rest) = take_or_default::<u32>(rest)?;
         let (store_age_ms, rest) = take_or_default::<Option<u32>>(rest)?;
-        let (newest_tokens, _) = take_or_default(rest)?;
+        let (newest_tokens, rest) = take_or_default(rest)?;
+        let (outlooks, _) = take_or_default(rest)?;
         Ok(Self {
             cpu_share,
             newest_tokens,
+            outlooks,
             store_age: store_age_ms.map(|ms| Duration::from_millis(ms.into())),
             ..heartbeat
         })
--- a/crates/peer/tests/heartbeat.rs
+++ b/crates/peer/tests/heartbeat.rs
@@ -1,7 +1,10 @@
 //! Tests that heartbeats of this version and of earlier ones are decoded.
 
 use {
-    marigoldbend_peer::heartbeat::{Heartbeat, LedShard},
+    marigoldbend_core::sched::admission::{
+        Forecast, Outlook, REQUEST_BOUNDS, WORK_LEVELS, WaitsByPriority,
+    },
+    marigoldbend_peer::heartbeat::{Heartbeat, LedShard, MAX_BYTES, MAX_QUEUES, ShardOutlook},
     std::time::Duration,
     test_case::test_case,
 };
@@ -29,6 +32,7 @@
         cpu_share,
         store_age,
         newest_tokens: Vec::new(),
+        outlooks: Vec::new(),
     }
 }
 
@@ -44,12 +48,75 @@
     assert_eq!(Heartbeat::decode(&buf), Ok(sent));
 }
 
-#[test_case(1, heartbeat(69, Some(STORE_AGE)); "without the newest tokens")]
-#[test_case(3, heartbeat(69, None); "without the age of the newest call")]
-#[test_case(4, heartbeat(0, None); "without the processor share")]
+#[test_case(1, heartbeat(69, Some(STORE_AGE)); "without outlooks")]
+#[test_case(2, heartbeat(69, Some(STORE_AGE)); "without the newest tokens")]
+#[test_case(4, heartbeat(69, None); "without the age of the newest call")]
+#[test_case(5, heartbeat(0, None); "without the processor share")]
 fn heartbeat_of_an_earlier_version_is_decoded(missing_bytes: usize, expected: Heartbeat) {
     let buf = heartbeat(69, Some(STORE_AGE)).encode();
     let buf = buf.expect("a short heartbeat");
     let decoded = Heartbeat::decode(&buf[..buf.len() - missing_bytes]);
     assert_eq!(decoded, Ok(expected));
 }
+
+/// Returns the longest outlooks of some services: every class of requests has other waits.
+fn outlooks(services: usize) -> Vec<ShardOutlook> {
+    let waits = |priority| {
+        let wait = |class, level| (class * WORK_LEVELS + level) as u8;
+        let by_class: Vec<[u8; WORK_LEVELS]> = (0..REQUEST_BOUNDS.len())
+            .map(|class| std::array::from_fn(|level| wait(class, level)))
+            .collect();
+        WaitsByPriority::new(priority, 1_000_000, &by_class)
+    };
+    let forecast = || Forecast {
+        capacity: 30_000,
+        rate: 20_000,
+        speed_percent: 250,
+        waits: vec![waits(0), waits(2)],
+    };
+    let outlook = |i| Outlook {
+        service: format!("service-{i}"),
+        short: forecast(),
+        best_effort: forecast(),
+    };
+    vec![ShardOutlook {
+        shard: "all".to_owned(),
+        age_ms: 180,
+        services: (0..services).map(outlook).collect(),
+    }]
+}
+
+/// An instance of an earlier version ignores what follows the parts that it knows.
+#[test]
+fn outlooks_follow_what_earlier_versions_decode() {
+    let without = heartbeat(69, Some(STORE_AGE));
+    let with = Heartbeat {
+        outlooks: outlooks(1),
+        ..without.clone()
+    };
+    let without = without.encode().expect("a short heartbeat");
+    let buf = with.encode().expect("a short heartbeat");
+    assert!(buf.starts_with(&without[..without.len() - 1]));
+    assert_eq!(Heartbeat::decode(&buf), Ok(with));
+}
+
+/// Guards against a leader that is silent because its outlooks are too long.
+#[test_case(0, 1, 0; "few queues and one service")]
+#[test_case(MAX_QUEUES, 1, 1; "many queues and one service")]
+#[test_case(MAX_QUEUES, 4, 4; "many queues and several services")]
+#[test_case(4, 4, 3; "few queues and several services")]
+fn outlooks_that_are_too_long_are_left_out(queues: usize, services: usize, left_out: usize) {
+    let mut sent = Heartbeat {
+        outlooks: outlooks(services),
+        ..heartbeat(69, Some(STORE_AGE))
+    };
+    let queue = |i| (format!("customer-queue-{i:02}"), 100);
+    sent.led_shards[0].pending = (0..queues).map(queue).collect();
+    let expected = services - left_out;
+    assert_eq!(sent.leave_out_outlooks(), left_out);
+    let buf = sent.encode().expect("a short heartbeat");
+    assert!(buf.len() <= MAX_BYTES);
+    let decoded = Heartbeat::decode(&buf).expect("a heartbeat");
+    let services = decoded.outlooks.iter().map(|o| o.services.len());
+    assert_eq!(services.sum::<usize>(), expected);
+}
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -43,7 +43,7 @@
         },
     },
     marigoldbend_http::connection::{ConnectionPool, TimeLimits},
-    marigoldbend_peer::heartbeat::{Heartbeat, LedShard, MAX_QUEUES},
+    marigoldbend_peer::heartbeat::{Heartbeat, LedShard, MAX_QUEUES, ShardOutlook},
     marigoldbend_platform::{
         backoff::Backoff,
         rows::{Range, Row, RowKey, Tx, TxOutcome},
@@ -182,6 +182,10 @@
     sent_store_reachable: bool,
     /// Whether the store rejects this instance.
     rejection: RejectionCheck,
+    /// When this instance or a peer last didn't reach the store; `None` if never.
+    store_doubted_at: Option<Instant>,
+    /// Of how many services the last heartbeats left out the outlooks.
+    outlooks_left_out: usize,
     /// When calls to the store were last sent again because it serves a peer; `None` if never.
     store_retried_at: Option<Instant>,
 }
@@ -247,6 +251,8 @@
             stalled_at: None,
             sent_store_reachable: true,
             rejection: RejectionCheck::default(),
+            outlooks_left_out: 0,
+            store_doubted_at: None,
             store_retried_at: None,
         }
     }
@@ -265,6 +271,14 @@
         let store_reachable = self.store.is_reachable();
         let has_changed = store_reachable != self.sent_store_reachable;
         self.sent_store_reachable = store_reachable;
+        if !store_reachable {
+            self.store_doubted_at = Some(now);
+        }
+        if self.settings.features.admission {
+            for leader in self.led_shards.values_mut() {
+                leader.shard.update_outlooks(now);
+            }
+        }
         self.send_heartbeats(now, has_changed);
         self.check_leadership(now);
         self.check_restoring(now);
--- a/crates/scheduler/src/control/peers.rs
+++ b/crates/scheduler/src/control/peers.rs
@@ -59,12 +59,22 @@
                 pending,
             }
         });
+        let outlooks = self.led_shards.values().filter_map(|leader| {
+            let (computed_at, outlooks) = leader.outlooks(self.settings.features)?;
+            let age = now.saturating_duration_since(computed_at);
+            let services = outlooks.iter().filter(|o| !o.is_clear()).cloned();
+            Some(ShardOutlook {
+                shard: leader.name.clone(),
+                age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+                services: services.collect(),
+            })
+        });
         let taking_over = self
             .leadership
             .iter()
             .filter(|(_, leadership)| leadership.taking_over);
         let health = self.store.health();
-        let heartbeat = Heartbeat {
+        let mut heartbeat = Heartbeat {
             name: self.settings.name.clone(),
             domain: domain.clone(),
             incarnation: self.incarnation,
@@ -77,7 +87,13 @@
             cpu_share: self.settings.cpu_share,
             newest_tokens: self.recent_tokens(now),
             store_age: health.served_at.map(|at| now.saturating_duration_since(at)),
+            outlooks: outlooks.collect(),
         };
+        let left_out = heartbeat.leave_out_outlooks();
+        if left_out != self.outlooks_left_out {
+            log::info!("peers: heartbeats leave out the outlooks of {left_out} services.");
+            self.outlooks_left_out = left_out;
+        }
         let buf = match heartbeat.encode() {
             Ok(buf) => buf,
             Err(e) => {
@@ -121,6 +137,9 @@
                 heartbeat.cpu_share
             );
         }
+        if !heartbeat.store_reachable {
+            self.store_doubted_at = Some(now);
+        }
         let unreachable_since = (!heartbeat.store_reachable).then(|| {
             let previous = self.peer_views.get(&heartbeat.name);
             let previous = previous.filter(|p| p.incarnation == heartbeat.incarnation);
@@ -153,6 +172,14 @@
                 leadership.takeover_delay.on_rival(now);
             }
         }
+        let mut outlooks: HashMap<_, _> = heartbeat
+            .outlooks
+            .into_iter()
+            .filter_map(|o| {
+                let computed_at = now.checked_sub(Duration::from_millis(o.age_ms.into()))?;
+                Some((o.shard, (computed_at, Arc::from(o.services))))
+            })
+            .collect();
         for led_shard in heartbeat.led_shards {
             let Some(leadership) = self.leadership.get_mut(&led_shard.shard) else {
                 continue;
@@ -184,6 +211,7 @@
                 last_heard: now,
                 loads: loads.collect(),
                 pending: led_shard.pending.into_iter().collect(),
+                outlooks: outlooks.remove(&led_shard.shard),
             });
             if led_shard.token > leadership.newest_token {
                 leadership.newest_token = led_shard.token;
--- a/crates/scheduler/src/control/publish.rs
+++ b/crates/scheduler/src/control/publish.rs
@@ -70,6 +70,7 @@
                     last_heard: now,
                     loads: leader.shard.loads(),
                     pending: leader.shard.pending(),
+                    outlooks: leader.outlooks(self.settings.features),
                 };
                 leaders.insert(shard.clone(), view);
             } else if let Some(view) = &leadership.view
@@ -120,6 +121,8 @@
             labels: self.labels.clone(),
             ready,
             shutting_down: self.shutting_down,
+            admission: self.settings.features.admission,
+            store_doubted_at: self.store_doubted_at,
             rejected_by_store: self.rejection.rejected_unlike().is_some(),
         }));
     }
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -1,9 +1,11 @@
 //! Serves the calls of the HTTP API for callers: submit a job, read its state, cancel it, and count
 //! the pending jobs of a queue.
 
+mod admission;
 mod pending;
 
 use {
+    self::admission::{MAX_LOOK_UPS, OpenSubmission, OpenSubmissions},
     crate::{
         control::{Control, GetJobState, unix_ms},
         keys,
@@ -47,7 +49,10 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::{sleep, timeout},
+    tokio::{
+        sync::Semaphore,
+        time::{sleep, timeout},
+    },
     xtra::Address,
 };
 
@@ -87,6 +92,10 @@
     job_cache: Mutex<JobCache>,
     /// The reads of the leaders' heartbeats in the store, by shard.
     heartbeat_ages: Mutex<HashMap<String, HeartbeatAge>>,
+    /// Submissions whose result is not known.
+    open_submissions: Mutex<OpenSubmissions>,
+    /// Permits for look-ups of identifiers before refusals.
+    look_ups: Semaphore,
 }
 
 /// The jobs that this instance has stored or looked up most recently.
@@ -133,6 +142,8 @@
             links: Mutex::default(),
             job_cache: Mutex::default(),
             heartbeat_ages: Mutex::default(),
+            open_submissions: Mutex::default(),
+            look_ups: Semaphore::new(MAX_LOOK_UPS),
         }
     }
 
@@ -319,10 +330,18 @@
             return unavailable("the store is too slow for the caller's deadline");
         }
         let shard = view.choose_shard(self.own_shard(), &job);
-        match self.store_job(view, &shard, id, &job, respond_by).await {
+        if let Some(response) = self.refuse(view, &shard, id, &job).await {
+            return response;
+        }
+        let submission = OpenSubmission::begin(self, id);
+        let result = self.store_job(view, &shard, id, &job, respond_by).await;
+        if let Ok(shard) = &result {
+            self.cache_job(id, shard, None);
+        }
+        submission.end(!matches!(result, Err(CallError::Unknown)));
+        match result {
             Ok(shard) => {
                 log::info!("intake: job={id} stored shard={shard}.");
-                self.cache_job(id, &shard, None);
                 respond(StatusCode::OK, Bytes::new())
             }
             Err(CallError::NotApplied) => unavailable("the store did not accept the job"),
@@ -633,10 +652,16 @@
 /// Returns the response to a call that had no effect and may be retried after
 /// [`RETRY_AFTER_S`].
 fn unavailable(problem: &str) -> HttpResponse {
-    let body = wire::write_error(problem, Some(RETRY_AFTER_S * 1_000));
+    unavailable_for(problem, RETRY_AFTER_S)
+}
+
+/// Returns the response to a call that had no effect and may be retried after `retry_after_s`
+/// seconds.
+fn unavailable_for(problem: &str, retry_after_s: u64) -> HttpResponse {
+    let body = wire::write_error(problem, Some(retry_after_s.saturating_mul(1_000)));
     let mut response = respond(StatusCode::SERVICE_UNAVAILABLE, body);
     response
         .headers_mut()
-        .insert(RETRY_AFTER, RETRY_AFTER_S.into());
+        .insert(RETRY_AFTER, retry_after_s.into());
     response
 }
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -34,6 +34,9 @@
     registry: Registry,
     /// Callers' requests, by call and HTTP status.
     pub requests: IntCounterVec,
+    /// Jobs that would end too late by the outlook, by kind of work and what was done: refused,
+    /// stored before, or stored because it is not known whether they were.
+    pub admission: IntCounterVec,
     /// Time from a request to its response, by call, in seconds.
     pub latency: HistogramVec,
     /// Commands to workers, by kind and reply.
@@ -82,6 +85,11 @@
             Ok(counters)
         };
         let requests = counters("mgb_requests", "Callers' requests.", &["call", "status"])?;
+        let admission = counters(
+            "mgb_admission",
+            "Jobs that would end too late.",
+            &["kind", "result"],
+        )?;
         let commands = counters("mgb_orders", "Commands to workers.", &["kind", "answer"])?;
         let reports = counters("mgb_reports", "Report requests to workers.", &["result"])?;
         let losses = counters("mgb_losses", "Runs lost with their workers.", &["kind"])?;
@@ -137,6 +145,7 @@
         Ok(Self {
             registry,
             requests,
+            admission,
             latency,
             commands,
             command_latency,
--- a/crates/scheduler/src/shard_leader.rs
+++ b/crates/scheduler/src/shard_leader.rs
@@ -6,12 +6,14 @@
         keys,
         metrics::Metrics,
         restoring_leader::RestoringLeader,
+        settings::Features,
         takeover::TakeoverState,
         takeover_times::{Part, TakeoverTimes},
     },
     marigoldbend_core::{
         hash::HashMap,
         sched::{
+            admission::Outlook,
             job::{JobId, JobSpec},
             journal::{Journal, Write, WriteResult},
             progress::Progress,
@@ -111,6 +113,13 @@
 }
 
 impl ShardLeader {
+    /// Returns the outlooks of the services and when they were computed; `None` if they are not known
+    /// or nobody asks for them.
+    pub fn outlooks(&self, features: Features) -> Option<(Instant, Arc<[Outlook]>)> {
+        let (computed_at, outlooks) = self.shard.outlooks()?;
+        features.admission.then(|| (computed_at, outlooks.clone()))
+    }
+
     /// Creates the leader of a shard from its stored state, the platform's whole list of workers and
     /// what the workers have reported while the rows were read.
     pub fn new(
--- a/crates/scheduler/src/view.rs
+++ b/crates/scheduler/src/view.rs
@@ -4,7 +4,12 @@
 use {
     marigoldbend_core::{
         hash::HashMap,
-        sched::{job::JobSpec, queues::Queues, shard::ServiceLoad},
+        sched::{
+            admission::{MAX_OUTLOOK_AGE, Outlook},
+            job::JobSpec,
+            queues::Queues,
+            shard::ServiceLoad,
+        },
     },
     std::{
         net::SocketAddr,
@@ -44,6 +49,19 @@
     pub loads: HashMap<String, ServiceLoad>,
     /// The number of jobs that have not started, by queue; queues without such jobs are absent.
     pub pending: HashMap<String, u32>,
+    /// What new jobs have to expect, and when that was computed; `None` if the leader doesn't know or
+    /// tell.
+    pub outlooks: Option<(Instant, Arc<[Outlook]>)>,
+}
+
+impl LeaderView {
+    /// Returns the outlook of a service and its age; `None` if it is not known or too old.
+    pub fn outlook(&self, service: &str, now: Instant) -> Option<(&Outlook, Duration)> {
+        let (computed_at, outlooks) = self.outlooks.as_ref()?;
+        let age = now.saturating_duration_since(*computed_at);
+        let outlook = outlooks.iter().find(|o| o.service == service)?;
+        (age <= MAX_OUTLOOK_AGE).then_some((outlook, age))
+    }
 }
 
 /// A snapshot of the control state.
@@ -63,6 +81,10 @@
     pub ready: bool,
     /// Whether this instance is shutting down.
     pub shutting_down: bool,
+    /// Whether jobs that would end too late are refused.
+    pub admission: bool,
+    /// When an instance last had no replies from the store; `None` if never.
+    pub store_doubted_at: Option<Instant>,
     /// Whether the store is unreachable for this instance but reachable for a peer.
     pub rejected_by_store: bool,
 }
--- a/crates/scheduler/tests/leadership.rs
+++ b/crates/scheduler/tests/leadership.rs
@@ -89,6 +89,7 @@
         led_shards: peer.leads.then(led_shard).into_iter().collect(),
         cpu_share: 69,
         newest_tokens: Vec::new(),
+        outlooks: Vec::new(),
         store_age: Some(peer.served_at.elapsed()),
     }
 }
@@ -308,6 +309,7 @@
     };
     let heartbeat = Heartbeat {
         newest_tokens: vec![(SHARD.to_owned(), token + newer_by)],
+        outlooks: Vec::new(),
         ..heartbeat("peer", state, instance.peer)
     };
     deliver_urgent_event(&instance.address, Event::Heartbeat(heartbeat)).await;
--- a/crates/scheduler/tests/restoring.rs
+++ b/crates/scheduler/tests/restoring.rs
@@ -566,6 +566,7 @@
             led_shards: Vec::new(),
             cpu_share: 69,
             newest_tokens: Vec::new(),
+            outlooks: Vec::new(),
             store_age: Some(Duration::from_millis(100)),
         };
         deliver_urgent_event(&deployment.control, Event::Heartbeat(heartbeat)).await;
