Test refusals at the intake with real processes

Two instances under a burst of urgent jobs: a refused job is unknown at both and has not begun, its retry at the other instance gets a time for the next one, and a job that the first instance has stored is answered 200 by the second. While one instance doesn't reach the store, the other refuses nothing.

--- a/crates/core/tests/admission/world.rs
+++ b/crates/core/tests/admission/world.rs
@@ -216,7 +216,6 @@
             clock_ms: now_ms,
             running: running.collect(),
             finished,
-            ..Report::default()
         };
         self.shard
             .on_report(&worker.info.id, &report, now, now, now_ms);
--- a/crates/entry/tests/jobs/common.rs
+++ b/crates/entry/tests/jobs/common.rs
@@ -169,6 +169,8 @@
     /// The instances, in the order of their start.
     pub instances: Vec<Instance>,
     store: RowStore,
+    /// More lines of the section `[scheduler]` in the settings of instances that are started.
+    pub scheduler_settings: String,
     /// The link between the store and the instances that are started; `None` for no link.
     slow_link: Option<SlowLink>,
     dir: TempDir,
@@ -208,6 +210,7 @@
         let deployment = Self {
             workers: workers.expect("the workers start"),
             instances: Vec::new(),
+            scheduler_settings: String::new(),
             slow_link: None,
             store,
             dir: TempDir::new().expect("a temporary directory"),
@@ -285,7 +288,8 @@
             "[instance]\nname = {name}\nfailure_domain = z{domain}\ncpu_share = {cpu_share}\n\
              [listen]\ncallers = {callers}\nreadiness = {readiness}\npeers = {peers}\n\
              [scheduler]\nstore = {store_address}\nfailure_domains = z1,z2\ncontrol_mode = call\n\
-             max_lease_ms = 6000\ndrain_ms = 2000\ngrace_ms = 6000\nkeep_s = 120\n"
+             max_lease_ms = 6000\ndrain_ms = 2000\ngrace_ms = 6000\nkeep_s = 120\n{}",
+            self.scheduler_settings
         );
         let path = self.dir.path().join(format!("{name}.ini"));
         fs::write(&path, settings).expect("the settings are written");
@@ -452,12 +456,17 @@
         self.targets.remove(target);
     }
 
+    /// Submits a job through an instance once; `None` if there is no response.
+    pub async fn submit_once(&self, target: usize, job: Job, body: &bytes::Bytes) -> Option<Reply> {
+        let path = format!("/{}/{}", QUEUES[job.queue], job.id);
+        self.call(target, Method::POST, &path, body.clone()).await
+    }
+
     /// Submits a job through the instance `first`, and after each failure through the next one,
     /// `tries` times at most; returns whether it was accepted.
     pub async fn submit(&self, first: usize, tries: usize, job: Job, body: &bytes::Bytes) -> bool {
-        let path = format!("/{}/{}", QUEUES[job.queue], job.id);
         for target in first..first + tries {
-            let reply = self.call(target, Method::POST, &path, body.clone()).await;
+            let reply = self.submit_once(target, job, body).await;
             if reply.is_some_and(|reply| reply.status == StatusCode::OK) {
                 return true;
             }
@@ -467,9 +476,14 @@
 
     /// Reads the state of a job through an instance; `None` if there is no usable response.
     pub async fn state(&self, target: usize, job: Job) -> Option<JobState> {
+        wire::read_state(&self.state_reply(target, job).await?.body)
+    }
+
+    /// Asks for the state of a job through an instance; `None` if there is no response.
+    pub async fn state_reply(&self, target: usize, job: Job) -> Option<Reply> {
         let path = format!("/{}/{}", QUEUES[job.queue], job.id);
-        let reply = self.call(target, Method::GET, &path, bytes::Bytes::new());
-        wire::read_state(&reply.await?.body)
+        self.call(target, Method::GET, &path, bytes::Bytes::new())
+            .await
     }
 
     /// Reads the number of pending jobs of a queue through an instance; `None` if there is no
--- a/crates/entry/tests/jobs/main.rs
+++ b/crates/entry/tests/jobs/main.rs
@@ -3,6 +3,7 @@
 //!
 //! Only one deployment runs at a time, so that tests do not compete for the machine.
 
+mod admission;
 mod common;
 mod config;
 mod many_ends;
