Document admission, and count late work before less urgent jobs

A job of a less urgent priority waited by the outlook only for more urgent jobs that can be in time, though late ones come before it too.

--- a/crates/core/src/sched/admission.rs
+++ b/crates/core/src/sched/admission.rs
@@ -38,8 +38,8 @@
     1_024_000_000,
 ];
 
-/// The number of waits in [`ClassWaits`]: one for each of [`WORK_BOUNDS`], then one for jobs that come
-/// after all others of their priority.
+/// The number of waits in [`ClassWaits`]: one for each of [`WORK_BOUNDS`], then one for jobs of less
+/// urgent priorities.
 pub const WORK_LEVELS: usize = WORK_BOUNDS.len() + 1;
 
 /// The unit of the waits in [`ClassWaits`].
--- a/crates/core/src/sched/shard/outlook.rs
+++ b/crates/core/src/sched/shard/outlook.rs
@@ -307,6 +307,12 @@
             let mut waits = [[0; WORK_LEVELS]; REQUESTS];
             let (mut work, mut rate) = (work_before, rate_before);
             for level in 0..WORK_LEVELS {
+                if level == WORK_BOUNDS.len() {
+                    // The last level is for less urgent jobs.
+                    for class in 0..REQUESTS {
+                        work[class] += waiting.late[class].iter().sum::<f64>();
+                    }
+                }
                 let by_request = self.waits(&work, &rate, speed, &usable);
                 for (class, wait) in by_request.into_iter().enumerate() {
                     waits[class][level] = wait;
@@ -318,10 +324,7 @@
                     }
                 }
             }
-            for class in 0..REQUESTS {
-                work_before[class] = work[class] + waiting.late[class].iter().sum::<f64>();
-                rate_before[class] = rate[class];
-            }
+            (work_before, rate_before) = (work, rate);
             let ahead = (work_before.iter().sum::<f64>() / 1_000_000.0) as u32;
             forecast.waits.push(WaitsByPriority::new(
                 *priority,
--- a/crates/core/tests/admission/main.rs
+++ b/crates/core/tests/admission/main.rs
@@ -225,6 +225,35 @@
     assert_eq!(world.refusal(&less_urgent), None);
 }
 
+/// Guards against a queue of best-effort work that keeps out short work, which doesn't wait for it,
+/// and the other way round.
+#[test_case(true; "best-effort work waits")]
+#[test_case(false; "short work waits")]
+fn kinds_of_work_wait_for_themselves(best_effort: bool) {
+    let of_kind = |best_effort: bool, count| Step {
+        best_effort,
+        ..step(count, 2_000, 1_000)
+    };
+    let mut world = small_pieces();
+    let both = job(0, vec![of_kind(true, 1), of_kind(false, 1)]);
+    advance(&mut world, 5_000, 1, &both);
+    for _ in 0..40 {
+        world.submit(JobSpec {
+            extra_ms: 60_000,
+            ..job(0, vec![of_kind(best_effort, 100)])
+        });
+    }
+    advance(&mut world, 2_000, 0, &both);
+    let is_refused = |best_effort| {
+        let new = job(1, vec![of_kind(best_effort, 1)]);
+        world
+            .refusal(&new)
+            .is_some_and(|r| r.best_effort == best_effort)
+    };
+    assert!(is_refused(best_effort));
+    assert!(!is_refused(!best_effort));
+}
+
 /// Guards against refusals of work that must always be accepted.
 #[test]
 fn long_running_and_scheduled_jobs_are_accepted() {
