--- a/crates/core/src/sched/shard/outlook.rs
+++ b/crates/core/src/sched/shard/outlook.rs
@@ -271,7 +271,7 @@
                 *work *= factor;
             }
         }
-        // Less than a thousandth of a core.
+        // Less than one core for a millisecond.
         let is_present = |table: &WorkTable| table.iter().flatten().sum::<f64>() >= 1_000.0;
         self.arrived.retain(|_, table| is_present(table));
         self.finished *= factor;
@@ -309,8 +309,8 @@
             for level in 0..WORK_LEVELS {
                 if level == WORK_BOUNDS.len() {
                     // The last level is for less urgent jobs.
-                    for class in 0..REQUESTS {
-                        work[class] += waiting.late[class].iter().sum::<f64>();
+                    for (work, late) in work.iter_mut().zip(&waiting.late) {
+                        *work += late.iter().sum::<f64>();
                     }
                 }
                 let by_request = self.waits(&work, &rate, speed, &usable);
@@ -377,7 +377,8 @@
 
 impl Shard {
     /// Computes the outlooks if that is due. There are none in the first seconds after a takeover,
-    /// and while there may be runs of an earlier leader that this one doesn't know.
+    /// while there may be runs of an earlier leader that this one doesn't know, and while nothing may
+    /// start.
     pub fn update_outlooks(&mut self, now: Instant) {
         let last = self.outlook.decayed_at;
         if last.is_some_and(|at| now.duration_since(at) < INTERVAL) {
@@ -390,7 +391,8 @@
         state.computed_at = None;
         let started_at = *state.started_at.get_or_insert(now);
         let is_new = now.duration_since(started_at) < MIN_MEASURED_TIME;
-        if !is_new && !self.resigning && !self.may_have_unknown_runs(now) {
+        let is_held = self.resigning || self.starts_are_held();
+        if !is_new && !is_held && !self.may_have_unknown_runs(now) {
             let none = BTreeMap::new();
             let outlooks = state.services.iter().map(|(service, kinds)| {
                 let waiting = waiting.get(service.as_str());
