--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -21,6 +21,7 @@
 //! - `lending`: loans of the right to renew leases.
 //! - `losses`: lost processes of workers, and the tasks that ran on them.
 //! - `moves`: moves jobs to less loaded shards before they start.
+//! - `outlook`: the expected waits of new jobs.
 //! - `placements`: the stored placements of long-running tasks.
 //! - `queries`: states of jobs, counts and loads, for callers and other instances.
 //! - `queue_shares`: which queues have less than their share of the CPU of short work.
@@ -54,6 +55,7 @@
 mod lending;
 mod losses;
 mod moves;
+mod outlook;
 mod placements;
 mod queries;
 mod queue_shares;
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -11,6 +11,7 @@
         estimates::JobEstimates,
         evacuations::Evacuation,
         losses::{Losses, Processes},
+        outlook::OutlookState,
         stalls::Stall,
         trust::TrustCounts,
     },
@@ -507,6 +508,8 @@
     pub(super) displacement: Displacement,
     /// The loans that may be in use.
     pub(super) loans: LoanLedger,
+    /// The expected waits of new jobs, and the measurements that they need.
+    pub(super) outlook: OutlookState,
     /// Approvals by job, occurrence and step.
     pub(super) approvals: HashMap<(JobId, u32, u16), Approvals>,
     /// The ids of workers that this dispatch holds back; see the module `waiting`.
@@ -587,6 +590,7 @@
             evacuation: Evacuation::default(),
             displacement: Displacement::default(),
             loans: LoanLedger::default(),
+            outlook: OutlookState::default(),
             approvals: HashMap::default(),
             held_back_workers: HashSet::default(),
             held_back_for: None,
@@ -668,6 +672,9 @@
             move_retry_at: None,
         };
         self.processes.add_losses(id, &job.stored_losses);
+        if !job.inherited {
+            self.outlook.count_arrival(&job.spec);
+        }
         if !job.is_long_running() {
             let fairness = self.size_fairness.entry(job.spec.queue.clone());
             fairness.or_default().add_job(job.total_work());
--- a/crates/scheduler/tests/leadership.rs
+++ b/crates/scheduler/tests/leadership.rs
@@ -90,6 +90,7 @@
         cpu_share: 69,
         newest_tokens: Vec::new(),
         waits_for_loans: false,
+        outlooks: Vec::new(),
         store_age: Some(peer.served_at.elapsed()),
     }
 }
@@ -310,6 +311,7 @@
     let heartbeat = Heartbeat {
         newest_tokens: vec![(SHARD.to_owned(), token + newer_by)],
         waits_for_loans: false,
+        outlooks: Vec::new(),
         ..heartbeat("peer", state, instance.peer)
     };
     deliver_urgent_event(&instance.address, Event::Heartbeat(heartbeat)).await;
--- a/crates/scheduler/tests/restoring.rs
+++ b/crates/scheduler/tests/restoring.rs
@@ -591,6 +591,7 @@
         cpu_share: 69,
         newest_tokens: Vec::new(),
         waits_for_loans,
+        outlooks: Vec::new(),
         store_age: Some(Duration::from_millis(100)),
     }
 }
