--- a/crates/core/src/sched/shard/displacement.rs
+++ b/crates/core/src/sched/shard/displacement.rs
@@ -260,7 +260,7 @@
                 .or_insert_with(|| self.supply(need.service, now));
             supply.work += need.work;
             let missing_cpu = supply.missing_cpu(need.time_ms);
-            if missing_cpu <= 0 {
+            if missing_cpu <= 0 || self.fits_now(need, now) {
                 continue;
             }
             let stops = self.stops_for(need, missing_cpu, budget, supply, &victims, now);
@@ -295,6 +295,12 @@
         chosen
     }
 
+    /// Returns whether the waiting task of a job fits on a worker, so that it waits for something else.
+    fn fits_now(&self, need: &Need<'_>, now: Instant) -> bool {
+        let found = self.find_worker(need.name, need.service, need.step, |_| true, false, now);
+        found.is_some()
+    }
+
     /// Returns the runs to stop for a job that lacks CPU, and the CPU that each makes usable.
     fn stops_for<'a>(
         &self,
