Keep a caller's estimates where they are good, and count long tasks in full

A median of unlike tasks replaced the estimates of a caller that knows each of them, and a job with one task of several times the usual length counted as too late against an objective without that task. Large jobs were served less under overload, since running tasks counted with their rest only.

The ratios of run times to estimates are kept, too, and count where they differ less than the run times. The chain of a job counts a task of over 1.5 times the usual time with its own.

--- a/crates/core/src/sched/run_times.rs
+++ b/crates/core/src/sched/run_times.rs
@@ -5,6 +5,10 @@
 //! of a shape are kept once for each power of two of the estimate and once for all of them. The
 //! narrower distribution counts once it has enough ends, then the wider one, and the caller's
 //! estimate until then.
+//!
+//! Beside the run times, their ratios to the caller's estimates are kept. A caller that knows each
+//! task gives better estimates than any median: then the ratios differ less than the run times do,
+//! and the estimate times a ratio counts.
 
 use {
     crate::{
@@ -30,6 +34,7 @@
 const MAX_ENDS: u64 = 600;
 
 /// The maximum number of distributions; of more, the one that was used least recently is dropped.
+/// Each takes about 1 KB.
 const MAX_SHAPES: usize = 256;
 
 /// The longest run time that is told apart, in milliseconds: 12 hours.
@@ -62,51 +67,87 @@
     }
 }
 
-/// The run times of a shape as they are stored for the next leader: each time in milliseconds with
-/// the number of ends.
+/// The run times of a shape as they are stored for the next leader.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ShapeTimes {
     /// The shape.
     pub shape: Shape,
-    /// The run times and their counts, in ascending order.
+    /// The run times in milliseconds and their counts, in ascending order.
     pub counts: Vec<(u32, u16)>,
+    /// The ratios to the caller's estimates in thousandths and their counts, in ascending order.
+    pub ratios: Vec<(u32, u16)>,
+}
+
+/// Counts of run times in milliseconds, or of ratios in thousandths.
+#[derive(Clone, Debug)]
+struct Counts(Histogram<u16>);
+
+impl Counts {
+    fn new() -> Option<Self> {
+        let histogram = Histogram::new_with_bounds(1, MAX_RUN_MS, DIGITS);
+        histogram.ok().map(Self)
+    }
+
+    fn record(&mut self, value: u64, count: u16) {
+        let value = value.clamp(1, MAX_RUN_MS);
+        self.0.saturating_record_n(value, count);
+        if self.0.len() < MAX_ENDS {
+            return;
+        }
+        let counts: Vec<_> = self.iter().collect();
+        self.0.reset();
+        for (value, count) in counts {
+            self.0
+                .saturating_record_n(u64::from(value), count.div_ceil(2));
+        }
+    }
+
+    fn iter(&self) -> impl Iterator<Item = (u32, u16)> {
+        let values = self.0.iter_recorded();
+        values.map(|v| (v.value_iterated_to() as u32, v.count_at_value()))
+    }
+
+    /// Returns by what factor the middle half of the values differ.
+    fn spread(&self) -> f64 {
+        let quartile = |q| self.0.value_at_quantile(q) as f64;
+        quartile(0.75) / quartile(0.25).max(1.0)
+    }
 }
 
 /// The run times of one shape.
 #[derive(Clone, Debug)]
 struct Times {
-    histogram: Histogram<u16>,
+    times: Counts,
+    /// The ratios of the run times to the callers' estimates.
+    ratios: Counts,
     /// When the distribution was last used; see [`RunTimes::clock`].
     used: u64,
 }
 
 impl Times {
     fn new() -> Option<Self> {
-        let histogram = Histogram::new_with_bounds(1, MAX_RUN_MS, DIGITS).ok()?;
-        Some(Self { histogram, used: 0 })
+        Some(Self {
+            times: Counts::new()?,
+            ratios: Counts::new()?,
+            used: 0,
+        })
     }
 
-    fn record(&mut self, ms: u64, count: u16) {
-        self.histogram
-            .saturating_record_n(ms.clamp(1, MAX_RUN_MS), count);
-        if self.histogram.len() < MAX_ENDS {
-            return;
-        }
-        let counts: Vec<_> = self.counts().collect();
-        self.histogram.reset();
-        for (ms, count) in counts {
-            self.histogram
-                .saturating_record_n(u64::from(ms), count.div_ceil(2));
+    /// Returns the better distribution, and the factor that makes milliseconds of its values for
+    /// tasks with an estimate.
+    fn scaled(&self, estimate_ms: u32) -> (&Counts, f64) {
+        let has_ratios = estimate_ms > 0 && self.ratios.0.len() >= MIN_ENDS;
+        if has_ratios && self.ratios.spread() < self.times.spread() {
+            (&self.ratios, f64::from(estimate_ms) / 1_000.0)
+        } else {
+            (&self.times, 1.0)
         }
     }
 
-    fn counts(&self) -> impl Iterator<Item = (u32, u16)> {
-        let values = self.histogram.iter_recorded();
-        values.map(|v| (v.value_iterated_to() as u32, v.count_at_value()))
-    }
-
-    fn quantile(&self, quantile: f64) -> Duration {
-        Duration::from_millis(self.histogram.value_at_quantile(quantile))
+    fn quantile(&self, quantile: f64, estimate_ms: u32) -> Duration {
+        let (counts, factor) = self.scaled(estimate_ms);
+        let ms = counts.0.value_at_quantile(quantile) as f64 * factor;
+        Duration::from_millis(ms as u64)
     }
 }
 
@@ -152,12 +193,19 @@
     pub fn record(&mut self, step: &Step, time: Duration) {
         let ms = time.as_millis() as u64;
         self.clock += 1;
+        let ratio = (ms * 1_000).checked_div(u64::from(step.estimate_ms));
         for shape in [Shape::narrow(step), Shape::wide(step)] {
-            self.record_shape(shape, ms, 1);
+            if let Some(times) = self.times(shape) {
+                times.times.record(ms, 1);
+                if let Some(ratio) = ratio {
+                    times.ratios.record(ratio, 1);
+                }
+            }
         }
     }
 
-    fn record_shape(&mut self, shape: Shape, ms: u64, count: u16) {
+    /// Returns the run times of a shape, which are now the last used; adds the shape if needed.
+    fn times(&mut self, shape: Shape) -> Option<&mut Times> {
         if !self.shapes.contains_key(&shape) {
             if self.shapes.len() >= MAX_SHAPES {
                 let oldest = self
@@ -168,15 +216,11 @@
                     self.shapes.remove(&oldest);
                 }
             }
-            let Some(times) = Times::new() else {
-                return;
-            };
-            self.shapes.insert(shape, times);
-        }
-        if let Some(times) = self.shapes.get_mut(&shape) {
-            times.used = self.clock;
-            times.record(ms, count);
+            self.shapes.insert(shape, Times::new()?);
         }
+        let times = self.shapes.get_mut(&shape)?;
+        times.used = self.clock;
+        Some(times)
     }
 
     /// Returns the distribution for a step with at least `min_ends` ends, the narrower one if
@@ -185,7 +229,7 @@
         let mut shapes = [Shape::narrow(step), Shape::wide(step)].into_iter();
         shapes.find_map(|shape| {
             let times = self.shapes.get(&shape);
-            times.filter(|t| t.histogram.len() >= min_ends)
+            times.filter(|t| t.times.0.len() >= min_ends)
         })
     }
 
@@ -197,7 +241,8 @@
         } else {
             MIN_ENDS
         };
-        self.find(step, min_ends).map(|t| t.quantile(quantile))
+        let times = self.find(step, min_ends)?;
+        Some(times.quantile(quantile, step.estimate_ms))
     }
 
     /// Returns the usual run time of a step's tasks: the median, or the caller's estimate if too few
@@ -211,7 +256,12 @@
     pub fn remaining(&self, step: &Step) -> Remaining {
         let mut total = 0;
         let times = self.find(step, MIN_ENDS);
-        let cumulative = times.into_iter().flat_map(Times::counts).map(|(ms, n)| {
+        let scaled = times.map(|times| times.scaled(step.estimate_ms));
+        let cumulative = scaled.into_iter().flat_map(|(counts, factor)| {
+            let counts = counts.iter();
+            counts.map(move |(value, n)| ((f64::from(value) * factor) as u32, n))
+        });
+        let cumulative = cumulative.map(|(ms, n)| {
             total += u32::from(n);
             (ms, total)
         });
@@ -227,7 +277,7 @@
         let enough = self
             .shapes
             .iter()
-            .filter(|(_, t)| t.histogram.len() >= MIN_ENDS);
+            .filter(|(_, t)| t.times.0.len() >= MIN_ENDS);
         let mut shapes: Vec<_> = enough.collect();
         shapes.sort_unstable_by_key(|(shape, t)| (std::cmp::Reverse(t.used), **shape));
         // The number of records.
@@ -236,7 +286,8 @@
         for (shape, times) in shapes {
             let record = ShapeTimes {
                 shape: *shape,
-                counts: times.counts().collect(),
+                counts: times.times.iter().collect(),
+                ratios: times.ratios.iter().collect(),
             };
             bytes += postcard::to_stdvec(&record).map_or(max_bytes, |encoded| encoded.len());
             if bytes > max_bytes {
@@ -251,8 +302,14 @@
     pub fn restore(&mut self, records: &[ShapeTimes]) {
         for record in records.iter().rev().take(MAX_SHAPES) {
             self.clock += 1;
+            let Some(times) = self.times(record.shape) else {
+                continue;
+            };
             for (ms, count) in &record.counts {
-                self.record_shape(record.shape, u64::from(*ms), *count);
+                times.times.record(u64::from(*ms), *count);
+            }
+            for (ratio, count) in &record.ratios {
+                times.ratios.record(u64::from(*ratio), *count);
             }
         }
     }
--- a/crates/core/src/sched/shard/estimates.rs
+++ b/crates/core/src/sched/shard/estimates.rs
@@ -19,6 +19,13 @@
 /// The time between two computations of the jobs' estimates. Most tasks take longer.
 const ESTIMATE_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The share of the usual run time, in percent, above which a task lengthens its job's chain. Less may
+/// be due to the time of commands and reports.
+const MIN_LONG_PERCENT: u64 = 150;
+
+/// How many times the usual run time a task may take that has shown no pace.
+const MAX_RUN_FACTOR: u32 = 8;
+
 /// The time that the running tasks of a step still take.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RunningStep {
@@ -28,8 +35,8 @@
     tasks: u32,
     /// The longest time that any of them still takes, in milliseconds.
     longest_ms: u64,
-    /// The time that all of them still take, in milliseconds.
-    total_ms: u64,
+    /// The longest run time that any of them will have, in milliseconds.
+    longest_run_ms: u64,
 }
 
 /// The run times of a step's tasks.
@@ -37,8 +44,8 @@
     remaining: Remaining,
     /// The median of the tasks that were done; `None` if they are too few.
     median: Option<Duration>,
-    /// Whether there is an estimate, of the caller or from ends.
-    is_estimated: bool,
+    /// The usual run time; zero if there is no estimate, of the caller or from ends.
+    usual: Duration,
 }
 
 /// The estimates for one job.
@@ -46,7 +53,10 @@
 pub(super) struct JobEstimates {
     /// The usual run time of each step's tasks, in milliseconds.
     task_ms: Vec<u64>,
-    /// The time of the longest chain of steps, in milliseconds.
+    /// The longest run time of a task that was done, by occurrence and step, in milliseconds.
+    longest_done: HashMap<(u32, u16), u64>,
+    /// The time of the longest chain of steps in the first occurrence, in milliseconds: of what is
+    /// known of its tasks, else of usual ones.
     chain_ms: u64,
     /// The steps that have running tasks.
     running: Vec<RunningStep>,
@@ -68,6 +78,33 @@
         self.chain_ms = longest_chain_ms(spec, |i| self.task_ms[i]);
     }
 
+    /// Records that a task was done after running for `time`.
+    fn record_done(&mut self, name: TaskName, time: Duration) {
+        let longest = self.longest_done.entry((name.occurrence, name.step));
+        let longest = longest.or_default();
+        *longest = (*longest).max(time.as_millis() as u64);
+    }
+
+    /// Sets the steps that have running tasks; `first` is the number of the first occurrence.
+    fn set_running(&mut self, spec: &JobSpec, running: Vec<RunningStep>, first: u32) {
+        self.running = running;
+        // The longest chain of work is that of the tasks as they turn out to be, not as usual.
+        let step_ms = |i: usize| {
+            if self.task_ms[i] == 0 {
+                return 0;
+            }
+            let done = self.longest_done.get(&(first, i as u16)).copied();
+            let running = self.running(first, i).longest_run_ms;
+            let longest = done.unwrap_or(0).max(running);
+            if longest > self.task_ms[i] * MIN_LONG_PERCENT / 100 {
+                longest
+            } else {
+                self.task_ms[i]
+            }
+        };
+        self.chain_ms = longest_chain_ms(spec, step_ms);
+    }
+
     /// Returns the time of the job's longest chain of steps, in milliseconds.
     pub(super) fn chain_ms(&self) -> u64 {
         self.chain_ms
@@ -110,12 +147,16 @@
         run: &Run,
         now: Instant,
     ) {
-        let job = self.jobs.get(&name.job);
-        let Some(step) = job.and_then(|j| j.spec.steps.get(usize::from(name.step))) else {
+        let Some(job) = self.jobs.get_mut(&name.job) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        let Some(step) = spec.steps.get(usize::from(name.step)) else {
             return;
         };
         if run.is_whole && run.speed_percent == 100 && !step.long_running && !step.gang {
             let time = now.duration_since(run.added_at);
+            job.estimates.record_done(name, time);
             self.run_times.record(step, time);
             self.compare_run_time(worker_id, name, time, now);
         }
@@ -141,19 +182,20 @@
                 let times = by_step.entry(key).or_insert_with(|| StepTimes {
                     remaining: self.run_times.remaining(step),
                     median: job.and_then(|job| job.step_median(name)),
-                    is_estimated: !self.run_times.usual(step).is_zero(),
+                    usual: self.run_times.usual(step),
                 });
                 let counts = overdue.entry(&worker.info.id).or_default();
                 counts.0 += u32::from(run.is_overdue(times.median, now));
                 counts.1 += 1;
                 // Without any estimate for the step's other tasks, running ones don't count either.
-                let remaining = if times.is_estimated {
-                    run.remaining(&times.remaining, now)
-                } else {
+                let remaining = if times.usual.is_zero() {
                     Duration::ZERO
+                } else {
+                    run.remaining(&times.remaining, now)
                 };
                 let steps = running.entry(name.job).or_default();
-                add_running(steps, name, remaining.as_millis() as u64);
+                let run_time = run.expected_time(remaining, times.usual, now);
+                add_running(steps, name, remaining, run_time);
             }
         }
         let overdue = overdue.into_iter().filter(|(_, (late, _))| *late > 0);
@@ -168,13 +210,20 @@
             let steps = job.spec.steps.iter();
             let usual = steps.map(|step| run_times.usual(step).as_millis() as u64);
             job.estimates.set_task_times(&job.spec, usual);
-            job.estimates.running = running.remove(id).unwrap_or_default();
+            let running = running.remove(id).unwrap_or_default();
+            let first = job.occurrences.first().map_or(0, |o| o.number);
+            job.estimates.set_running(&job.spec, running, first);
         }
     }
 }
 
-/// Adds a run that still takes `remaining_ms` to its step.
-fn add_running(steps: &mut Vec<RunningStep>, name: &TaskName, remaining_ms: u64) {
+/// Adds a run to its step that still takes `remaining` and will have taken `run_time`.
+fn add_running(
+    steps: &mut Vec<RunningStep>,
+    name: &TaskName,
+    remaining: Duration,
+    run_time: Duration,
+) {
     let is_step = |r: &RunningStep| (r.occurrence, r.step) == (name.occurrence, name.step);
     let index = steps.iter().position(is_step).unwrap_or_else(|| {
         steps.push(RunningStep {
@@ -186,8 +235,9 @@
     });
     let step = &mut steps[index];
     step.tasks += 1;
+    let remaining_ms = remaining.as_millis() as u64;
     step.longest_ms = step.longest_ms.max(remaining_ms);
-    step.total_ms += remaining_ms;
+    step.longest_run_ms = step.longest_run_ms.max(run_time.as_millis() as u64);
 }
 
 /// Returns the time of the longest chain of steps that take `step_ms`, in milliseconds.
@@ -205,16 +255,30 @@
     /// Returns the time that the run still takes: by its own pace if it has shown one, else by the
     /// run times of its shape and the time that has passed.
     pub(super) fn remaining(&self, by_step: &Remaining, now: Instant) -> Duration {
-        if let Some(percent) = self.pace.percent_time() {
+        if let Some(percent) = self.pace.mean_percent_time() {
             let left = (100.0 - self.progress_percent).clamp(0.0, 100.0);
             let since = now.saturating_duration_since(self.progressed_at);
             return percent.mul_f64(left).saturating_sub(since);
         }
-        let elapsed = match self.phase {
+        by_step.after(self.elapsed(now))
+    }
+
+    /// Returns the run time that the run will have had if it takes `remaining` more. Without a pace
+    /// it may stand still, so the time is then at most [`MAX_RUN_FACTOR`] times the usual one.
+    fn expected_time(&self, remaining: Duration, usual: Duration, now: Instant) -> Duration {
+        let time = self.elapsed(now) + remaining;
+        match self.pace.mean_percent_time() {
+            Some(_) => time,
+            None => time.min(usual * MAX_RUN_FACTOR),
+        }
+    }
+
+    /// Returns the time since the start; zero while the worker has not confirmed the run.
+    fn elapsed(&self, now: Instant) -> Duration {
+        match self.phase {
             RunPhase::Sent => Duration::ZERO,
             RunPhase::Running(_) | RunPhase::Stopping(_) => now.duration_since(self.added_at),
-        };
-        by_step.after(elapsed)
+        }
     }
 }
 
@@ -244,18 +308,18 @@
         chains
     }
 
-    /// Returns the remaining work of an occurrence, in thousandths of a core times milliseconds.
+    /// Returns the work of an occurrence's tasks that are not done, in thousandths of a core times
+    /// milliseconds. Running tasks count in full: with the rest of them alone, large jobs were served
+    /// less often under overload.
     pub(super) fn occurrence_work(&self, occurrence: &Occurrence) -> u64 {
         let steps = self.spec.steps.iter().zip(&occurrence.remaining);
-        let work = steps.enumerate().map(|(i, (step, remaining))| {
-            let cpu = u64::try_from(step.request.cpu).unwrap_or(0);
-            let running = self.estimates.running(occurrence.number, i);
-            let waiting = remaining.saturating_sub(running.tasks);
-            let waiting_ms = self.estimates.task_ms[i].saturating_mul(u64::from(waiting));
-            waiting_ms
-                .saturating_add(running.total_ms)
-                .saturating_mul(cpu)
-        });
+        let work = steps
+            .zip(&self.estimates.task_ms)
+            .map(|((step, remaining), task_ms)| {
+                let cpu = u64::try_from(step.request.cpu).unwrap_or(0);
+                let task_work = task_ms.saturating_mul(cpu);
+                task_work.saturating_mul(u64::from(*remaining))
+            });
         work.fold(0, u64::saturating_add)
     }
 }
--- a/crates/core/src/sched/shard/second_runs.rs
+++ b/crates/core/src/sched/shard/second_runs.rs
@@ -151,7 +151,7 @@
                 };
                 // By its own pace it may end before a second run could.
                 let usual = self.run_times.usual(step);
-                let remaining = run.pace.percent_time().map(|percent| {
+                let remaining = run.pace.mean_percent_time().map(|percent| {
                     percent.mul_f64((100.0 - run.progress_percent).clamp(0.0, 100.0))
                 });
                 let stands = now.saturating_duration_since(run.progressed_at) > usual;
--- a/crates/core/src/sched/stuck.rs
+++ b/crates/core/src/sched/stuck.rs
@@ -36,6 +36,9 @@
 /// The margin on the time of one percent, which is not the same for each percent of a run.
 const MARGIN: f64 = 1.15;
 
+/// The change of the progress, in percent, from which on its pace is an estimate of the run time.
+const MIN_CHANGE: f64 = 5.0;
+
 /// The number of stops after which the allowed pause of a task grows no further.
 const MAX_DOUBLINGS: u32 = 10;
 
@@ -46,24 +49,40 @@
     first: Option<(f64, Instant)>,
     /// The last percentage that was reported first at the given time.
     last: Option<(f64, Instant)>,
+    /// Whether the percentage has ever fallen, so that it says nothing of the pace.
+    has_fallen: bool,
 }
 
 impl Pace {
     /// Records a percentage that differs from the last one, which was reported at `now`.
     pub fn record(&mut self, percent: f64, now: Instant) {
+        self.has_fallen |= self.last.is_some_and(|(last, _)| percent < last);
         self.first.get_or_insert((percent, now));
         self.last = Some((percent, now));
     }
 
+    /// Returns the first and the last percentage and the time between them; `None` if it has fallen.
+    fn change(&self) -> Option<(f64, f64, Duration)> {
+        let ((first, since), (last, until)) = (self.first?, self.last?);
+        let elapsed = until.saturating_duration_since(since);
+        (!self.has_fallen).then_some((first, last, elapsed))
+    }
+
+    /// Returns the time that a percent has probably taken on average; `None` if the run has shown less
+    /// than [`MIN_CHANGE`] percent.
+    pub fn mean_percent_time(&self) -> Option<Duration> {
+        let (first, last, elapsed) = self.change()?;
+        (last - first >= MIN_CHANGE).then(|| elapsed.div_f64(last - first))
+    }
+
     /// Returns the longest time that a percent has taken on average; `None` if the run has shown less
     /// than two changes, or fell back.
     ///
     /// Of two changes only one whole percent lies between for certain: a run that resumes may have
     /// begun just before the first.
     pub fn percent_time(&self) -> Option<Duration> {
-        let ((first, since), (last, until)) = (self.first?, self.last?);
+        let (first, last, elapsed) = self.change()?;
         let whole = last - first - 1.0;
-        let elapsed = until.saturating_duration_since(since);
         (whole >= 1.0).then(|| elapsed.div_f64(whole))
     }
 }
--- a/crates/core/tests/uneven/run_times.rs
+++ b/crates/core/tests/uneven/run_times.rs
@@ -100,3 +100,24 @@
     assert_eq!(successor.usual(&last), times.usual(&last));
     assert_ne!(successor.usual(&last), Duration::from_millis(5_000));
 }
+
+/// Guards against a median of unlike tasks in place of a caller that knows each of them.
+#[test_case(1.0; "estimates are right")]
+#[test_case(0.5; "estimates are off by the same factor")]
+fn good_estimates_are_kept(factor: f64) {
+    let mut rng = StdRng::seed_from_u64(1);
+    let mut times = RunTimes::default();
+    for _ in 0..500 {
+        let estimate_ms = rng.random_range(600..10_000);
+        let ms = f64::from(estimate_ms) * factor;
+        times.record(
+            &step(1, 1_000, estimate_ms),
+            Duration::from_millis(ms as u64),
+        );
+    }
+    for estimate_ms in [700, 1_000, 9_000] {
+        let usual = times.usual(&step(1, 1_000, estimate_ms));
+        let ratio = usual.as_secs_f64() * 1_000.0 / (f64::from(estimate_ms) * factor);
+        assert!((0.9..1.1).contains(&ratio), "{ratio}");
+    }
+}
