--- a/crates/entry/tests/jobs/common.rs
+++ b/crates/entry/tests/jobs/common.rs
@@ -17,7 +17,7 @@
     },
     marigoldbend_wire::{
         callers::{DEADLINE_HEADER, READY_PATH},
-        operator::CONFIG_KEY,
+        operator::{CONFIG_KEY, EVACUATION_PREFIX},
         stand_in as wire,
         store::OPERATOR_TABLE,
     },
@@ -90,6 +90,8 @@
     pub name: String,
     /// The share of the processor that it gets.
     pub share: Share,
+    /// The address of its operator interface.
+    pub operators: SocketAddr,
     callers: SocketAddr,
     readiness: SocketAddr,
     /// Where it reaches the store, unless a slow link is between them.
@@ -252,6 +254,17 @@
         self.store.put(name, config);
     }
 
+    /// Writes the row with which the platform's operator evacuates a failure domain, or deletes it.
+    pub fn set_evacuated(&self, domain: &str, is_evacuated: bool) {
+        let key = format!("{EVACUATION_PREFIX}{domain}");
+        let name = RowKey::new(OPERATOR_TABLE, "", &key);
+        if is_evacuated {
+            self.store.put(name, b"{}".to_vec());
+        } else {
+            self.store.delete(name);
+        }
+    }
+
     /// Replaces the faults of the store.
     pub fn set_store_faults(&self, faults: Faults) {
         self.store.set_faults(faults);
@@ -291,7 +304,7 @@
     async fn launch(&mut self, name: &str, share: Share) {
         let number = self.instances.len();
         let ip = Ipv4Addr::new(127, 3, 1, u8::try_from(number + 1).expect("few instances"));
-        let [callers, readiness, peers] = free_addresses(ip);
+        let [callers, readiness, operators, peers] = free_addresses(ip);
         let cpu_share = match share {
             Share::Unlimited => 1.0,
             Share::Quota(quota) => quota.as_secs_f64() / PERIOD.as_secs_f64(),
@@ -304,7 +317,8 @@
         let delegated_renewal = self.delegated_renewal;
         let settings = format!(
             "[instance]\nname = {name}\nfailure_domain = z{domain}\ncpu_share = {cpu_share}\n\
-             [listen]\ncallers = {callers}\nreadiness = {readiness}\npeers = {peers}\n\
+             [listen]\ncallers = {callers}\nreadiness = {readiness}\noperators = {operators}\n\
+             peers = {peers}\n\
              [scheduler]\nstore = {store_address}\nfailure_domains = z1,z2\ncontrol_mode = call\n\
              max_lease_ms = {max_lease_ms}\ndelegated_renewal = {delegated_renewal}\n\
              drain_ms = 2000\ngrace_ms = 6000\nkeep_s = 120\n{}",
@@ -322,6 +336,7 @@
         self.instances.push(Instance {
             name: name.to_owned(),
             share,
+            operators,
             callers,
             readiness,
             store,
--- a/crates/entry/tests/jobs/main.rs
+++ b/crates/entry/tests/jobs/main.rs
@@ -7,6 +7,7 @@
 mod common;
 mod config;
 mod deputies;
+mod evacuation;
 mod many_ends;
 mod outages;
 mod overload;
