--- a/crates/core/src/sched/deputy.rs
+++ b/crates/core/src/sched/deputy.rs
@@ -128,6 +128,7 @@
     pub fn drop_loan(&mut self) {
         self.workers.clear();
         self.received_at = None;
+        self.active_since = None;
     }
 
     /// Returns the calls that are due, at most [`MAX_CALLS`].
