--- a/crates/core/src/sched/run_times.rs
+++ b/crates/core/src/sched/run_times.rs
@@ -33,6 +33,9 @@
 /// The number of ends at which all counts are halved, so that a distribution follows changes.
 const MAX_ENDS: u64 = 600;
 
+/// The number of ends after which the median is computed anew.
+const UPDATE_ENDS: u64 = 8;
+
 /// The maximum number of distributions; of more, the one that was used least recently is dropped.
 /// Each takes about 1 KB.
 const MAX_SHAPES: usize = 256;
@@ -120,6 +123,10 @@
     times: Counts,
     /// The ratios of the run times to the callers' estimates.
     ratios: Counts,
+    /// Whether the ratios are the better distribution; updated every few ends.
+    by_ratio: bool,
+    /// The median of the better distribution; updated with `by_ratio`.
+    median: u64,
     /// When the distribution was last used; see [`RunTimes::clock`].
     used: u64,
 }
@@ -129,15 +136,37 @@
         Some(Self {
             times: Counts::new()?,
             ratios: Counts::new()?,
+            by_ratio: false,
+            median: 0,
             used: 0,
         })
     }
 
+    /// Updates which distribution is better, and its median.
+    fn update(&mut self) {
+        self.by_ratio =
+            self.ratios.0.len() >= MIN_ENDS && self.ratios.spread() < self.times.spread();
+        let better = if self.by_ratio {
+            &self.ratios
+        } else {
+            &self.times
+        };
+        self.median = better.0.value_at_quantile(0.5);
+    }
+
+    /// Returns the median run time of tasks with an estimate.
+    fn median(&self, estimate_ms: u32) -> Duration {
+        if self.by_ratio && estimate_ms == 0 {
+            return self.quantile(0.5, 0);
+        }
+        let (_, factor) = self.scaled(estimate_ms);
+        Duration::from_millis((self.median as f64 * factor) as u64)
+    }
+
     /// Returns the better distribution, and the factor that makes milliseconds of its values for
     /// tasks with an estimate.
     fn scaled(&self, estimate_ms: u32) -> (&Counts, f64) {
-        let has_ratios = estimate_ms > 0 && self.ratios.0.len() >= MIN_ENDS;
-        if has_ratios && self.ratios.spread() < self.times.spread() {
+        if self.by_ratio && estimate_ms > 0 {
             (&self.ratios, f64::from(estimate_ms) / 1_000.0)
         } else {
             (&self.times, 1.0)
@@ -200,6 +229,10 @@
                 if let Some(ratio) = ratio {
                     times.ratios.record(ratio, 1);
                 }
+                let ends = times.times.0.len();
+                if ends <= MIN_ENDS || ends.is_multiple_of(UPDATE_ENDS) {
+                    times.update();
+                }
             }
         }
     }
@@ -249,7 +282,8 @@
     /// have ended.
     pub fn usual(&self, step: &Step) -> Duration {
         let estimate = Duration::from_millis(u64::from(step.estimate_ms));
-        self.quantile(step, 0.5).unwrap_or(estimate)
+        let times = self.find(step, MIN_ENDS);
+        times.map_or(estimate, |times| times.median(step.estimate_ms))
     }
 
     /// Returns the time that runs of a step have left.
@@ -311,6 +345,7 @@
             for (ratio, count) in &record.ratios {
                 times.ratios.record(u64::from(*ratio), *count);
             }
+            times.update();
         }
     }
 }
--- a/crates/core/tests/uneven/run_times.rs
+++ b/crates/core/tests/uneven/run_times.rs
@@ -85,7 +85,7 @@
     let mut times = RunTimes::default();
     let shapes = 3_000_i64;
     for cpu in 1..=shapes {
-        for end in 0..100 {
+        for end in 0..104 {
             let time = Duration::from_millis(500 + 37 * end * (cpu as u64 % 7 + 1));
             times.record(&step(1, cpu, 5_000), time);
         }
