--- a/crates/core/src/sched/run_times.rs
+++ b/crates/core/src/sched/run_times.rs
@@ -19,6 +19,7 @@
     serde::{Deserialize, Serialize},
     std::{
         hash::{DefaultHasher, Hash, Hasher},
+        sync::Arc,
         time::Duration,
     },
 };
@@ -127,6 +128,9 @@
     by_ratio: bool,
     /// The median of the better distribution; updated with `by_ratio`.
     median: u64,
+    /// The values of the better distribution, each with the number of those that are no greater;
+    /// updated with `by_ratio`.
+    cumulative: Arc<[(u32, u32)]>,
     /// When the distribution was last used; see [`RunTimes::clock`].
     used: u64,
 }
@@ -138,6 +142,7 @@
             ratios: Counts::new()?,
             by_ratio: false,
             median: 0,
+            cumulative: Arc::default(),
             used: 0,
         })
     }
@@ -152,6 +157,12 @@
             &self.times
         };
         self.median = better.0.value_at_quantile(0.5);
+        let mut total = 0;
+        let cumulative = better.iter().map(|(value, n)| {
+            total += u32::from(n);
+            (value, total)
+        });
+        self.cumulative = cumulative.collect();
     }
 
     /// Returns the median run time of tasks with an estimate.
@@ -183,9 +194,10 @@
 /// The time that runs of a step have left, by the time that has passed.
 #[derive(Clone, Debug)]
 pub struct Remaining {
-    /// Run times in milliseconds, each with the number of tasks that took no longer; empty if too few
-    /// have ended.
-    cumulative: Vec<(u32, u32)>,
+    /// Run times, each with the number of tasks that took no longer; empty if too few have ended.
+    cumulative: Arc<[(u32, u32)]>,
+    /// The factor that makes milliseconds of them.
+    factor: f64,
     /// The caller's estimate.
     estimate: Duration,
 }
@@ -197,14 +209,16 @@
         let Some((_, total)) = self.cumulative.last() else {
             return self.estimate.saturating_sub(elapsed);
         };
+        let time_of =
+            |value: u32| Duration::from_secs_f64(f64::from(value) * self.factor / 1_000.0);
         let ended = self
             .cumulative
-            .partition_point(|(ms, _)| Duration::from_millis(u64::from(*ms)) <= elapsed);
+            .partition_point(|(value, _)| time_of(*value) <= elapsed);
         let before = ended.checked_sub(1).map_or(0, |i| self.cumulative[i].1);
         let middle = before + (total - before).div_ceil(2);
         let median = self.cumulative[ended..].iter().find(|(_, n)| *n >= middle);
         // A run that is longer than all others may be half done.
-        let time = median.map_or(elapsed * 2, |(ms, _)| Duration::from_millis(u64::from(*ms)));
+        let time = median.map_or(elapsed * 2, |(value, _)| time_of(*value));
         time.saturating_sub(elapsed)
     }
 }
@@ -288,19 +302,12 @@
 
     /// Returns the time that runs of a step have left.
     pub fn remaining(&self, step: &Step) -> Remaining {
-        let mut total = 0;
         let times = self.find(step, MIN_ENDS);
-        let scaled = times.map(|times| times.scaled(step.estimate_ms));
-        let cumulative = scaled.into_iter().flat_map(|(counts, factor)| {
-            let counts = counts.iter();
-            counts.map(move |(value, n)| ((f64::from(value) * factor) as u32, n))
-        });
-        let cumulative = cumulative.map(|(ms, n)| {
-            total += u32::from(n);
-            (ms, total)
-        });
+        // Ratios are of no use without an estimate.
+        let times = times.filter(|times| !times.by_ratio || step.estimate_ms > 0);
         Remaining {
-            cumulative: cumulative.collect(),
+            cumulative: times.map_or_else(Arc::default, |times| times.cumulative.clone()),
+            factor: times.map_or(1.0, |times| times.scaled(step.estimate_ms).1),
             estimate: Duration::from_millis(u64::from(step.estimate_ms)),
         }
     }
