--- a/crates/core/src/sched/run_times.rs
+++ b/crates/core/src/sched/run_times.rs
@@ -19,6 +19,7 @@
     serde::{Deserialize, Serialize},
     std::{
         hash::{DefaultHasher, Hash, Hasher},
+        sync::Arc,
         time::Duration,
     },
 };
@@ -33,6 +34,9 @@
 /// The number of ends at which all counts are halved, so that a distribution follows changes.
 const MAX_ENDS: u64 = 600;
 
+/// The number of ends after which the median is computed anew.
+const UPDATE_ENDS: u64 = 8;
+
 /// The maximum number of distributions; of more, the one that was used least recently is dropped.
 /// Each takes about 1 KB.
 const MAX_SHAPES: usize = 256;
@@ -120,6 +124,13 @@
     times: Counts,
     /// The ratios of the run times to the callers' estimates.
     ratios: Counts,
+    /// Whether the ratios are the better distribution; updated every few ends.
+    by_ratio: bool,
+    /// The median of the better distribution; updated with `by_ratio`.
+    median: u64,
+    /// The values of the better distribution, each with the number of those that are no greater;
+    /// updated with `by_ratio`.
+    cumulative: Arc<[(u32, u32)]>,
     /// When the distribution was last used; see [`RunTimes::clock`].
     used: u64,
 }
@@ -129,15 +140,44 @@
         Some(Self {
             times: Counts::new()?,
             ratios: Counts::new()?,
+            by_ratio: false,
+            median: 0,
+            cumulative: Arc::default(),
             used: 0,
         })
     }
 
+    /// Updates which distribution is better, and its median.
+    fn update(&mut self) {
+        self.by_ratio =
+            self.ratios.0.len() >= MIN_ENDS && self.ratios.spread() < self.times.spread();
+        let better = if self.by_ratio {
+            &self.ratios
+        } else {
+            &self.times
+        };
+        self.median = better.0.value_at_quantile(0.5);
+        let mut total = 0;
+        let cumulative = better.iter().map(|(value, n)| {
+            total += u32::from(n);
+            (value, total)
+        });
+        self.cumulative = cumulative.collect();
+    }
+
+    /// Returns the median run time of tasks with an estimate.
+    fn median(&self, estimate_ms: u32) -> Duration {
+        if self.by_ratio && estimate_ms == 0 {
+            return self.quantile(0.5, 0);
+        }
+        let (_, factor) = self.scaled(estimate_ms);
+        Duration::from_millis((self.median as f64 * factor) as u64)
+    }
+
     /// Returns the better distribution, and the factor that makes milliseconds of its values for
     /// tasks with an estimate.
     fn scaled(&self, estimate_ms: u32) -> (&Counts, f64) {
-        let has_ratios = estimate_ms > 0 && self.ratios.0.len() >= MIN_ENDS;
-        if has_ratios && self.ratios.spread() < self.times.spread() {
+        if self.by_ratio && estimate_ms > 0 {
             (&self.ratios, f64::from(estimate_ms) / 1_000.0)
         } else {
             (&self.times, 1.0)
@@ -154,9 +194,10 @@
 /// The time that runs of a step have left, by the time that has passed.
 #[derive(Clone, Debug)]
 pub struct Remaining {
-    /// Run times in milliseconds, each with the number of tasks that took no longer; empty if too few
-    /// have ended.
-    cumulative: Vec<(u32, u32)>,
+    /// Run times, each with the number of tasks that took no longer; empty if too few have ended.
+    cumulative: Arc<[(u32, u32)]>,
+    /// The factor that makes milliseconds of them.
+    factor: f64,
     /// The caller's estimate.
     estimate: Duration,
 }
@@ -168,14 +209,16 @@
         let Some((_, total)) = self.cumulative.last() else {
             return self.estimate.saturating_sub(elapsed);
         };
+        let time_of =
+            |value: u32| Duration::from_secs_f64(f64::from(value) * self.factor / 1_000.0);
         let ended = self
             .cumulative
-            .partition_point(|(ms, _)| Duration::from_millis(u64::from(*ms)) <= elapsed);
+            .partition_point(|(value, _)| time_of(*value) <= elapsed);
         let before = ended.checked_sub(1).map_or(0, |i| self.cumulative[i].1);
         let middle = before + (total - before).div_ceil(2);
         let median = self.cumulative[ended..].iter().find(|(_, n)| *n >= middle);
         // A run that is longer than all others may be half done.
-        let time = median.map_or(elapsed * 2, |(ms, _)| Duration::from_millis(u64::from(*ms)));
+        let time = median.map_or(elapsed * 2, |(value, _)| time_of(*value));
         time.saturating_sub(elapsed)
     }
 }
@@ -200,6 +243,10 @@
                 if let Some(ratio) = ratio {
                     times.ratios.record(ratio, 1);
                 }
+                let ends = times.times.0.len();
+                if ends <= MIN_ENDS || ends.is_multiple_of(UPDATE_ENDS) {
+                    times.update();
+                }
             }
         }
     }
@@ -249,24 +296,18 @@
     /// have ended.
     pub fn usual(&self, step: &Step) -> Duration {
         let estimate = Duration::from_millis(u64::from(step.estimate_ms));
-        self.quantile(step, 0.5).unwrap_or(estimate)
+        let times = self.find(step, MIN_ENDS);
+        times.map_or(estimate, |times| times.median(step.estimate_ms))
     }
 
     /// Returns the time that runs of a step have left.
     pub fn remaining(&self, step: &Step) -> Remaining {
-        let mut total = 0;
         let times = self.find(step, MIN_ENDS);
-        let scaled = times.map(|times| times.scaled(step.estimate_ms));
-        let cumulative = scaled.into_iter().flat_map(|(counts, factor)| {
-            let counts = counts.iter();
-            counts.map(move |(value, n)| ((f64::from(value) * factor) as u32, n))
-        });
-        let cumulative = cumulative.map(|(ms, n)| {
-            total += u32::from(n);
-            (ms, total)
-        });
+        // Ratios are of no use without an estimate.
+        let times = times.filter(|times| !times.by_ratio || step.estimate_ms > 0);
         Remaining {
-            cumulative: cumulative.collect(),
+            cumulative: times.map_or_else(Arc::default, |times| times.cumulative.clone()),
+            factor: times.map_or(1.0, |times| times.scaled(step.estimate_ms).1),
             estimate: Duration::from_millis(u64::from(step.estimate_ms)),
         }
     }
@@ -311,6 +352,7 @@
             for (ratio, count) in &record.ratios {
                 times.ratios.record(u64::from(*ratio), *count);
             }
+            times.update();
         }
     }
 }
