Revert the early answer to writes without a reply

An intake answered 504 after 1 s without a reply of the store, so that the caller tries another instance.

--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -207,20 +207,9 @@
     /// Returns an error if there was no usable reply. After [`StoreError::NotApplied`] the
     /// transaction did not take effect; after another error it may have.
     pub async fn tx(&self, tx: &Tx) -> Result<TxOutcome> {
-        self.tx_within(tx, WRITE_TIMEOUT).await
-    }
-
-    /// Sends a transaction once, and waits for the reply for at most `limit`, or for the time limit of
-    /// a write if that is shorter.
-    ///
-    /// # Errors
-    ///
-    /// Returns the same errors as [`Store::tx`].
-    pub async fn tx_within(&self, tx: &Tx, limit: Duration) -> Result<TxOutcome> {
         self.counters.writes.fetch_add(1, Ordering::Relaxed);
         let start = self.clock.now();
-        let limit = limit.min(WRITE_TIMEOUT);
-        let reply = self.call((self.wire.tx)(tx), TimeLimits::total(limit));
+        let reply = self.call((self.wire.tx)(tx), TimeLimits::total(WRITE_TIMEOUT));
         let reply = reply.await?;
         self.record_write_time(start);
         Ok((self.wire.outcome)(reply.status, &reply.body)?)
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -69,13 +69,6 @@
 /// is refused.
 const MAX_WRITE_RETRY_TIME: Duration = Duration::from_millis(900);
 
-/// The minimum time limit of a write for a caller. A store at a hundredth of its normal speed takes
-/// 0.8 s for a job.
-const MIN_WRITE_LIMIT: Duration = Duration::from_millis(1_000);
-
-/// The time limit of a write for a caller, as a multiple of the average write time.
-const WRITE_LIMIT_FACTOR: u32 = 4;
-
 /// How long this instance waits for the leader of a shard to return a job's state.
 const STATE_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -421,7 +414,7 @@
                 ],
                 deletes: Vec::new(),
             };
-            let rows = match self.write(&tx, respond_by, true).await? {
+            let rows = match self.write(&tx, respond_by).await? {
                 TxOutcome::Applied(_) => return Ok(shard.to_owned()),
                 TxOutcome::Conflict(rows) => rows,
             };
@@ -447,31 +440,18 @@
     /// Writes a transaction, with retries until the outcome is known or the time is up: at
     /// `respond_by`, after [`MAX_WRITE_RETRY_TIME`] if it certainly had no effect, or as soon as this
     /// instance is cut off, as the caller can retry at another one.
-    ///
-    /// With `give_up_if_silent` the first call without a reply is the last one: of several instances that
-    /// can reach the store or not, the caller's next one may.
-    async fn write(
-        &self,
-        tx: &Tx,
-        respond_by: Instant,
-        give_up_if_silent: bool,
-    ) -> Result<TxOutcome, CallError> {
+    async fn write(&self, tx: &Tx, respond_by: Instant) -> Result<TxOutcome, CallError> {
         let retry_until = Instant::now() + MAX_WRITE_RETRY_TIME;
         let mut backoff = Backoff::new();
         let mut may_be_applied = false;
         loop {
-            let sent_at = Instant::now();
-            let limit = self
-                .write_limit()
-                .min(respond_by.saturating_duration_since(sent_at));
-            let e = match self.store.tx_within(tx, limit).await {
+            let e = match self.store.tx(tx).await {
                 Ok(outcome) => return Ok(outcome),
                 Err(e) => e,
             };
             may_be_applied |= e != StoreError::NotApplied;
             let wait = backoff.next(&mut rand::rng());
-            let is_silent = sent_at.elapsed() >= limit;
-            let give_up_at = if self.view.load().cut_off || (is_silent && give_up_if_silent) {
+            let give_up_at = if self.view.load().cut_off {
                 Instant::now()
             } else if may_be_applied {
                 respond_by
@@ -489,12 +469,6 @@
         }
     }
 
-    /// Returns how long a write for a caller waits for its reply.
-    fn write_limit(&self) -> Duration {
-        let usual = self.store.write_time().unwrap_or_default();
-        MIN_WRITE_LIMIT.max(usual * WRITE_LIMIT_FACTOR)
-    }
-
     async fn state(&self, id: JobId, respond_by: Instant) -> HttpResponse {
         match self.find_state(id, respond_by).await {
             Ok(Some(state)) => respond(StatusCode::OK, wire::write_state(state)),
@@ -641,7 +615,7 @@
             puts: vec![(keys::cancel(&shard, id), Vec::new())],
             ..Tx::default()
         };
-        match self.write(&tx, respond_by, false).await {
+        match self.write(&tx, respond_by).await {
             Ok(_) => respond(StatusCode::OK, Bytes::new()),
             Err(CallError::NotApplied) => unavailable("the store did not accept the cancellation"),
             Err(CallError::Unknown) => {
