--- a/crates/core/src/sched/deputy.rs
+++ b/crates/core/src/sched/deputy.rs
@@ -131,7 +131,7 @@
         self.active_since = None;
     }
 
-    /// Returns the calls that are due, at most [`MAX_CALLS`].
+    /// Returns the calls that are due, a bounded number at a time.
     ///
     /// `leader_heard_at` is when the leader was last heard, and `newest_token` the highest fencing
     /// token that the lease row is known to have; `lease` is the length of a lease.
--- a/crates/core/src/sched/stuck.rs
+++ b/crates/core/src/sched/stuck.rs
@@ -68,8 +68,8 @@
         (!self.has_fallen).then_some((first, last, elapsed))
     }
 
-    /// Returns the time that a percent has probably taken on average; `None` if the run has shown less
-    /// than [`MIN_CHANGE`] percent.
+    /// Returns the time that a percent has probably taken on average; `None` if its percent has
+    /// changed too little.
     pub fn mean_percent_time(&self) -> Option<Duration> {
         let (first, last, elapsed) = self.change()?;
         (last - first >= MIN_CHANGE).then(|| elapsed.div_f64(last - first))
