--- a/crates/entry/src/settings/scheduling.rs
+++ b/crates/entry/src/settings/scheduling.rs
@@ -40,6 +40,7 @@
             "evacuation_max_age_ms",
             "admission",
             "displace_long_running",
+            "cost_of_delay",
             "delegated_renewal",
         ],
     ),
@@ -171,6 +172,7 @@
                 features: Features {
                     admission: flag("admission")?,
                     displace_long_running: flag("displace_long_running")?,
+                    cost_of_delay: flag("cost_of_delay")?,
                     delegated_renewal: flag("delegated_renewal")?,
                 },
             },
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -32,7 +32,7 @@
             drain: self.settings.drain,
             max_listed_ends: worker_wire::MAX_LISTED_ENDS,
             displace_long_running: self.settings.features.displace_long_running,
-            cost_of_delay: self.settings.features.displace_long_running,
+            cost_of_delay: self.settings.features.cost_of_delay,
             ..Params::default()
         };
         match self.delegation.max_lease {
--- a/crates/scheduler/src/settings.rs
+++ b/crates/scheduler/src/settings.rs
@@ -43,6 +43,8 @@
     pub admission: bool,
     /// Whether waiting short work may displace long-running tasks that hold more than their share.
     pub displace_long_running: bool,
+    /// Whether waiting jobs are served by their cost of delay.
+    pub cost_of_delay: bool,
     /// Whether an instance of a failure domain may renew the leases there while the leader is not
     /// heard.
     pub delegated_renewal: bool,
