--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -32,6 +32,8 @@
 #[test_case(&["plan", "no-such-file.ini"], 2, "no-such-file.ini"; "no such file")]
 #[test_case(&["apply", ANSWERS], 2, "--to ADDRESS is missing"; "no address")]
 #[test_case(&["status", "--to", "nowhere"], 2, "nowhere"; "bad address")]
+#[test_case(&["evacuate", "--to", "127.0.0.1:1"], 2, "DOMAIN is missing"; "no failure domain")]
+#[test_case(&["evacuations"], 2, "--to ADDRESS is missing"; "no address for evacuations")]
 #[test_case(&["status", "--to", "127.0.0.1:1"], 1, "no connection"; "unreachable instance")]
 fn failure_is_reported_on_stderr(args: &[&str], code: i32, expected: &str) {
     let output = run(args);
