Keep two untraced seeds in the model's scan

281 and 488 had been taken out of the scan, though no trace shows that the case is allowed. They are back; KNOWN-RED.txt names the test.

--- a/crates/core/tests/shard_model/main.rs
+++ b/crates/core/tests/shard_model/main.rs
@@ -62,7 +62,7 @@
 
 /// How long the rows are read, in milliseconds, and a seed that fails with it, as listed in
 /// KNOWN-RED.txt.
-const FAILING_SLOW_SEEDS: [(Scenario, u64, u64); 17] = [
+const FAILING_SLOW_SEEDS: [(Scenario, u64, u64); 15] = [
     (Scenario::Crashes, 4_000, 137),
     (Scenario::Crashes, 4_000, 148),
     (Scenario::Crashes, 4_000, 221),
@@ -78,8 +78,6 @@
     (Scenario::LongRunningJobs, 4_000, 360),
     (Scenario::LongRunningJobs, 4_000, 394),
     (Scenario::LongRunningJobs, 4_000, 520),
-    (Scenario::LongRunningJobs, 4_000, 281),
-    (Scenario::LongRunningJobs, 4_000, 488),
 ];
 
 #[test_case(Scenario::Crashes, 700; "at a fast link while workers crash")]
