Log and count what a restart and an expiry of leases rest on

Change: a restart is logged with the clocks of both processes and the lease end in the request that the first report answers; an expiry with the bounds that it rests on. mgb_losses counts restarts, and those whose request renewed leases by the clock of the former process.

--- a/crates/core/src/sched/shard/leases.rs
+++ b/crates/core/src/sched/shard/leases.rs
@@ -49,6 +49,7 @@
                 continue;
             }
             if !worker.runs.is_empty() {
+                worker.log_expiry(id, now);
                 let names: Vec<_> = worker.runs.keys().copied().collect();
                 lost.push((id.clone(), names));
             }
@@ -155,6 +156,18 @@
 }
 
 impl Worker {
+    /// Logs by what the worker's leases count as expired.
+    fn log_expiry(&self, id: &str, now: Instant) {
+        let age_ms = |at: Option<Instant>| at.map(|at| now.duration_since(at).as_millis());
+        let (clock_ms, until_ms) = self.clock.lease_bounds(now).unzip();
+        log::info!(
+            "jobs: worker={id} leases have expired: clock_ms={clock_ms:?} until_ms={until_ms:?} answered_ms={:?} started_ms={} restarts={}.",
+            age_ms(self.answered_at),
+            self.info.started_ms,
+            self.incarnations,
+        );
+    }
+
     /// Returns whether the runs on the worker have reserved more than its capacity.
     fn is_overcommitted(&self) -> bool {
         !self.free.covers(&Resources::default())
--- a/crates/core/src/sched/shard/losses.rs
+++ b/crates/core/src/sched/shard/losses.rs
@@ -143,6 +143,11 @@
     pub crashes: u64,
     /// Tasks that were given up because they crash workers.
     pub given_up: u64,
+    /// Restarts of workers under their ids.
+    pub restarts: u64,
+    /// Those among them in which the first report answers a request that renewed leases, by the clock of
+    /// the former process.
+    pub renewed_restarts: u64,
 }
 
 /// A process of a worker, as it was listed or reported.
--- a/crates/core/src/sched/shard/reports.rs
+++ b/crates/core/src/sched/shard/reports.rs
@@ -88,10 +88,18 @@
         sent_at: Instant,
         now: Instant,
     ) {
-        log::warn!("jobs: worker={worker_id} restarted, its earlier runs are lost.");
         let Some(worker) = self.workers.get_mut(worker_id) else {
             return;
         };
+        let former_clock_ms = worker.clock.lease_bounds(now).map(|(clock_ms, _)| clock_ms);
+        log::warn!(
+            "jobs: worker={worker_id} restarted, its earlier runs are lost: started_ms={} clock_ms={} former_clock_ms={former_clock_ms:?} requested_until_ms={:?}.",
+            report.started_ms,
+            report.clock_ms,
+            worker.requested_until_ms,
+        );
+        self.processes.counts.restarts += 1;
+        self.processes.counts.renewed_restarts += u64::from(worker.requested_until_ms.is_some());
         worker.incarnations += 1;
         worker.clock = LeaseClock::default();
         if worker.was_lent
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -296,6 +296,9 @@
     pub incarnations: u64,
     /// The worker's clock as estimated from its reports, and the end of its leases.
     pub clock: LeaseClock,
+    /// The lease end in the last report request, in milliseconds of the clock that was known then; `None`
+    /// if it had none.
+    pub requested_until_ms: Option<u64>,
     /// Whether a loan of this leader has ever named the worker.
     pub was_lent: bool,
     /// When this leader observed a restart of the worker since which its new fencing token may not have
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -149,6 +149,7 @@
         } else {
             worker.clock.grant(lease, now)
         };
+        worker.requested_until_ms = until_ms;
         Some((worker.last_acked_end, until_ms))
     }
 
@@ -294,6 +295,7 @@
             draining_since: draining.then_some(now),
             incarnations: 0,
             clock: LeaseClock::default(),
+            requested_until_ms: None,
             was_lent: false,
             restarted_at: None,
             leases_expired_at: None,
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -211,18 +211,23 @@
         self.record_grant(clock_ms + ms(max_lease));
     }
 
+    /// Returns the earliest present reading of the worker's clock, and the reading until which leases may
+    /// last, both in milliseconds; `None` if the worker has not reported its clock.
+    pub fn lease_bounds(&self, now: Instant) -> Option<(u64, u64)> {
+        let (clock_ms, received_at) = self.sample?;
+        let min_elapsed_ms =
+            ms(now.duration_since(received_at)) * (1_000 - CLOCK_DRIFT_PER_MILLE) / 1_000;
+        let until_ms = self.granted_until_ms.max(self.lent_until_ms) + self.unfenced_ms;
+        Some((clock_ms + min_elapsed_ms, until_ms))
+    }
+
     /// Returns whether every granted lease has certainly ended, even if the worker's clock runs
     /// slow.
     ///
     /// Returns `false` if the worker has not reported its clock.
     pub fn has_expired(&self, now: Instant) -> bool {
-        let Some((clock_ms, received_at)) = self.sample else {
-            return false;
-        };
-        let min_elapsed_ms =
-            ms(now.duration_since(received_at)) * (1_000 - CLOCK_DRIFT_PER_MILLE) / 1_000;
-        let until_ms = self.granted_until_ms.max(self.lent_until_ms) + self.unfenced_ms;
-        clock_ms + min_elapsed_ms > until_ms + EXPIRY_MARGIN_MS
+        let bounds = self.lease_bounds(now);
+        bounds.is_some_and(|(clock_ms, until_ms)| clock_ms > until_ms + EXPIRY_MARGIN_MS)
     }
 }
 
