Test leases that calls for a worker's former process set

Cause: a lease end on the clock of a worker's former process may lie far ahead on that of the present one, which then holds a lease of the maximum length, 6 s.

--- /dev/null
+++ b/crates/core/tests/former_process.rs
@@ -0,0 +1,301 @@
+//! Tests of calls that were meant for a worker's former process and are carried out by the present one.
+//!
+//! The present process has another clock. A lease end on the former one's may lie far ahead on it, and then
+//! sets a lease of the maximum length, which the leader has not granted.
+
+use {
+    marigoldbend_core::sched::{
+        job::{JobId, JobSpec, Resources, Step, TaskName},
+        progress::Progress,
+        shard::{Command, JobOrigin, Params, RestoringShard, Shard},
+        worker::{Availability, CommandReply, Report, RunningRow, WorkerInfo},
+    },
+    std::time::{Duration, Instant},
+    test_case::test_case,
+};
+
+const TOKEN: u64 = 3;
+
+/// The maximum length of a lease, which the worker enforces, in milliseconds.
+const MAX_LEASE_MS: u64 = 6_000;
+
+const STEP_MS: u64 = 10;
+
+/// The interval of report requests, in milliseconds.
+const REPORT_MS: u64 = 200;
+
+const TASK: TaskName = TaskName {
+    job: JobId(7),
+    occurrence: 0,
+    step: 0,
+    index: 0,
+};
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn info(id: &str) -> WorkerInfo {
+    WorkerInfo {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        address: format!("127.0.0.1:{}", id.len()),
+        domain: "z".to_owned(),
+        availability: Availability::Ready,
+        capacity: Resources {
+            cpu: 4_000,
+            mem_mb: 10_000,
+            gpu: 0,
+        },
+        labels: Vec::new(),
+        started_ms: 0,
+        remaining_ms: None,
+    }
+}
+
+fn spec() -> JobSpec {
+    let step = Step {
+        count: 1,
+        request: Resources {
+            cpu: 1_000,
+            mem_mb: 100,
+            gpu: 0,
+        },
+        estimate_ms: 60_000,
+        ..Step::default()
+    };
+    JobSpec {
+        queue: "q".to_owned(),
+        service: "s".to_owned(),
+        max_attempts: 2,
+        spec: "text".to_owned(),
+        steps: vec![step],
+        token: TOKEN,
+        ..JobSpec::default()
+    }
+}
+
+/// One process of a worker, whose clock runs 2% slow.
+struct Process {
+    started_ms: u64,
+    /// The reading of its clock at its start, in milliseconds.
+    first_clock_ms: u64,
+    token: u64,
+    /// The end of its leases, in milliseconds of its clock.
+    until_ms: u64,
+    /// The attempt that it runs.
+    attempt: Option<u32>,
+}
+
+impl Process {
+    fn new(started_ms: u64, first_clock_ms: u64) -> Self {
+        Self {
+            started_ms,
+            first_clock_ms,
+            token: 0,
+            until_ms: 0,
+            attempt: None,
+        }
+    }
+
+    fn clock_ms(&self, now_ms: u64) -> u64 {
+        self.first_clock_ms + (now_ms - self.started_ms) * 98 / 100
+    }
+
+    /// Carries out a call with a token and a lease end; returns whether the token is accepted.
+    fn call(&mut self, token: u64, until_ms: Option<u64>, now_ms: u64) -> bool {
+        if token < self.token {
+            return false;
+        }
+        self.token = token;
+        let longest = self.clock_ms(now_ms) + MAX_LEASE_MS;
+        let until_ms = until_ms.unwrap_or(0).min(longest);
+        self.until_ms = self.until_ms.max(until_ms);
+        true
+    }
+
+    fn report(&self, now_ms: u64) -> Report {
+        let running = self.attempt.map(|attempt| RunningRow {
+            task: TASK,
+            attempt,
+            checkpoint: String::new(),
+            percent: (now_ms % 100) as f64,
+            usage: None,
+        });
+        Report {
+            started_ms: self.started_ms,
+            clock_ms: self.clock_ms(now_ms),
+            running: running.into_iter().collect(),
+            finished: Vec::new(),
+        }
+    }
+}
+
+/// A leader, the worker `a` that restarts, and the worker `bb`, which is listed once `a` is cut off.
+struct World {
+    base: Instant,
+    now_ms: u64,
+    shard: Shard,
+    a: Process,
+    bb: Process,
+    is_cut_off: bool,
+    /// When the task has started on `bb`, in milliseconds.
+    started_elsewhere_ms: Option<u64>,
+}
+
+impl World {
+    /// Creates a leader that has added no job.
+    fn new(params: Params, token: u64) -> Self {
+        let base = Instant::now();
+        let mut shard = Shard::new(params, token, base);
+        for id in ["a", "bb"] {
+            shard.add_worker_in_use(id, &info(id).address, base);
+        }
+        shard.worker_listed(&info("a"), base);
+        Self {
+            base,
+            now_ms: 0,
+            shard,
+            a: Process::new(0, 5_000_000),
+            bb: Process::new(0, 1_000),
+            is_cut_off: false,
+            started_elsewhere_ms: None,
+        }
+    }
+
+    fn now(&self) -> Instant {
+        self.base + ms(self.now_ms)
+    }
+
+    /// Requests a report of a worker, which carries the request out at once unless it is cut off.
+    fn request_report(&mut self, id: &str) {
+        let (now, now_ms) = (self.now(), self.now_ms);
+        let Some((_, until_ms)) = self.shard.prepare_report_request(id, now) else {
+            return;
+        };
+        let token = self.shard.worker_token(id);
+        let process = if id == "a" { &mut self.a } else { &mut self.bb };
+        if (id == "a" && self.is_cut_off) || !process.call(token, until_ms, now_ms) {
+            return;
+        }
+        let report = process.report(now_ms);
+        self.shard.on_report(id, &report, now, now, now_ms);
+    }
+
+    /// Lets time pass.
+    fn run_until(&mut self, until_ms: u64) {
+        while self.now_ms < until_ms {
+            self.now_ms += STEP_MS;
+            let now = self.now();
+            self.shard.confirm(now);
+            if self.now_ms.is_multiple_of(REPORT_MS) {
+                self.request_report("a");
+                self.request_report("bb");
+            }
+            for command in self.shard.poll(now, self.now_ms) {
+                if let Command::Start {
+                    worker,
+                    attempt,
+                    until_ms,
+                    token,
+                    ..
+                } = command
+                {
+                    self.start(&worker, attempt, until_ms, token);
+                }
+            }
+            while let Some(batch) = self.shard.take_batch(50, now) {
+                self.shard.on_batch_result(&batch, true, now);
+            }
+        }
+    }
+
+    fn start(&mut self, worker: &str, attempt: u32, until_ms: u64, token: u64) {
+        if worker == "a" {
+            assert!(!self.is_cut_off);
+            assert!(self.a.call(token, Some(until_ms), self.now_ms));
+            self.a.attempt = Some(attempt);
+        } else {
+            self.started_elsewhere_ms.get_or_insert(self.now_ms);
+        }
+        let now = self.now();
+        self.shard
+            .on_start_reply(worker, TASK, attempt, CommandReply::Ok, now);
+    }
+
+    /// Cuts `a` off and lists `bb`; checks that the task starts there only after the leases of `a`.
+    fn cut_off(&mut self) {
+        assert!(self.a.attempt.is_some(), "the task runs on a");
+        self.is_cut_off = true;
+        let now = self.now();
+        self.shard.worker_listed(&info("bb"), now);
+        self.run_until(self.now_ms + 20_000);
+        let started_ms = self.started_elsewhere_ms.expect("the task starts again");
+        let clock_ms = self.a.clock_ms(started_ms);
+        assert!(
+            clock_ms > self.a.until_ms,
+            "the task starts on another worker {} ms before its lease ends",
+            self.a.until_ms - clock_ms
+        );
+        assert!(
+            clock_ms < self.a.until_ms + 4_000,
+            "the task starts on another worker {} ms after its lease has ended",
+            clock_ms - self.a.until_ms
+        );
+    }
+}
+
+/// Guards against a second run beside one whose lease was set by a call for the worker's former process.
+#[test_case(&[0]; "by the request that the first report answers")]
+#[test_case(&[0, 250]; "by a call that is carried out after the first report")]
+fn a_lease_that_a_call_for_the_former_process_set_is_waited_for(delays_ms: &[u64]) {
+    let mut world = World::new(Params::default(), TOKEN);
+    world.run_until(1_000);
+    let until_ms = world.shard.prepare_report_request("a", world.now());
+    let (_, until_ms) = until_ms.expect("the worker is known");
+    let token = world.shard.worker_token("a");
+    let spec = spec();
+    let now = world.now();
+    world.a = Process::new(1_000, 1_000);
+    for delay_ms in delays_ms {
+        world.run_until(1_000 + delay_ms);
+        world.a.call(token, until_ms, world.now_ms);
+    }
+    world.shard.add_job(TASK.job, spec, JobOrigin::New, now);
+    world.run_until(1_500);
+    world.cut_off();
+}
+
+/// Guards against the same beside a new leader, which knows neither the call nor of the restart.
+#[test_case(false; "that has read the rows")]
+#[test_case(true; "that reads the rows")]
+fn a_new_leader_waits_for_a_lease_that_a_call_for_the_former_process_set(is_reading: bool) {
+    let mut world = World::new(Params::default(), TOKEN);
+    world.shard.add_job(
+        TASK.job,
+        spec(),
+        JobOrigin::Stored(Progress::default()),
+        world.base,
+    );
+    world.shard.worker_listed(&info("a"), world.base);
+    // The worker can't be reached at first. The earlier leader's call is carried out at 3 s.
+    let former_token = (TOKEN - 1) * 64;
+    world.a = Process::new(2_000, 1_000);
+    world.a.attempt = Some(200);
+    world.a.call(former_token, Some(5_000_000), 3_000);
+    world.now_ms = 3_000;
+    if is_reading {
+        let lease = Params::default().lease;
+        let mut restoring = RestoringShard::new(TOKEN, lease, world.base, world.base);
+        restoring.add_worker("a", &info("a").address);
+        let request = restoring.prepare_report_request("a", world.now());
+        let (token, until_ms) = request.expect("the worker is known");
+        assert!(world.a.call(token, until_ms, 3_000));
+        let report = world.a.report(3_000);
+        restoring.on_report("a", report, world.now(), world.now());
+        world.shard.restore_workers(restoring, world.now(), 3_000);
+    } else {
+        world.request_report("a");
+    }
+    world.cut_off();
+}
