Count leases that calls for a worker's former process may have set

Callers saw a task run twice at the same time (TWICE): its worker had restarted, was cut off 2 s later and ran on, and the task was started elsewhere up to 1 s before the lease of its first run had ended. Cause: lease ends are times on the clock of a worker's process. A call that was meant for the former process has an end that may lie far ahead on the clock of the present one, which then holds a lease of the maximum length, 6 s. The leader forgot its grants at the restart and counted 4 s from the next ones. The rule that allows for such calls was in force only for workers whose leases had been lent. Change: LeaseClock applies the rule to each restart and to the first report to each leader, also while that reads the rows, where a restart was forgotten when the rows were read. Params has the maximum length of leases always; lending is a flag of its own.

--- a/crates/core/src/sched/shard/lending.rs
+++ b/crates/core/src/sched/shard/lending.rs
@@ -1,9 +1,9 @@
 //! Loans of the right to renew leases; see [`loans`](crate::sched::loans).
 
 use {
-    super::state::Shard,
+    super::state::{Shard, Worker},
     crate::sched::loans::{LentWorker, Loan, LoanRequest, MAX_LOAN},
-    std::time::Instant,
+    std::time::{Duration, Instant},
 };
 
 impl Shard {
@@ -24,40 +24,42 @@
             }
         }
         let mut changed = self.loans.prune(request, now);
-        let length = self.params.loaned_max_lease.map(|max| max.min(MAX_LOAN));
-        let loan = length
-            .filter(|_| may_lend && !self.resigning)
-            .and_then(|length| {
-                let mut lent = Vec::new();
-                for (id, worker) in &self.workers {
-                    let is_lendable = worker.info.domain == request.domain
-                        && worker.is_responsive(now)
-                        && worker.connection_lost_at.is_none();
-                    let cap_ms = worker.clock.end_of(length, now).filter(|_| is_lendable);
-                    if let Some(cap_ms) = cap_ms {
-                        lent.push(LentWorker {
-                            worker: id.clone(),
-                            address: worker.info.address.clone(),
-                            token: self.worker_token(id),
-                            started_ms: worker.info.started_ms,
-                            cap_ms,
-                        });
-                    }
-                }
-                self.loans.issue(request, lent, now)
-            });
+        let length = self.params.max_lease.min(MAX_LOAN);
+        let may_lend = may_lend && self.params.lends_leases && !self.resigning;
+        let loan = may_lend.then(|| self.lent_workers(&request.domain, length, now));
+        let loan = loan.and_then(|lent| self.loans.issue(request, lent, now));
         let lent = loan.iter().flat_map(|loan| &loan.workers);
         changed.extend(lent.map(|w| w.worker.clone()));
         for id in changed {
             if let Some(worker) = self.workers.get_mut(&id) {
                 let cap_ms = self.loans.cap_ms(&id, worker.info.started_ms);
                 worker.clock.set_lent_until(cap_ms);
-                worker.was_lent = true;
             }
         }
         loan
     }
 
+    /// Returns the workers of a failure domain that may be lent, each with a cap `length` ahead.
+    fn lent_workers(&self, domain: &str, length: Duration, now: Instant) -> Vec<LentWorker> {
+        let is_lendable = |worker: &Worker| {
+            worker.info.domain == domain
+                && worker.is_responsive(now)
+                && worker.connection_lost_at.is_none()
+        };
+        let workers = self.workers.iter();
+        let lendable = workers.filter(|(_, worker)| is_lendable(worker));
+        let lent = lendable.filter_map(|(id, worker)| {
+            Some(LentWorker {
+                worker: id.clone(),
+                address: worker.info.address.clone(),
+                token: self.worker_token(id),
+                started_ms: worker.info.started_ms,
+                cap_ms: worker.clock.end_of(length, now)?,
+            })
+        });
+        lent.collect()
+    }
+
     /// Returns how many loans may be in use.
     pub fn loans_in_use(&self) -> usize {
         self.loans.len()
--- a/crates/core/src/sched/shard/reports.rs
+++ b/crates/core/src/sched/shard/reports.rs
@@ -1,7 +1,7 @@
 //! The reports of workers: runs that are confirmed, found or lost.
 
 use {
-    super::state::{Command, Run, RunPhase, Shard, Worker},
+    super::state::{Command, Run, RunPhase, Shard},
     crate::{
         hash::HashSet,
         sched::{
@@ -9,7 +9,7 @@
             worker::{LeaseClock, Report, RunningRow},
         },
     },
-    std::time::{Duration, Instant},
+    std::time::Instant,
 };
 
 impl Shard {
@@ -39,10 +39,9 @@
         let Some(worker) = self.workers.get_mut(worker_id) else {
             return;
         };
-        worker.clock.sample(report.clock_ms, now);
-        if let Some(max_lease) = self.params.loaned_max_lease {
-            worker.bound_foreign_leases(report.clock_ms, is_first_report, sent_at, max_lease);
-        }
+        worker
+            .clock
+            .on_report(report.clock_ms, sent_at, now, self.params.max_lease);
         if !is_first_report && !worker.is_responsive(now) {
             // What showed no progress meanwhile had no report to show it in.
             let runs = worker.runs.values_mut();
@@ -101,13 +100,7 @@
         self.processes.counts.restarts += 1;
         self.processes.counts.renewed_restarts += u64::from(worker.requested_until_ms.is_some());
         worker.incarnations += 1;
-        worker.clock = LeaseClock::default();
-        if worker.was_lent
-            && let Some(max_lease) = self.params.loaned_max_lease
-        {
-            worker.clock.begin_unfenced(max_lease);
-            worker.restarted_at = Some(now);
-        }
+        worker.clock = LeaseClock::after_restart(self.params.max_lease, now);
         worker.last_reported_end = 0;
         worker.last_acked_end = 0;
         worker.omits_inherited_ends = false;
@@ -308,27 +301,3 @@
         }
     }
 }
-
-impl Worker {
-    /// Bounds the leases that calls of others than this leader may have set, from a report that was
-    /// requested at `sent_at`.
-    ///
-    /// After the first report to this leader the worker refuses calls with the tokens of earlier ones,
-    /// and after the first report that was requested with the token of its new incarnation, calls for
-    /// the former one. What was set before ends at most `max_lease` later.
-    fn bound_foreign_leases(
-        &mut self,
-        clock_ms: u64,
-        is_first_report: bool,
-        sent_at: Instant,
-        max_lease: Duration,
-    ) {
-        let is_fenced = self.restarted_at.is_some_and(|at| sent_at > at);
-        if is_fenced {
-            self.restarted_at = None;
-        }
-        if is_fenced || is_first_report {
-            self.clock.end_unfenced(clock_ms, max_lease);
-        }
-    }
-}
--- a/crates/core/src/sched/shard/restoring.rs
+++ b/crates/core/src/sched/shard/restoring.rs
@@ -6,7 +6,7 @@
 
 use {
     super::{
-        state::{Shard, TOKENS_PER_LEADER},
+        state::{Params, Shard, TOKENS_PER_LEADER},
         workers::UNRESPONSIVE_AFTER,
     },
     crate::{
@@ -24,6 +24,7 @@
 pub struct RestoringShard {
     token: u64,
     lease: Duration,
+    max_lease: Duration,
     leased_at: Instant,
     confirmed_at: Instant,
     workers: HashMap<String, RestoringWorker>,
@@ -48,23 +49,24 @@
 }
 
 impl RestoringShard {
-    /// Creates the state of a leader with `token` that grants leases of the length `lease`.
+    /// Creates the state of a leader with `token`.
     ///
     /// `sent_at` is when the call was sent that showed the lease row of this leader, `leased_at`
     /// when its reply arrived.
     ///
     /// Runs of earlier leaders that this one does not know end at the latest
-    /// [`Params::unknown_run_limit`](super::Params::unknown_run_limit) after `leased_at`. That is
+    /// [`Params::unknown_run_limit`] after `leased_at`. That is
     /// sound, since an earlier leader resigns within a fixed time after it has *sent* the last
     /// write that the store confirmed. The store applies no such write after the lease row has
     /// changed, so the last one was sent before the row changed, and thus before `leased_at`.
     /// Reading the rows stops nobody, so nothing is gained by waiting from its end on. The time at
     /// which the lease row's write was sent would be too early: it may have been applied at any
     /// time until its reply.
-    pub fn new(token: u64, lease: Duration, sent_at: Instant, leased_at: Instant) -> Self {
+    pub fn new(token: u64, params: &Params, sent_at: Instant, leased_at: Instant) -> Self {
         Self {
             token,
-            lease,
+            lease: params.lease,
+            max_lease: params.max_lease,
             leased_at,
             confirmed_at: sent_at,
             workers: HashMap::default(),
@@ -151,10 +153,12 @@
             if last.report.started_ms != report.started_ms {
                 // The clock of the new incarnation has nothing to do with that of the former one.
                 worker.incarnations += 1;
-                worker.clock = LeaseClock::default();
+                worker.clock = LeaseClock::after_restart(self.max_lease, now);
             }
         }
-        worker.clock.sample(report.clock_ms, now);
+        worker
+            .clock
+            .on_report(report.clock_ms, sent_at, now, self.max_lease);
         worker.last = Some(KeptReport {
             report,
             sent_at,
@@ -199,10 +203,6 @@
             self.on_report(&id, &last.report, last.sent_at, now, unix_ms);
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.clock = restored.clock;
-                if let Some(max_lease) = self.params.loaned_max_lease {
-                    // The worker refuses calls of earlier leaders since it has answered this one.
-                    worker.clock.end_unfenced(last.report.clock_ms, max_lease);
-                }
                 worker.answered_at = Some(last.arrived_at);
             }
         }
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -71,9 +71,10 @@
     pub displace_long_running: bool,
     /// Whether waiting jobs are served by their cost of delay.
     pub cost_of_delay: bool,
-    /// The maximum duration of a lease on a worker, if this leader lends the right to renew leases or
-    /// an earlier one may have; `None` if none does.
-    pub loaned_max_lease: Option<Duration>,
+    /// The maximum length of a lease, which workers enforce.
+    pub max_lease: Duration,
+    /// Whether this leader lends the right to renew leases, or an earlier one may have.
+    pub lends_leases: bool,
 }
 
 impl Default for Params {
@@ -86,7 +87,8 @@
             max_listed_ends: 500,
             displace_long_running: false,
             cost_of_delay: false,
-            loaned_max_lease: None,
+            max_lease: Duration::from_secs(6),
+            lends_leases: false,
         }
     }
 }
@@ -102,7 +104,8 @@
         let extra = max_lease.min(MAX_LOAN).saturating_sub(self.lease);
         Self {
             unknown_run_limit: self.unknown_run_limit + extra * 103 / 100 + LOAN_MARGIN,
-            loaned_max_lease: Some(max_lease),
+            max_lease: self.max_lease.max(max_lease),
+            lends_leases: true,
             ..self
         }
     }
@@ -299,11 +302,6 @@
     /// The lease end in the last report request, in milliseconds of the clock that was known then; `None`
     /// if it had none.
     pub requested_until_ms: Option<u64>,
-    /// Whether a loan of this leader has ever named the worker.
-    pub was_lent: bool,
-    /// When this leader observed a restart of the worker since which its new fencing token may not have
-    /// reached the worker; `None` if it has, or there was none.
-    pub restarted_at: Option<Instant>,
     /// When the leader first found the worker's leases expired; `None` while the worker responds.
     pub leases_expired_at: Option<Instant>,
     /// When the worker's last report arrived; `None` before the first.
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -296,8 +296,6 @@
             incarnations: 0,
             clock: LeaseClock::default(),
             requested_until_ms: None,
-            was_lent: false,
-            restarted_at: None,
             leases_expired_at: None,
             answered_at: None,
             connection_lost_at: None,
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -132,8 +132,12 @@
     Silent,
 }
 
-/// An estimate of a worker's clock from its reports, and the latest end of the leases granted to
-/// the worker.
+/// An estimate of the clock of a worker's process from its reports, and the latest end of the leases
+/// that the process may have.
+///
+/// The clock of each process of a worker begins anew. A call that was meant for the former process, or
+/// that an earlier leader sent, may set a lease of up to the maximum length. Once the process has
+/// received a higher fencing token, it refuses such calls.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LeaseClock {
     /// The last recorded clock reading, in milliseconds, and when it was received.
@@ -142,17 +146,54 @@
     granted_until_ms: u64,
     /// The latest end to which another instance may still renew a lease under a loan; zero if none may.
     lent_until_ms: u64,
-    /// By how much leases may end after `granted_until_ms`, in milliseconds, since calls for an earlier
-    /// incarnation of the worker may have reached this one; zero if they have not.
+    /// By how much leases may end after `granted_until_ms`, in milliseconds, since the process may still
+    /// carry out calls for the former one; zero if it refuses them.
     unfenced_ms: u64,
+    /// When the leader learned that the process has replaced another one; `None` if it has not, or the
+    /// process refuses calls for the former one.
+    restarted_at: Option<Instant>,
 }
 
 impl LeaseClock {
-    /// Records the clock reading of a report that was received at `now`.
+    /// Creates the state of a process whose first report, which arrived at `now`, shows that the worker
+    /// has restarted. Its leases last at most `max_lease`.
+    pub fn after_restart(max_lease: Duration, now: Instant) -> Self {
+        Self {
+            unfenced_ms: ms(max_lease),
+            restarted_at: Some(now),
+            ..Self::default()
+        }
+    }
+
+    /// Records the clock reading of a report of the process, which was requested at `sent_at` and arrived
+    /// at `now`. Leases last at most `max_lease`.
+    ///
+    /// The first report to a leader, and the first one after a restart that was requested with the new
+    /// token, show that the process refuses other calls from that reading on.
+    pub fn on_report(
+        &mut self,
+        clock_ms: u64,
+        sent_at: Instant,
+        now: Instant,
+        max_lease: Duration,
+    ) {
+        let is_fenced = match self.restarted_at {
+            Some(restarted_at) => sent_at > restarted_at,
+            None => self.sample.is_none(),
+        };
+        if is_fenced {
+            self.restarted_at = None;
+            self.unfenced_ms = 0;
+            self.record_grant(clock_ms + ms(max_lease));
+        }
+        self.sample(clock_ms, now);
+    }
+
+    /// Records a clock reading that was received at `now`.
     ///
     /// A reading that has advanced by less than 98 % of the time since the last recorded one is
     /// ignored, because its report was delayed on the way.
-    pub fn sample(&mut self, clock_ms: u64, now: Instant) {
+    fn sample(&mut self, clock_ms: u64, now: Instant) {
         let is_current = |(last_ms, received_at): (u64, Instant)| {
             clock_ms >= last_ms + ms(now.duration_since(received_at)) * 98 / 100
         };
@@ -193,24 +234,6 @@
         self.lent_until_ms = until_ms;
     }
 
-    /// Records that until [`LeaseClock::end_unfenced`] the worker may carry out calls that were meant
-    /// for its earlier incarnation, each of which sets a lease end at most `max_lease` ahead.
-    pub fn begin_unfenced(&mut self, max_lease: Duration) {
-        self.unfenced_ms = ms(max_lease);
-    }
-
-    /// Returns whether such calls may still be carried out.
-    pub fn is_unfenced(&self) -> bool {
-        self.unfenced_ms > 0
-    }
-
-    /// Records that when its clock read `clock_ms`, the worker had begun to refuse calls other than this
-    /// leader's, and may have carried out some before that set a lease end at most `max_lease` ahead.
-    pub fn end_unfenced(&mut self, clock_ms: u64, max_lease: Duration) {
-        self.unfenced_ms = 0;
-        self.record_grant(clock_ms + ms(max_lease));
-    }
-
     /// Returns the earliest present reading of the worker's clock, and the reading until which leases may
     /// last, both in milliseconds; `None` if the worker has not reported its clock.
     pub fn lease_bounds(&self, now: Instant) -> Option<(u64, u64)> {
--- a/crates/core/tests/former_process.rs
+++ b/crates/core/tests/former_process.rs
@@ -285,8 +285,8 @@
     world.a.call(former_token, Some(5_000_000), 3_000);
     world.now_ms = 3_000;
     if is_reading {
-        let lease = Params::default().lease;
-        let mut restoring = RestoringShard::new(TOKEN, lease, world.base, world.base);
+        let params = Params::default();
+        let mut restoring = RestoringShard::new(TOKEN, &params, world.base, world.base);
         restoring.add_worker("a", &info("a").address);
         let request = restoring.prepare_report_request("a", world.now());
         let (token, until_ms) = request.expect("the worker is known");
--- a/crates/core/tests/left_out_ends.rs
+++ b/crates/core/tests/left_out_ends.rs
@@ -317,7 +317,8 @@
     let mut fixture = Fixture::new(origin, false);
     fixture.now_ms = 10_000;
     if is_restored {
-        let mut restoring = RestoringShard::new(1, LEASE, fixture.base, fixture.base + ms(100));
+        let mut restoring =
+            RestoringShard::new(1, &Params::default(), fixture.base, fixture.base + ms(100));
         restoring.add_worker("a", &worker("a").address);
         let (sent_at, now) = (fixture.now() - ms(5), fixture.now());
         restoring.on_report("a", full_report(1, 9_990), sent_at, now);
--- a/crates/core/tests/restoring.rs
+++ b/crates/core/tests/restoring.rs
@@ -113,7 +113,7 @@
 #[test]
 fn leases_are_renewed_while_the_rows_are_read() {
     let base = Instant::now();
-    let mut restoring = RestoringShard::new(TOKEN, ms(4_000), base, base);
+    let mut restoring = RestoringShard::new(TOKEN, &Params::default(), base, base);
     restoring.add_worker("a", "127.0.0.1:1");
     let request = |restoring: &mut RestoringShard, at| {
         restoring
@@ -133,7 +133,7 @@
 #[test]
 fn a_restarted_worker_gets_leases_by_its_new_clock() {
     let base = Instant::now();
-    let mut restoring = RestoringShard::new(TOKEN, ms(4_000), base, base);
+    let mut restoring = RestoringShard::new(TOKEN, &Params::default(), base, base);
     restoring.add_worker("a", "127.0.0.1:1");
     restoring.on_report("a", report(1, 9_000_000), base, base + ms(10));
     restoring.on_report("a", report(2, 30), base + ms(100), base + ms(110));
@@ -147,7 +147,7 @@
 #[test]
 fn inherited_work_starts_at_once_if_all_workers_have_reported() {
     let base = Instant::now();
-    let mut restoring = RestoringShard::new(TOKEN, ms(4_000), base, base);
+    let mut restoring = RestoringShard::new(TOKEN, &Params::default(), base, base);
     restoring.add_worker("a", "127.0.0.1:1");
     restoring.on_report("a", report(1, 10), base + ms(2_400), base + ms(2_900));
     let mut shard = restored(restoring, &["a"], base, 3_000);
@@ -158,7 +158,7 @@
 #[test_case(&[]; "on a worker that is not listed any more")]
 fn a_task_that_was_reported_as_running_is_not_started_again(listed: &[&str]) {
     let base = Instant::now();
-    let mut restoring = RestoringShard::new(TOKEN, ms(4_000), base, base);
+    let mut restoring = RestoringShard::new(TOKEN, &Params::default(), base, base);
     restoring.add_worker("a", "127.0.0.1:1");
     let first = Report {
         running: vec![running()],
@@ -184,7 +184,7 @@
     let base = Instant::now();
     let leased_ms = 100;
     let limit_ms = Params::default().unknown_run_limit.as_millis() as u64;
-    let mut restoring = RestoringShard::new(TOKEN, ms(4_000), base, base + ms(leased_ms));
+    let mut restoring = RestoringShard::new(TOKEN, &Params::default(), base, base + ms(leased_ms));
     restoring.add_worker("silent", "127.0.0.1:6");
     restoring.add_worker("a", "127.0.0.1:1");
     restoring.on_report("a", report(1, 10), base + ms(4_400), base + ms(4_900));
@@ -208,7 +208,7 @@
 #[test]
 fn an_old_kept_report_does_not_make_a_worker_responsive() {
     let base = Instant::now();
-    let mut restoring = RestoringShard::new(TOKEN, ms(4_000), base, base);
+    let mut restoring = RestoringShard::new(TOKEN, &Params::default(), base, base);
     restoring.add_worker("a", "127.0.0.1:1");
     restoring.on_report("a", report(1, 10), base, base + ms(10));
     let mut shard = restored(restoring, &["a"], base, 3_000);
@@ -223,7 +223,7 @@
 fn the_wait_for_unknown_runs_begins_anew_while_an_earlier_leader_may_lead() {
     let base = Instant::now();
     let limit_ms = Params::default().unknown_run_limit.as_millis() as u64;
-    let mut restoring = RestoringShard::new(TOKEN, ms(4_000), base, base);
+    let mut restoring = RestoringShard::new(TOKEN, &Params::default(), base, base);
     restoring.add_worker("silent", "127.0.0.1:6");
     restoring.add_worker("a", "127.0.0.1:1");
     restoring.extend_unknown_runs(base + ms(300));
@@ -255,7 +255,7 @@
 #[test]
 fn a_worker_at_a_new_address_has_not_reported() {
     let base = Instant::now();
-    let mut restoring = RestoringShard::new(TOKEN, ms(4_000), base, base);
+    let mut restoring = RestoringShard::new(TOKEN, &Params::default(), base, base);
     restoring.add_worker("a", "127.0.0.1:9");
     restoring.on_report("a", report(1, 10), base + ms(2_400), base + ms(2_900));
     restoring.add_worker("a", "127.0.0.1:1");
--- a/crates/core/tests/shard_model/world/leaders.rs
+++ b/crates/core/tests/shard_model/world/leaders.rs
@@ -111,7 +111,7 @@
             (self.read_rows(self.lease_token), None)
         } else {
             let params = self.params();
-            let mut restoring = RestoringShard::new(self.lease_token, params.lease, now, now);
+            let mut restoring = RestoringShard::new(self.lease_token, &params, now, now);
             for (id, address) in &self.workers_in_use {
                 restoring.add_worker_in_use(id, address);
             }
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -29,6 +29,7 @@
     pub(super) fn params(&self) -> Params {
         let params = Params {
             lease: Params::default().lease.min(self.settings.max_lease),
+            max_lease: self.settings.max_lease,
             drain: self.settings.drain,
             max_listed_ends: worker_wire::MAX_LISTED_ENDS,
             displace_long_running: self.settings.features.displace_long_running,
--- a/crates/scheduler/src/control/restoring.rs
+++ b/crates/scheduler/src/control/restoring.rs
@@ -30,7 +30,7 @@
         let mut restoring = RestoringLeader::new(
             shard_settings,
             lease,
-            self.params().lease,
+            &self.params(),
             callbacks,
             self.metrics.clone(),
         );
--- a/crates/scheduler/src/restoring_leader.rs
+++ b/crates/scheduler/src/restoring_leader.rs
@@ -16,7 +16,7 @@
     marigoldbend_core::{
         hash::HashMap,
         sched::{
-            shard::RestoringShard,
+            shard::{Params, RestoringShard},
             worker::{Report, WorkerInfo},
         },
     },
@@ -45,11 +45,11 @@
 }
 
 impl RestoringLeader {
-    /// Creates the leader of a shard that grants leases of the length `lease_length`.
+    /// Creates the leader of a shard.
     pub fn new(
         settings: &ShardSettings,
         lease: Lease,
-        lease_length: Duration,
+        params: &Params,
         callbacks: Callbacks,
         metrics: Arc<Metrics>,
     ) -> Self {
@@ -59,7 +59,7 @@
             name: settings.name.clone(),
             domains: settings.domains.clone(),
             lease,
-            shard: RestoringShard::new(lease.token, lease_length, lease.sent_at, lease.leased_at),
+            shard: RestoringShard::new(lease.token, params, lease.sent_at, lease.leased_at),
             confirmation_requested_at: lease.leased_at,
             links: HashMap::default(),
             callbacks,
