Send a start only to the worker's process that it is for

Cause: a start bears a lease end on the clock of the process that the leader knows, and reaches whatever process listens at the worker's address. The platform's header names the worker, not the process. Change: a start names the process. On a new connection the worker is asked for a report first, which renews and acknowledges nothing; if another process answers, the start is not sent and the state machine learns so (OtherProcess): without an earlier copy in doubt the task starts elsewhere at once. A connection does not outlive the process, and an exchange can now insist on the open one. Result: worker_link::a_start_for_the_former_process_reaches_the_present_one failed before (the reply was Ok).

--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -356,6 +356,7 @@
             task: name,
             attempt: run.attempt,
             spec_text,
+            started_ms: worker.info.started_ms,
             until_ms,
             token,
             checkpoint,
--- a/crates/core/src/sched/shard/losses.rs
+++ b/crates/core/src/sched/shard/losses.rs
@@ -145,9 +145,6 @@
     pub given_up: u64,
     /// Restarts of workers under their ids.
     pub restarts: u64,
-    /// Those among them in which the first report answers a request that renewed leases, by the clock of
-    /// the former process.
-    pub renewed_restarts: u64,
 }
 
 /// A process of a worker, as it was listed or reported.
--- a/crates/core/src/sched/shard/reports.rs
+++ b/crates/core/src/sched/shard/reports.rs
@@ -92,13 +92,11 @@
         };
         let former_clock_ms = worker.clock.lease_bounds(now).map(|(clock_ms, _)| clock_ms);
         log::warn!(
-            "jobs: worker={worker_id} restarted, its earlier runs are lost: started_ms={} clock_ms={} former_clock_ms={former_clock_ms:?} requested_until_ms={:?}.",
+            "jobs: worker={worker_id} restarted, its earlier runs are lost: started_ms={} clock_ms={} former_clock_ms={former_clock_ms:?}.",
             report.started_ms,
             report.clock_ms,
-            worker.requested_until_ms,
         );
         self.processes.counts.restarts += 1;
-        self.processes.counts.renewed_restarts += u64::from(worker.requested_until_ms.is_some());
         worker.incarnations += 1;
         worker.clock = LeaseClock::after_restart(self.params.max_lease, now);
         worker.last_reported_end = 0;
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -124,7 +124,10 @@
         attempt: u32,
         /// The text that each task of the job is started with ([`JobSpec::spec`]).
         spec_text: Arc<str>,
-        /// The end of the worker's lease, in milliseconds on the worker's clock.
+        /// The worker's process that the command is for: when it started, in milliseconds of Unix time;
+        /// zero if unknown.
+        started_ms: u64,
+        /// The end of the worker's lease, in milliseconds on the clock of that process.
         until_ms: u64,
         /// The fencing token.
         token: u64,
@@ -299,9 +302,6 @@
     pub incarnations: u64,
     /// The worker's clock as estimated from its reports, and the end of its leases.
     pub clock: LeaseClock,
-    /// The lease end in the last report request, in milliseconds of the clock that was known then; `None`
-    /// if it had none.
-    pub requested_until_ms: Option<u64>,
     /// When the leader first found the worker's leases expired; `None` while the worker responds.
     pub leases_expired_at: Option<Instant>,
     /// When the worker's last report arrived; `None` before the first.
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -149,7 +149,6 @@
         } else {
             worker.clock.grant(lease, now)
         };
-        worker.requested_until_ms = until_ms;
         Some((worker.last_acked_end, until_ms))
     }
 
@@ -217,6 +216,13 @@
                 run.phase = RunPhase::Running(now);
                 return;
             }
+            CommandReply::OtherProcess => {
+                worker.connection_lost_at.get_or_insert(now);
+                if in_doubt {
+                    run.resend_at = now + RESEND_DELAY;
+                    return;
+                }
+            }
             CommandReply::Fenced => self.fenced = true,
             CommandReply::Full => {
                 worker.full_until = Some(now + FULL_PAUSE);
@@ -295,7 +301,6 @@
             draining_since: draining.then_some(now),
             incarnations: 0,
             clock: LeaseClock::default(),
-            requested_until_ms: None,
             leases_expired_at: None,
             answered_at: None,
             connection_lost_at: None,
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -124,6 +124,8 @@
     Unapproved,
     /// The command was meant for an earlier incarnation of the worker, which has restarted since.
     Reborn,
+    /// The command was not sent, since another process of the worker answers than the one that it is for.
+    OtherProcess,
     /// The worker is unhealthy and did not carry out the command.
     Unhealthy,
     /// The worker rejected the command as invalid.
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -113,6 +113,8 @@
     sender: http1::SendRequest<Full<Bytes>>,
     driver: AbortHandle,
     last_used: Instant,
+    /// See [`Connection::set_label`].
+    label: Option<u64>,
 }
 
 impl Drop for OpenConnection {
@@ -145,6 +147,20 @@
         self.open.is_some()
     }
 
+    /// Attaches a label to the open connection, such as the process of the peer that has answered on
+    /// it. It is lost with the connection; without an open one nothing is attached.
+    pub fn set_label(&mut self, label: u64) {
+        if let Some(open) = &mut self.open {
+            open.label = Some(label);
+        }
+    }
+
+    /// Returns the label of the open connection; `None` if it has none, or is not open.
+    pub fn label(&mut self) -> Option<u64> {
+        self.is_connected();
+        self.open.as_ref()?.label
+    }
+
     /// Sends a request and reads its whole reply, both within `limits`.
     ///
     /// # Errors
@@ -152,7 +168,21 @@
     /// Returns an error if no complete reply came in time; its variant says whether the request
     /// may have been sent.
     pub async fn exchange(&mut self, out: Outgoing, limits: TimeLimits) -> Result<Reply> {
-        let result = timeout(limits.total, self.attempt(out, limits)).await;
+        self.run(out, limits, true).await
+    }
+
+    /// Does the same on the open connection only, so that the request reaches no other process of the
+    /// peer than those before it on this connection.
+    ///
+    /// # Errors
+    ///
+    /// As [`Connection::exchange`], and [`ConnectionError::Unsent`] if the connection is not open.
+    pub async fn exchange_open(&mut self, out: Outgoing, limits: TimeLimits) -> Result<Reply> {
+        self.run(out, limits, false).await
+    }
+
+    async fn run(&mut self, out: Outgoing, limits: TimeLimits, may_open: bool) -> Result<Reply> {
+        let result = timeout(limits.total, self.attempt(out, limits, may_open)).await;
         let result = result.unwrap_or(Err(ConnectionError::TimedOut));
         match &result {
             Ok(_) => {
@@ -165,8 +195,13 @@
         result
     }
 
-    async fn attempt(&mut self, out: Outgoing, limits: TimeLimits) -> Result<Reply> {
-        let response = timeout(limits.head, self.send(out)).await;
+    async fn attempt(
+        &mut self,
+        out: Outgoing,
+        limits: TimeLimits,
+        may_open: bool,
+    ) -> Result<Reply> {
+        let response = timeout(limits.head, self.send(out, may_open)).await;
         let response = response.unwrap_or(Err(ConnectionError::TimedOut))?;
         let (parts, body) = response.into_parts();
         Ok(Reply {
@@ -177,16 +212,12 @@
     }
 
     /// Sends a request and waits for the head of the reply.
-    async fn send(&mut self, out: Outgoing) -> Result<Response<Incoming>> {
-        self.is_connected();
-        let open = match &mut self.open {
-            Some(open) => open,
-            unopened => {
-                let connected = timeout(CONNECT_TIMEOUT, connect(self.peer)).await;
-                let connected = connected.map_err(|_| ConnectionError::Unsent)?;
-                unopened.insert(connected.ok_or(ConnectionError::Unsent)?)
-            }
-        };
+    async fn send(&mut self, out: Outgoing, may_open: bool) -> Result<Response<Incoming>> {
+        if may_open && !self.is_connected() {
+            let connected = timeout(CONNECT_TIMEOUT, connect(self.peer)).await;
+            self.open = connected.map_err(|_| ConnectionError::Unsent)?;
+        }
+        let open = self.open.as_mut().ok_or(ConnectionError::Unsent)?;
         let mut req = Request::new(Full::new(out.body));
         *req.method_mut() = out.method;
         *req.uri_mut() = out.path.parse().map_err(|_| ConnectionError::Unsent)?;
@@ -249,6 +280,7 @@
         sender,
         driver: driver.abort_handle(),
         last_used: Instant::now(),
+        label: None,
     })
 }
 
@@ -275,15 +307,25 @@
     /// Returns an error in the same cases as [`Connection::exchange`]. A failure also drops the
     /// idle connections, because they may have stopped delivering data too.
     pub async fn exchange(&self, out: Outgoing, limits: TimeLimits) -> Result<Reply> {
-        let idle = self.idle.lock().pop();
-        let mut connection = idle.unwrap_or_else(|| Connection::new(self.peer));
+        let mut connection = self.take();
         let result = connection.exchange(out, limits).await;
+        self.put_back(connection, result.is_err());
+        result
+    }
+
+    /// Returns an idle connection or a new one, for exchanges by the caller.
+    pub fn take(&self) -> Connection {
+        let idle = self.idle.lock().pop();
+        idle.unwrap_or_else(|| Connection::new(self.peer))
+    }
+
+    /// Takes a connection back; drops it and the idle ones if an exchange on it `has_failed`.
+    pub fn put_back(&self, connection: Connection, has_failed: bool) {
         let mut idle = self.idle.lock();
-        if result.is_err() {
+        if has_failed {
             idle.clear();
         } else if idle.len() < MAX_IDLE_CONNECTIONS {
             idle.push(connection);
         }
-        result
     }
 }
--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -16,7 +16,11 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::{sync::Semaphore, task::AbortHandle, time::sleep},
+    tokio::{
+        sync::Semaphore,
+        task::AbortHandle,
+        time::{sleep, timeout},
+    },
 };
 
 /// The time limit of a command, which a worker answers within a few round trips.
@@ -127,12 +131,28 @@
                 return;
             };
             let start = Instant::now();
-            let response = pool.exchange(outgoing, TimeLimits::total(COMMAND_TIMEOUT));
-            let response = response.await;
-            let reply = match response {
-                Ok(response) => workers::read_reply(response.status, &response.body).0,
-                Err(_) => CommandReply::Silent,
+            let mut connection = pool.take();
+            let limits = TimeLimits::total(COMMAND_TIMEOUT);
+            let reply = match &command {
+                Command::Start {
+                    worker,
+                    started_ms,
+                    token,
+                    ..
+                } => {
+                    let probe = workers::request_report(worker, *token, 0, None, 0);
+                    let reply =
+                        exchange_with_process(&mut connection, *started_ms, probe, outgoing);
+                    let reply = timeout(COMMAND_TIMEOUT, reply).await;
+                    reply.unwrap_or(Err(ConnectionError::TimedOut))
+                }
+                _ => {
+                    let reply = connection.exchange(outgoing, limits).await;
+                    reply.map(|reply| workers::read_reply(reply.status, &reply.body).0)
+                }
             };
+            pool.put_back(connection, reply.is_err());
+            let reply = reply.unwrap_or(CommandReply::Silent);
             metrics
                 .command_latency
                 .observe(start.elapsed().as_secs_f64());
@@ -212,6 +232,34 @@
     }
 }
 
+/// Sends a command to the process of a worker that started at `started_ms`, and returns its reply.
+///
+/// A worker that restarts under its address would take the command for its own, and the lease end in it
+/// for one on its own clock. So the process is asked for by `probe`, a report request, at the first such
+/// command on each connection; a connection doesn't outlive the process.
+async fn exchange_with_process(
+    connection: &mut Connection,
+    started_ms: u64,
+    probe: Outgoing,
+    command: Outgoing,
+) -> Result<CommandReply, ConnectionError> {
+    let limits = TimeLimits::total(COMMAND_TIMEOUT);
+    if connection.label().is_none() {
+        let reply = connection.exchange(probe, limits).await?;
+        if !reply.status.is_success() {
+            return Ok(workers::read_reply(reply.status, &reply.body).0);
+        }
+        let report = workers::read_report(&reply.body);
+        let report = report.map_err(|_| ConnectionError::Lost)?;
+        connection.set_label(report.started_ms);
+    }
+    if connection.label() != Some(started_ms) {
+        return Ok(CommandReply::OtherProcess);
+    }
+    let reply = connection.exchange_open(command, limits).await?;
+    Ok(workers::read_reply(reply.status, &reply.body).0)
+}
+
 /// Requests reports until `next_request` returns `None`.
 async fn poll_reports<A, S>(
     worker: String,
--- a/crates/scheduler/src/control/publish.rs
+++ b/crates/scheduler/src/control/publish.rs
@@ -98,7 +98,6 @@
                 ("crash", losses.crashes),
                 ("given_up", losses.given_up),
                 ("restart", losses.restarts),
-                ("renewed_restart", losses.renewed_restarts),
             ];
             for (kind, count) in counts {
                 let counter = self.metrics.losses.with_label_values(&[kind]);
--- a/crates/scheduler/src/metrics.rs
+++ b/crates/scheduler/src/metrics.rs
@@ -51,8 +51,7 @@
     pub loans: IntCounterVec,
     /// Calls to workers under a loan, by result.
     pub deputy_calls: IntCounterVec,
-    /// Losses in led shards: runs, crashes under tasks, tasks that were given up, restarts of workers, and
-    /// those in which leases were renewed by the clock of the former process.
+    /// Losses in led shards: runs, crashes under tasks, tasks that were given up, and restarts of workers.
     pub losses: IntCounterVec,
     /// What was done about uneven runs and workers in led shards: stuck runs stopped, workers ejected
     /// or not because too many were, and second runs.
--- /dev/null
+++ b/crates/scheduler/tests/worker_link.rs
@@ -0,0 +1,183 @@
+//! Tests of the link to a worker that restarts under its address.
+
+use {
+    http_body_util::{BodyExt, Full},
+    hyper::{
+        Request, Response,
+        body::{Bytes, Incoming},
+        service::service_fn,
+    },
+    hyper_util::rt::TokioIo,
+    marigoldbend_core::sched::{
+        job::{JobId, TaskName},
+        shard::Command,
+        worker::{CommandReply, Report},
+    },
+    marigoldbend_scheduler::{
+        commands::{BoxFuture, CommandResult, ReportRequest, WorkerLink},
+        metrics::Metrics,
+    },
+    marigoldbend_wire::stand_in::{self as wire, WorkerAction, WorkerCall},
+    std::{
+        convert::Infallible,
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::{
+        net::TcpListener,
+        sync::mpsc::{self, UnboundedReceiver, UnboundedSender},
+        task::AbortHandle,
+        time::timeout,
+    },
+};
+
+/// The time limit of a step of a test.
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// A worker that carries out each call at once, and may restart.
+struct Worker {
+    address: SocketAddr,
+    started_ms: Arc<AtomicU64>,
+    connections: Arc<Mutex<Vec<AbortHandle>>>,
+    /// The calls, each with the start of the process that carried it out.
+    calls: UnboundedReceiver<(u64, WorkerCall)>,
+}
+
+impl Worker {
+    async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("binding a port failed");
+        let address = listener.local_addr().expect("the listener has no address");
+        let started_ms = Arc::new(AtomicU64::new(1));
+        let connections = Arc::new(Mutex::new(Vec::<AbortHandle>::new()));
+        let (tx, calls) = mpsc::unbounded_channel();
+        let (process, open) = (started_ms.clone(), connections.clone());
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let started_ms = process.load(Ordering::Relaxed);
+                let tx = tx.clone();
+                let service = service_fn(move |req| carry_out(req, started_ms, tx.clone()));
+                let http = hyper::server::conn::http1::Builder::new();
+                let connection = http.serve_connection(TokioIo::new(stream), service);
+                let connection = tokio::spawn(connection);
+                let mut open = open.lock().expect("no thread panics");
+                open.push(connection.abort_handle());
+            }
+        });
+        Self {
+            address,
+            started_ms,
+            connections,
+            calls,
+        }
+    }
+
+    /// Ends the process with its connections, and starts another one.
+    fn restart(&self) {
+        let mut connections = self.connections.lock().expect("no thread panics");
+        self.started_ms.fetch_add(1, Ordering::Relaxed);
+        connections.drain(..).for_each(|c| c.abort());
+    }
+}
+
+async fn carry_out(
+    req: Request<Incoming>,
+    started_ms: u64,
+    tx: UnboundedSender<(u64, WorkerCall)>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let path = req.uri().path().to_owned();
+    let body = req.into_body().collect().await;
+    let body = body.map(|body| body.to_bytes()).unwrap_or_default();
+    let call = wire::read_worker_call(&path, &body).expect("the call is valid");
+    let body = match call.action {
+        WorkerAction::Report { .. } => wire::write_report(&Report {
+            started_ms,
+            clock_ms: 1_000 * started_ms,
+            ..Report::default()
+        }),
+        _ => wire::write_reply(CommandReply::Ok, 1_000 * started_ms).1,
+    };
+    // The receiver may be gone at the end of a test.
+    let _ = tx.send((started_ms, call));
+    Ok(Response::new(Full::new(body)))
+}
+
+fn metrics() -> Arc<Metrics> {
+    Arc::new(Metrics::new().expect("the metrics are valid"))
+}
+
+/// Returns a start for the process that started at `started_ms`.
+fn start_command(started_ms: u64) -> Command {
+    Command::Start {
+        worker: "w".to_owned(),
+        task: TaskName {
+            job: JobId(7),
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        },
+        attempt: 1,
+        spec_text: "".into(),
+        started_ms,
+        until_ms: 5_000_000,
+        token: 64,
+        checkpoint: String::new(),
+        approval: None,
+    }
+}
+
+/// Sends a start for the process that started at `started_ms`; returns the reply.
+async fn send_start(link: &WorkerLink, started_ms: u64) -> CommandReply {
+    let (tx, mut rx) = mpsc::unbounded_channel();
+    link.send(
+        start_command(started_ms),
+        metrics(),
+        move |result: CommandResult| {
+            Box::pin(async move {
+                let _ = tx.send(result.reply);
+            })
+        },
+    );
+    let reply = timeout(LIMIT, rx.recv()).await;
+    reply.expect("no reply in time").expect("there is a reply")
+}
+
+/// Opens a link that requests no reports.
+fn open_link(worker: &Worker) -> WorkerLink {
+    let next_request = || -> BoxFuture<Option<ReportRequest>> { Box::pin(async { None }) };
+    let callback = |_, _| -> BoxFuture<()> { Box::pin(async {}) };
+    let address = worker.address.to_string();
+    let link = WorkerLink::open("w", &address, metrics(), next_request, callback);
+    link.expect("the address is valid")
+}
+
+fn is_start(call: &WorkerCall) -> bool {
+    matches!(call.action, WorkerAction::Start { .. })
+}
+
+/// Guards against a start that a worker's next process carries out with a lease end of the former clock.
+#[tokio::test]
+async fn a_start_for_the_former_process_reaches_the_present_one() {
+    let mut worker = Worker::start().await;
+    let link = open_link(&worker);
+    assert_eq!(send_start(&link, 1).await, CommandReply::Ok);
+    worker.restart();
+    // The first copy may fail on the connection to the former process.
+    let mut reply = send_start(&link, 1).await;
+    if reply == CommandReply::Silent {
+        reply = send_start(&link, 1).await;
+    }
+    assert_eq!(reply, CommandReply::OtherProcess);
+    assert_eq!(send_start(&link, 2).await, CommandReply::Ok);
+    worker.calls.close();
+    let mut starts = Vec::new();
+    while let Some((started_ms, call)) = worker.calls.recv().await {
+        starts.extend(is_start(&call).then_some(started_ms));
+    }
+    assert_eq!(starts, [1, 2]);
+}
