Renew no lease by the first request on a new connection

Cause: the lease end is computed before it is known which process answers. Change: the first request on a connection renews nothing and does not wait, as it acknowledges nothing; the others insist on the connection of the first. Result: worker_link::the_first_request_to_a_restarted_worker_... failed before: (Some(5000000), 0, 1s) instead of (None, 0, 0s).

--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -278,19 +278,29 @@
             sleep(request.delay).await;
             continue;
         }
-        let wait_ms = request.wait.as_millis() as u64;
-        // A worker behind a new connection may have restarted, and a restarted worker numbers its
-        // ended attempts from 1 again. So none is acknowledged before the first report.
-        let acked_end = if connection.is_connected() {
-            request.acked_end
+        // A worker behind a new connection may have restarted. A restarted worker numbers its ended
+        // attempts from 1 again, and has another clock. So the first request acknowledges nothing,
+        // renews no lease, and does not wait.
+        let is_open = connection.is_connected();
+        let (acked_end, until_ms, wait) = if is_open {
+            (request.acked_end, request.until_ms, request.wait)
         } else {
-            0
+            (0, None, Duration::ZERO)
         };
+        let wait_ms = wait.as_millis() as u64;
         let outgoing =
-            workers::request_report(&worker, request.token, acked_end, request.until_ms, wait_ms);
+            workers::request_report(&worker, request.token, acked_end, until_ms, wait_ms);
         let sent = Instant::now();
-        let limits = TimeLimits::total(request.wait + REPORT_TIMEOUT);
-        let response = connection.exchange(outgoing, limits).await;
+        let limits = TimeLimits::total(wait + REPORT_TIMEOUT);
+        let response = if is_open {
+            connection.exchange_open(outgoing, limits).await
+        } else {
+            connection.exchange(outgoing, limits).await
+        };
+        if is_open && matches!(response, Err(ConnectionError::Unsent)) {
+            // The connection was closed meanwhile.
+            continue;
+        }
         let report = match &response {
             Ok(response) if response.status.is_success() => {
                 workers::read_report(&response.body).ok()
--- a/crates/scheduler/tests/worker_link.rs
+++ b/crates/scheduler/tests/worker_link.rs
@@ -83,6 +83,11 @@
         self.started_ms.fetch_add(1, Ordering::Relaxed);
         connections.drain(..).for_each(|c| c.abort());
     }
+
+    async fn next_call(&mut self) -> (u64, WorkerCall) {
+        let call = timeout(LIMIT, self.calls.recv()).await;
+        call.expect("no call in time").expect("the worker runs")
+    }
 }
 
 async fn carry_out(
@@ -181,3 +186,36 @@
     }
     assert_eq!(starts, [1, 2]);
 }
+
+/// Guards against a lease of the maximum length at a worker's next process, and a restart that is noticed late.
+#[tokio::test]
+async fn the_first_request_to_a_restarted_worker_renews_leases_by_the_former_clock() {
+    let mut worker = Worker::start().await;
+    let next_request = || -> BoxFuture<Option<ReportRequest>> {
+        let request = ReportRequest {
+            delay: Duration::ZERO,
+            token: 64,
+            acked_end: 5,
+            until_ms: Some(5_000_000),
+            wait: Duration::from_secs(1),
+        };
+        Box::pin(async move { Some(request) })
+    };
+    let callback = |_, _| -> BoxFuture<()> { Box::pin(async {}) };
+    let address = worker.address.to_string();
+    let link = WorkerLink::open("w", &address, metrics(), next_request, callback);
+    let _link = link.expect("the address is valid");
+    for process in [1, 2] {
+        let (mut started_ms, mut call) = worker.next_call().await;
+        while started_ms < process {
+            (started_ms, call) = worker.next_call().await;
+        }
+        let WorkerAction::Report { acked, wait } = call.action else {
+            panic!("{call:?}");
+        };
+        assert_eq!((call.until_ms, acked, wait), (None, 0, Duration::ZERO));
+        let (_, call) = worker.next_call().await;
+        assert_eq!(call.until_ms, Some(5_000_000));
+        worker.restart();
+    }
+}
