Keep the lead when a worker refuses the token of its former process

Callers saw no new starts for over a second, and inherited work waited 6.2 s: the leader resigned, "a worker has seen a higher token", which was its own. A worker that restarts gets the leader's next token; a start or stop with the one before that reaches it later is refused, and any refusal of a token ended the leadership. Change: only a refusal of the newest token for the worker shows a later leader. A superseded command counts as not carried out. Both replies go through Shard::on_command_reply.

--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -1,7 +1,7 @@
 //! The workers of a shard: updates of their list, and their replies to commands.
 
 use {
-    super::state::{RunPhase, Shard, Worker},
+    super::state::{Command, RunPhase, Shard, Worker},
     crate::sched::{
         job::{Resources, TaskName},
         worker::{Availability, CommandReply, LeaseClock, WorkerInfo},
@@ -174,6 +174,38 @@
         }
     }
 
+    /// Processes the reply to a command.
+    ///
+    /// A worker that has restarted refuses commands with the token of its former process once it has seen
+    /// the newer one of this leader. Only a refusal of the newest token shows that there is a later leader;
+    /// see [`Shard::is_fenced`].
+    pub fn on_command_reply(&mut self, command: &Command, reply: CommandReply, now: Instant) {
+        let (Command::Start { worker, token, .. }
+        | Command::Stop { worker, token, .. }
+        | Command::Throttle { worker, token, .. }) = command
+        else {
+            return;
+        };
+        let is_superseded = *token < self.worker_token(worker);
+        let reply = match reply {
+            CommandReply::Fenced if is_superseded => CommandReply::OtherProcess,
+            CommandReply::Fenced => {
+                self.fenced = true;
+                reply
+            }
+            reply => reply,
+        };
+        match command {
+            Command::Start { task, attempt, .. } => {
+                self.on_start_reply(worker, *task, *attempt, reply, now);
+            }
+            Command::Stop { task, attempt, .. } => {
+                self.on_stop_reply(worker, *task, *attempt, reply, now);
+            }
+            _ => {}
+        }
+    }
+
     /// Processes the reply to a start command.
     pub fn on_start_reply(
         &mut self,
@@ -277,7 +309,9 @@
             return;
         }
         match reply {
-            CommandReply::Silent | CommandReply::Unhealthy => run.resend_at = now + RESEND_DELAY,
+            CommandReply::Silent | CommandReply::Unhealthy | CommandReply::OtherProcess => {
+                run.resend_at = now + RESEND_DELAY;
+            }
             CommandReply::Fenced => self.fenced = true,
             _ => run.phase = RunPhase::Stopping(Some(now)),
         }
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -122,9 +122,10 @@
     Full,
     /// The start command lacks a valid approval.
     Unapproved,
-    /// The command was meant for an earlier incarnation of the worker, which has restarted since.
+    /// Another worker listens at the address now, by its own words.
     Reborn,
-    /// The command was not sent, since another process of the worker answers than the one that it is for.
+    /// The worker has restarted: another process answers than the one that the command is for. The command
+    /// was not sent, or was refused for its token.
     OtherProcess,
     /// The worker is unhealthy and did not carry out the command.
     Unhealthy,
--- a/crates/core/tests/former_process.rs
+++ b/crates/core/tests/former_process.rs
@@ -193,15 +193,18 @@
                 self.request_report("bb");
             }
             for command in self.shard.poll(now, self.now_ms) {
-                if let Command::Start {
-                    worker,
-                    attempt,
-                    until_ms,
-                    token,
-                    ..
-                } = command
-                {
-                    self.start(&worker, attempt, until_ms, token);
+                match command {
+                    Command::Start {
+                        worker,
+                        attempt,
+                        until_ms,
+                        token,
+                        ..
+                    } => self.start(&worker, attempt, until_ms, token),
+                    Command::Stop { .. } => {
+                        self.shard.on_command_reply(&command, CommandReply::Ok, now);
+                    }
+                    _ => {}
                 }
             }
             while let Some(batch) = self.shard.take_batch(50, now) {
@@ -266,6 +269,35 @@
     world.cut_off();
 }
 
+/// Guards against a leader that resigns since a restarted worker refuses a start that it sent before it
+/// learned of the restart.
+#[test]
+fn a_leader_is_fenced_by_its_own_newer_token() {
+    let mut world = World::new(Params::default(), TOKEN);
+    world.run_until(1_000);
+    let now = world.now();
+    world.shard.add_job(TASK.job, spec(), JobOrigin::New, now);
+    world.now_ms = 1_100;
+    let commands = world.shard.poll(world.now(), world.now_ms);
+    let [start] = commands.as_slice() else {
+        panic!("{commands:?}");
+    };
+    world.a = Process::new(1_100, 1_000);
+    world.run_until(1_400);
+    let now = world.now();
+    let refusal = CommandReply::Fenced;
+    world.shard.on_command_reply(start, refusal, now);
+    assert!(!world.shard.is_fenced());
+    world.run_until(4_000);
+    assert!(world.a.attempt.is_some(), "the task starts again");
+    let mut newest = start.clone();
+    if let Command::Start { token, .. } = &mut newest {
+        *token = world.shard.worker_token("a");
+    }
+    world.shard.on_command_reply(&newest, refusal, now);
+    assert!(world.shard.is_fenced(), "there is a later leader");
+}
+
 /// Guards against the same beside a new leader, which knows neither the call nor of the restart.
 #[test_case(false; "that has read the rows")]
 #[test_case(true; "that reads the rows")]
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -344,26 +344,10 @@
         let Some(leader) = self.shard_leader(shard, token) else {
             return;
         };
-        match &result.command {
-            Command::Start {
-                worker,
-                task,
-                attempt,
-                ..
-            } => leader
-                .shard
-                .on_start_reply(worker, *task, *attempt, result.reply, now),
-            Command::Stop {
-                worker,
-                task,
-                attempt,
-                ..
-            } => leader
-                .shard
-                .on_stop_reply(worker, *task, *attempt, result.reply, now),
-            Command::Throttle { .. } | Command::RequestApprovals { .. } | Command::Move { .. } => {}
-        }
-        if result.reply == CommandReply::Fenced {
+        leader
+            .shard
+            .on_command_reply(&result.command, result.reply, now);
+        if leader.shard.is_fenced() {
             self.resign(shard, "a worker has seen a higher token");
         }
     }
