Give a worker that comes back a token higher than all before

Callers saw a worker that got no work any more under its leader: it had restarted, was cut off, and was removed since the platform listed it no more. When it came back, the leader's token for it began anew, below the one that it had seen, and it refused each call. The other way round, a worker that restarted after its removal had the token of its former process, so its first report counted as proof that it refuses calls for that, and a late one could set a lease that nobody counted: a second run 0.2 s before the first one's lease ended. Change: the number of incarnations of a removed worker is kept for the whole leadership, and the next one is used if it comes back; what a leader has counted while it read the rows is kept for workers without a report, too.

--- a/crates/core/src/sched/shard/leases.rs
+++ b/crates/core/src/sched/shard/leases.rs
@@ -71,6 +71,8 @@
         for id in unlisted {
             log::info!("jobs: worker={id} removed: it is unlisted and its leases have expired.");
             if let Some(worker) = self.workers.remove(&id) {
+                let next = worker.incarnations + 1;
+                self.removed_incarnations.insert(id.clone(), next);
                 self.processes.forget(&worker.info.address, &id);
                 // A write in progress may contain the worker.
                 self.workers_in_use_dirty |= worker.is_stored_in_use || self.storing;
--- a/crates/core/src/sched/shard/restoring.rs
+++ b/crates/core/src/sched/shard/restoring.rs
@@ -193,6 +193,9 @@
         self.confirmed_at = restoring.confirmed_at;
         for (id, restored) in restoring.workers {
             let Some(last) = restored.last else {
+                if let Some(worker) = self.workers.get_mut(&id) {
+                    worker.incarnations = restored.incarnations;
+                }
                 continue;
             };
             // Its entry may have been removed meanwhile.
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -565,6 +565,9 @@
     /// Whether runs with expired leases wait until the store confirms the leadership; only then do
     /// their tasks restart.
     pub(super) awaits_confirmation: bool,
+    /// The next number of incarnations of workers that were removed, by id: the tokens of a worker that comes
+    /// back are higher than all that it may have seen.
+    pub(super) removed_incarnations: HashMap<String, u64>,
     /// The lowest load of any other shard, by service.
     pub(super) other_shard_loads: HashMap<String, ServiceLoad>,
     /// Whether a worker has rejected this leader's fencing token, because another instance leads.
@@ -617,6 +620,7 @@
             resigning: false,
             confirmed_at: now,
             awaits_confirmation: false,
+            removed_incarnations: HashMap::default(),
             other_shard_loads: HashMap::default(),
             fenced: false,
         }
@@ -757,7 +761,9 @@
 
     /// Returns the fencing token for commands to a worker.
     pub fn worker_token(&self, worker_id: &str) -> u64 {
-        let incarnations = self.workers.get(worker_id).map_or(0, |w| w.incarnations);
+        let removed = self.removed_incarnations.get(worker_id).copied();
+        let worker = self.workers.get(worker_id);
+        let incarnations = worker.map_or(removed.unwrap_or(0), |w| w.incarnations);
         self.token * TOKENS_PER_LEADER + incarnations.min(TOKENS_PER_LEADER - 1)
     }
 
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -38,6 +38,7 @@
         let is_evacuated = self.is_evacuated(&info.domain);
         let Some(worker) = self.workers.get_mut(&info.id) else {
             let mut worker = Worker::new(info.clone(), now);
+            worker.incarnations = self.removed_incarnations.remove(&info.id).unwrap_or(0);
             worker.is_evacuated = is_evacuated;
             self.workers.insert(info.id.clone(), worker);
             self.workers_in_use_dirty = true;
@@ -98,6 +99,7 @@
             remaining_ms: None,
         };
         let mut worker = Worker::new(info, now);
+        worker.incarnations = self.removed_incarnations.remove(worker_id).unwrap_or(0);
         worker.listed = false;
         self.workers.insert(worker_id.to_owned(), worker);
         self.worker_addresses_changed = true;
--- a/crates/core/tests/former_process.rs
+++ b/crates/core/tests/former_process.rs
@@ -331,3 +331,56 @@
     }
     world.cut_off();
 }
+
+/// Guards against a worker that is removed, starts again and comes back with the token of its former
+/// process, so that late calls for that set leases after its first report.
+#[test]
+fn a_worker_that_was_removed_and_comes_back_refuses_calls_for_its_former_process() {
+    let mut world = World::new(Params::default(), TOKEN);
+    world.run_until(1_000);
+    let token = world.shard.worker_token("a");
+    let until_ms = world.shard.prepare_report_request("a", world.now());
+    let (_, until_ms) = until_ms.expect("the worker is known");
+    world.is_cut_off = true;
+    world.shard.worker_unlisted("a", world.now());
+    world.run_until(9_000);
+    let is_known = world.shard.worker_addresses().any(|(id, _)| id == "a");
+    assert!(!is_known, "the worker is removed");
+    world.a = Process::new(9_000, 1_000);
+    world.is_cut_off = false;
+    let now = world.now();
+    world.shard.worker_listed(&info("a"), now);
+    world.shard.add_job(TASK.job, spec(), JobOrigin::New, now);
+    // The call is carried out 11 s after it was sent.
+    world.run_until(12_000);
+    world.a.call(token, until_ms, world.now_ms);
+    world.cut_off();
+}
+
+/// Guards against a token that goes down: a worker that started again, was then cut off until it was
+/// removed, and comes back has seen a higher one, and refuses all calls of the leader.
+#[test]
+fn a_worker_that_was_removed_and_comes_back_gets_work() {
+    let mut world = World::new(Params::default(), TOKEN);
+    world.run_until(1_000);
+    world.a = Process::new(1_000, 1_000);
+    world.run_until(3_000);
+    // The cut lasts for 9 s; the platform lists the worker for three heartbeats of it.
+    world.is_cut_off = true;
+    world.run_until(7_500);
+    world.shard.worker_unlisted("a", world.now());
+    world.run_until(12_000);
+    let is_known = world.shard.worker_addresses().any(|(id, _)| id == "a");
+    assert!(!is_known, "the worker is removed");
+    world.is_cut_off = false;
+    let now = world.now();
+    world.shard.worker_listed(&info("a"), now);
+    world.shard.add_job(TASK.job, spec(), JobOrigin::New, now);
+    world.run_until(20_000);
+    assert!(
+        world.a.attempt.is_some(),
+        "token={} seen={}",
+        world.shard.worker_token("a"),
+        world.a.token
+    );
+}
