Bound a restarted worker's leases without a grant or a higher token

Change: each report's reading counts as a granted end; LeaseClock states what is still to show that the process refuses other calls, which may be nothing for good; sums saturate.

--- a/crates/core/src/sched/shard/reports.rs
+++ b/crates/core/src/sched/shard/reports.rs
@@ -1,7 +1,7 @@
 //! The reports of workers: runs that are confirmed, found or lost.
 
 use {
-    super::state::{Command, Run, RunPhase, Shard},
+    super::state::{Command, Run, RunPhase, Shard, TOKENS_PER_LEADER},
     crate::{
         hash::HashSet,
         sched::{
@@ -98,7 +98,8 @@
         );
         self.processes.counts.restarts += 1;
         worker.incarnations += 1;
-        worker.clock = LeaseClock::after_restart(self.params.max_lease, now);
+        let has_higher_token = worker.incarnations < TOKENS_PER_LEADER;
+        worker.clock = LeaseClock::after_restart(self.params.max_lease, has_higher_token, now);
         worker.last_reported_end = 0;
         worker.last_acked_end = 0;
         worker.omits_inherited_ends = false;
--- a/crates/core/src/sched/shard/restoring.rs
+++ b/crates/core/src/sched/shard/restoring.rs
@@ -153,7 +153,8 @@
             if last.report.started_ms != report.started_ms {
                 // The clock of the new incarnation has nothing to do with that of the former one.
                 worker.incarnations += 1;
-                worker.clock = LeaseClock::after_restart(self.max_lease, now);
+                let has_higher_token = worker.incarnations < TOKENS_PER_LEADER;
+                worker.clock = LeaseClock::after_restart(self.max_lease, has_higher_token, now);
             }
         }
         worker
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -135,6 +135,21 @@
     Silent,
 }
 
+/// What is still to show that a worker's process refuses calls for its former process and calls of earlier
+/// leaders.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Unfenced {
+    /// The first report, since it is requested with a token that the process has not seen before.
+    #[default]
+    UntilFirstReport,
+    /// The first report that is requested after this time, with such a token.
+    UntilReportSentAfter(Instant),
+    /// Nothing can show it, since the leader has no higher token.
+    ForGood,
+    /// Nothing, since it is shown.
+    No,
+}
+
 /// An estimate of the clock of a worker's process from its reports, and the latest end of the leases
 /// that the process may have.
 ///
@@ -152,27 +167,28 @@
     /// By how much leases may end after `granted_until_ms`, in milliseconds, since the process may still
     /// carry out calls for the former one; zero if it refuses them.
     unfenced_ms: u64,
-    /// When the leader learned that the process has replaced another one; `None` if it has not, or the
-    /// process refuses calls for the former one.
-    restarted_at: Option<Instant>,
+    /// What is still to show that it refuses them.
+    unfenced: Unfenced,
 }
 
 impl LeaseClock {
     /// Creates the state of a process whose first report, which arrived at `now`, shows that the worker
-    /// has restarted. Its leases last at most `max_lease`.
-    pub fn after_restart(max_lease: Duration, now: Instant) -> Self {
+    /// has restarted. Its leases last at most `max_lease`. The leader calls it with a higher token from now
+    /// on, unless it has none left.
+    pub fn after_restart(max_lease: Duration, has_higher_token: bool, now: Instant) -> Self {
         Self {
             unfenced_ms: ms(max_lease),
-            restarted_at: Some(now),
+            unfenced: if has_higher_token {
+                Unfenced::UntilReportSentAfter(now)
+            } else {
+                Unfenced::ForGood
+            },
             ..Self::default()
         }
     }
 
     /// Records the clock reading of a report of the process, which was requested at `sent_at` and arrived
     /// at `now`. Leases last at most `max_lease`.
-    ///
-    /// The first report to a leader, and the first one after a restart that was requested with the new
-    /// token, show that the process refuses other calls from that reading on.
     pub fn on_report(
         &mut self,
         clock_ms: u64,
@@ -180,15 +196,18 @@
         now: Instant,
         max_lease: Duration,
     ) {
-        let is_fenced = match self.restarted_at {
-            Some(restarted_at) => sent_at > restarted_at,
-            None => self.sample.is_none(),
+        let is_fenced = match self.unfenced {
+            Unfenced::UntilFirstReport => true,
+            Unfenced::UntilReportSentAfter(restarted_at) => sent_at > restarted_at,
+            Unfenced::ForGood | Unfenced::No => false,
         };
         if is_fenced {
-            self.restarted_at = None;
+            self.unfenced = Unfenced::No;
             self.unfenced_ms = 0;
-            self.record_grant(clock_ms + ms(max_lease));
+            self.record_grant(clock_ms.saturating_add(ms(max_lease)));
         }
+        // Without a grant, leases count from the reading on.
+        self.record_grant(clock_ms);
         self.sample(clock_ms, now);
     }
 
@@ -198,7 +217,7 @@
     /// ignored, because its report was delayed on the way.
     fn sample(&mut self, clock_ms: u64, now: Instant) {
         let is_current = |(last_ms, received_at): (u64, Instant)| {
-            clock_ms >= last_ms + ms(now.duration_since(received_at)) * 98 / 100
+            clock_ms >= last_ms.saturating_add(ms(now.duration_since(received_at)) * 98 / 100)
         };
         if self.sample.is_none_or(is_current) {
             self.sample = Some((clock_ms, now));
@@ -214,7 +233,8 @@
     /// `None` if the worker has not reported its clock.
     pub fn grant(&mut self, length: Duration, now: Instant) -> Option<u64> {
         let (clock_ms, received_at) = self.sample?;
-        let until_ms = clock_ms + ms(now.duration_since(received_at)) + ms(length);
+        let ahead = now.duration_since(received_at) + length;
+        let until_ms = clock_ms.saturating_add(ms(ahead));
         self.granted_until_ms = self.granted_until_ms.max(until_ms);
         Some(until_ms)
     }
@@ -223,7 +243,8 @@
     /// `None` if the worker has not reported its clock.
     pub fn end_of(&self, length: Duration, now: Instant) -> Option<u64> {
         let (clock_ms, received_at) = self.sample?;
-        Some(clock_ms + ms(now.duration_since(received_at)) + ms(length))
+        let ahead = now.duration_since(received_at) + length;
+        Some(clock_ms.saturating_add(ms(ahead)))
     }
 
     /// Records that leases up to `until_ms` on the worker's clock may have been granted.
@@ -243,8 +264,9 @@
         let (clock_ms, received_at) = self.sample?;
         let min_elapsed_ms =
             ms(now.duration_since(received_at)) * (1_000 - CLOCK_DRIFT_PER_MILLE) / 1_000;
-        let until_ms = self.granted_until_ms.max(self.lent_until_ms) + self.unfenced_ms;
-        Some((clock_ms + min_elapsed_ms, until_ms))
+        let granted_ms = self.granted_until_ms.max(self.lent_until_ms);
+        let until_ms = granted_ms.saturating_add(self.unfenced_ms);
+        Some((clock_ms.saturating_add(min_elapsed_ms), until_ms))
     }
 
     /// Returns whether every granted lease has certainly ended, even if the worker's clock runs
@@ -253,7 +275,9 @@
     /// Returns `false` if the worker has not reported its clock.
     pub fn has_expired(&self, now: Instant) -> bool {
         let bounds = self.lease_bounds(now);
-        bounds.is_some_and(|(clock_ms, until_ms)| clock_ms > until_ms + EXPIRY_MARGIN_MS)
+        bounds.is_some_and(|(clock_ms, until_ms)| {
+            clock_ms > until_ms.saturating_add(EXPIRY_MARGIN_MS)
+        })
     }
 }
 
--- a/crates/core/tests/former_process.rs
+++ b/crates/core/tests/former_process.rs
@@ -8,7 +8,7 @@
         job::{JobId, JobSpec, Resources, Step, TaskName},
         progress::Progress,
         shard::{Command, JobOrigin, Params, RestoringShard, Shard},
-        worker::{Availability, CommandReply, Report, RunningRow, WorkerInfo},
+        worker::{Availability, CommandReply, LeaseClock, Report, RunningRow, WorkerInfo},
     },
     std::time::{Duration, Instant},
     test_case::test_case,
@@ -384,3 +384,41 @@
         world.a.token
     );
 }
+
+/// Guards against leases that count as expired between the report that shows a restart and the next request.
+#[test]
+fn leases_of_a_restarted_worker_count_before_the_first_grant() {
+    let now = Instant::now();
+    let mut clock = LeaseClock::after_restart(ms(MAX_LEASE_MS), true, now);
+    clock.on_report(5_000_000, now - ms(5), now, ms(MAX_LEASE_MS));
+    // A call for the former process may have set a lease right before.
+    let at = now + ms(3_000);
+    assert!(!clock.has_expired(at), "{:?}", clock.lease_bounds(at));
+}
+
+/// Guards against leases that count as fenced off by a token that is not higher than the one before.
+#[test]
+fn a_leader_without_a_higher_token_fences_nothing_off() {
+    let now = Instant::now();
+    let max_lease = ms(MAX_LEASE_MS);
+    let [fenced, unfenced] = [true, false].map(|has_higher_token| {
+        let mut clock = LeaseClock::after_restart(max_lease, has_higher_token, now);
+        clock.on_report(1_000, now - ms(5), now, max_lease);
+        let at = now + ms(10);
+        clock.on_report(1_010, at, at, max_lease);
+        clock.grant(ms(4_000), now + ms(4_000));
+        clock.lease_bounds(at)
+    });
+    let [(_, fenced_ms), (_, unfenced_ms)] = [fenced, unfenced].map(|b| b.expect("has a clock"));
+    assert_eq!(unfenced_ms - fenced_ms, MAX_LEASE_MS);
+}
+
+/// Guards against an overflow by an odd reading of a worker's clock.
+#[test]
+fn a_clock_reading_near_the_largest_number_is_valid() {
+    let now = Instant::now();
+    let mut clock = LeaseClock::default();
+    clock.on_report(u64::MAX - 1, now, now, ms(MAX_LEASE_MS));
+    assert_eq!(clock.grant(ms(4_000), now), Some(u64::MAX));
+    assert!(!clock.has_expired(now + ms(60_000)));
+}
