Tell a worker's process by the connection, whatever was answered on it

Change: a connection is known once a report was read on it, and has the process as its label; one with another label is closed before the worker is asked again; at a worker that announces the end of each connection, leases are renewed and starts follow on the next one. A start that found no connection counts as not sent (Unsent), so its task starts elsewhere at once. A failed report request is logged with the answer and the token.

--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -250,7 +250,7 @@
                 run.phase = RunPhase::Running(now);
                 return;
             }
-            CommandReply::OtherProcess => {
+            CommandReply::OtherProcess | CommandReply::Unsent => {
                 worker.connection_lost_at.get_or_insert(now);
                 if in_doubt {
                     run.resend_at = now + RESEND_DELAY;
@@ -311,7 +311,10 @@
             return;
         }
         match reply {
-            CommandReply::Silent | CommandReply::Unhealthy | CommandReply::OtherProcess => {
+            CommandReply::Silent
+            | CommandReply::Unhealthy
+            | CommandReply::OtherProcess
+            | CommandReply::Unsent => {
                 run.resend_at = now + RESEND_DELAY;
             }
             CommandReply::Fenced => self.fenced = true,
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -127,6 +127,8 @@
     /// The worker has restarted: another process answers than the one that the command is for. The command
     /// was not sent, or was refused for its token.
     OtherProcess,
+    /// No connection could be made, so the command was not sent.
+    Unsent,
     /// The worker is unhealthy and did not carry out the command.
     Unhealthy,
     /// The worker rejected the command as invalid.
--- a/crates/http/src/connection.rs
+++ b/crates/http/src/connection.rs
@@ -147,6 +147,11 @@
         self.open.is_some()
     }
 
+    /// Closes the connection, if it is open.
+    pub fn close(&mut self) {
+        self.open = None;
+    }
+
     /// Attaches a label to the open connection, such as the process of the peer that has answered on
     /// it. It is lost with the connection; without an open one nothing is attached.
     pub fn set_label(&mut self, label: u64) {
--- a/crates/scheduler/src/commands.rs
+++ b/crates/scheduler/src/commands.rs
@@ -2,12 +2,14 @@
 
 use {
     crate::metrics::Metrics,
+    hyper::header,
     marigoldbend_core::sched::{
         shard::Command,
         worker::{CommandReply, Report},
     },
-    marigoldbend_http::connection::{
-        Connection, ConnectionError, ConnectionPool, Outgoing, TimeLimits,
+    marigoldbend_http::{
+        client::Reply,
+        connection::{Connection, ConnectionError, ConnectionPool, Outgoing, TimeLimits},
     },
     marigoldbend_wire::workers::{self, Start},
     std::{
@@ -152,7 +154,10 @@
                 }
             };
             pool.put_back(connection, reply.is_err());
-            let reply = reply.unwrap_or(CommandReply::Silent);
+            let reply = reply.unwrap_or_else(|e| match e {
+                ConnectionError::Unsent => CommandReply::Unsent,
+                ConnectionError::Lost | ConnectionError::TimedOut => CommandReply::Silent,
+            });
             metrics
                 .command_latency
                 .observe(start.elapsed().as_secs_f64());
@@ -236,7 +241,8 @@
 ///
 /// A worker that restarts under its address would take the command for its own, and the lease end in it
 /// for one on its own clock. So the process is asked for by `probe`, a report request, at the first such
-/// command on each connection; a connection doesn't outlive the process.
+/// command on each connection; a connection doesn't outlive the process. Only at a worker that closes its
+/// connections the command follows on another one.
 async fn exchange_with_process(
     connection: &mut Connection,
     started_ms: u64,
@@ -244,22 +250,39 @@
     command: Outgoing,
 ) -> Result<CommandReply, ConnectionError> {
     let limits = TimeLimits::total(COMMAND_TIMEOUT);
-    if connection.label().is_none() {
-        let reply = connection.exchange(probe, limits).await?;
+    let mut closes = false;
+    if connection.label() != Some(started_ms) {
+        // A connection to the former process may seem open although that is gone.
+        if connection.label().is_some() {
+            connection.close();
+        }
+        let reply = connection.exchange(probe, limits).await;
+        let reply = reply.map_err(|_| ConnectionError::Unsent)?;
         if !reply.status.is_success() {
             return Ok(workers::read_reply(reply.status, &reply.body).0);
         }
         let report = workers::read_report(&reply.body);
-        let report = report.map_err(|_| ConnectionError::Lost)?;
+        let report = report.map_err(|_| ConnectionError::Unsent)?;
         connection.set_label(report.started_ms);
+        if report.started_ms != started_ms {
+            return Ok(CommandReply::OtherProcess);
+        }
+        closes = is_last(&reply);
     }
-    if connection.label() != Some(started_ms) {
-        return Ok(CommandReply::OtherProcess);
-    }
-    let reply = connection.exchange_open(command, limits).await?;
+    let reply = if closes {
+        connection.exchange(command, limits).await?
+    } else {
+        connection.exchange_open(command, limits).await?
+    };
     Ok(workers::read_reply(reply.status, &reply.body).0)
 }
 
+/// Returns whether the peer closes the connection after a reply.
+fn is_last(reply: &Reply) -> bool {
+    let value = reply.headers.get(header::CONNECTION);
+    value.is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"close"))
+}
+
 /// Requests reports until `next_request` returns `None`.
 async fn poll_reports<A, S>(
     worker: String,
@@ -273,17 +296,20 @@
 {
     let mut connection = Connection::new(peer);
     let mut is_unresponsive = false;
+    let mut closes_connections = false;
     while let Some(request) = next_request().await {
         if !request.delay.is_zero() {
             sleep(request.delay).await;
             continue;
         }
-        // A worker behind a new connection may have restarted. A restarted worker numbers its ended
-        // attempts from 1 again, and has another clock. So the first request acknowledges nothing,
-        // renews no lease, and does not wait.
-        let is_open = connection.is_connected();
-        let (acked_end, until_ms, wait) = if is_open {
+        // Until a report has been read on a connection, the worker behind it may have restarted. A restarted
+        // worker numbers its ended attempts from 1 again, and has another clock. So nothing is acknowledged
+        // and no lease renewed, unless the worker closes each connection, and the report must not wait.
+        let is_known = connection.label().is_some();
+        let (acked_end, until_ms, wait) = if is_known {
             (request.acked_end, request.until_ms, request.wait)
+        } else if closes_connections {
+            (0, request.until_ms, request.wait)
         } else {
             (0, None, Duration::ZERO)
         };
@@ -292,21 +318,25 @@
             workers::request_report(&worker, request.token, acked_end, until_ms, wait_ms);
         let sent = Instant::now();
         let limits = TimeLimits::total(wait + REPORT_TIMEOUT);
-        let response = if is_open {
+        let response = if is_known {
             connection.exchange_open(outgoing, limits).await
         } else {
             connection.exchange(outgoing, limits).await
         };
-        if is_open && matches!(response, Err(ConnectionError::Unsent)) {
+        if is_known && matches!(response, Err(ConnectionError::Unsent)) {
             // The connection was closed meanwhile.
             continue;
         }
         let report = match &response {
             Ok(response) if response.status.is_success() => {
+                closes_connections = is_last(response);
                 workers::read_report(&response.body).ok()
             }
             _ => None,
         };
+        if let Some(report) = &report {
+            connection.set_label(report.started_ms);
+        }
         let result = match (&report, &response) {
             (Some(_), _) => "ok",
             (None, Ok(_)) => "refused",
@@ -323,8 +353,11 @@
             None => {
                 if !std::mem::replace(&mut is_unresponsive, true) {
                     let status = response.as_ref().map(|r| r.status.as_u16()).unwrap_or(0);
+                    let answer = response.as_ref().ok();
+                    let answer = answer.map(|r| workers::read_reply(r.status, &r.body).0);
                     log::warn!(
-                        "jobs: worker={worker} report request failed: {result} status={status}."
+                        "jobs: worker={worker} report request failed: {result} status={status} answer={answer:?} token={}.",
+                        request.token,
                     );
                 }
                 if matches!(response, Err(ConnectionError::Lost)) {
