Renew a deputy's leases only at the incarnation that was lent

Found in a review: a deputy's renewal that opened a connection to a worker that had restarted since it was asked set a lease of the maximum length there, by the former clock. The leader counts that, a successor does not. Change: a renewal goes only on a connection on which the incarnation has answered; on another one the worker is asked first. The call is in a module of its own. Result: worker_link::a_deputy_renews_a_lease_by_the_clock_of_the_former_process; the code before could not be called without the control thread, so that the test was not run on it.

--- a/crates/core/src/sched/deputy.rs
+++ b/crates/core/src/sched/deputy.rs
@@ -38,8 +38,10 @@
     pub address: String,
     /// The fencing token.
     pub token: u64,
-    /// The new end of the lease, in milliseconds on the worker's clock; `None` only to learn that clock
-    /// and the worker's incarnation.
+    /// When the worker's incarnation that the call is for started, in milliseconds of Unix time.
+    pub started_ms: u64,
+    /// The new end of the lease, in milliseconds on that incarnation's clock; `None` only to learn that
+    /// clock and which incarnation answers.
     pub until_ms: Option<u64>,
 }
 
@@ -186,6 +188,7 @@
                 worker: held.lent.worker.clone(),
                 address: held.lent.address.clone(),
                 token: held.lent.token,
+                started_ms: held.lent.started_ms,
                 until_ms,
             });
         }
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -10,8 +10,6 @@
 mod restoring;
 mod watches;
 
-pub use delegation::RenewalResult;
-
 pub use events::{
     EvacuationUpdate, Event, GetEvacuations, GetJobState, GetLoan, HasResignedAll,
     NextReportRequest, QueuedEvent, deliver_event, deliver_urgent_event, send_event,
--- a/crates/scheduler/src/control/delegation.rs
+++ b/crates/scheduler/src/control/delegation.rs
@@ -3,6 +3,7 @@
 
 use {
     super::*,
+    crate::renewal::{RenewalResult, renew},
     marigoldbend_core::sched::{
         deputy::{Deputy, RenewalCall, is_deputy},
         leadership::PEER_TIMEOUT,
@@ -21,9 +22,6 @@
 /// The time limit of a request for a loan.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// The time limit of a call to a worker, which answers at once.
-const RENEWAL_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// How long after its last heartbeat a peer counts among the possible successors, all of which must wait
 /// for loans.
 const SUCCESSOR_WINDOW: Duration = Duration::from_secs(30);
@@ -46,17 +44,6 @@
     was_active: bool,
 }
 
-/// A worker's answer to a deputy.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum RenewalResult {
-    /// The start of the worker's incarnation and its clock, both in milliseconds.
-    Answered(u64, u64),
-    /// The worker has seen a higher token, or has restarted.
-    Refused,
-    /// There was no usable answer.
-    Silent,
-}
-
 impl Control {
     /// Returns whether leases are lent under the current settings.
     pub(super) fn lends_leases(&self) -> bool {
@@ -251,24 +238,11 @@
         let pool = pool.clone();
         let metrics = self.metrics.clone();
         tokio::spawn(async move {
-            // Nothing is acknowledged.
-            let outgoing =
-                worker_wire::request_report(&call.worker, call.token, 0, call.until_ms, 0);
-            let reply = pool.exchange(outgoing, TimeLimits::total(RENEWAL_TIMEOUT));
-            let result = match reply.await {
-                Ok(reply) if reply.status.is_success() => {
-                    let report = worker_wire::read_report(&reply.body);
-                    report.map_or(RenewalResult::Silent, |report| {
-                        RenewalResult::Answered(report.started_ms, report.clock_ms)
-                    })
-                }
-                Ok(reply) => match worker_wire::read_reply(reply.status, &reply.body).0 {
-                    CommandReply::Fenced | CommandReply::Reborn => RenewalResult::Refused,
-                    _ => RenewalResult::Silent,
-                },
-                Err(_) => RenewalResult::Silent,
-            };
+            let result = renew(&pool, &call).await;
             let label = match result {
+                RenewalResult::Answered(started_ms, _) if started_ms != call.started_ms => {
+                    "restarted"
+                }
                 RenewalResult::Answered(..) if call.until_ms.is_none() => "probe",
                 RenewalResult::Answered(..) => "renewed",
                 RenewalResult::Refused => "refused",
--- a/crates/scheduler/src/control/events.rs
+++ b/crates/scheduler/src/control/events.rs
@@ -2,6 +2,7 @@
 
 use {
     super::*,
+    crate::renewal::RenewalResult,
     marigoldbend_core::sched::{
         deputy::RenewalCall,
         loans::{Loan, LoanRequest},
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod keys;
 pub mod metrics;
 pub mod operators;
+pub mod renewal;
 pub mod restoring_leader;
 pub mod settings;
 pub mod shard_leader;
--- a/crates/scheduler/tests/worker_link.rs
+++ b/crates/scheduler/tests/worker_link.rs
@@ -9,13 +9,16 @@
     },
     hyper_util::rt::TokioIo,
     marigoldbend_core::sched::{
+        deputy::RenewalCall,
         job::{JobId, TaskName},
         shard::Command,
         worker::{CommandReply, Report},
     },
+    marigoldbend_http::connection::ConnectionPool,
     marigoldbend_scheduler::{
         commands::{BoxFuture, CommandResult, ReportRequest, WorkerLink},
         metrics::Metrics,
+        renewal::{RenewalResult, renew},
     },
     marigoldbend_wire::stand_in::{self as wire, WorkerAction, WorkerCall},
     std::{
@@ -327,3 +330,31 @@
     }
     assert!(ends.iter().any(Option::is_some), "{ends:?}");
 }
+
+/// Guards against a deputy that sets a lease of the maximum length at a worker's next process.
+#[tokio::test]
+async fn a_deputy_renews_a_lease_by_the_clock_of_the_former_process() {
+    let mut worker = Worker::start().await;
+    let pool = ConnectionPool::new(worker.address);
+    let call = RenewalCall {
+        worker: "w".to_owned(),
+        address: worker.address.to_string(),
+        token: 64,
+        started_ms: 1,
+        until_ms: Some(5_000_000),
+    };
+    assert_eq!(renew(&pool, &call).await, RenewalResult::Answered(1, 1_000));
+    worker.restart();
+    // The first call may fail on the connection to the former process.
+    let mut result = renew(&pool, &call).await;
+    if result == RenewalResult::Silent {
+        result = renew(&pool, &call).await;
+    }
+    assert_eq!(result, RenewalResult::Answered(2, 2_000));
+    worker.calls.close();
+    let mut ends = Vec::new();
+    while let Some((started_ms, call)) = worker.calls.recv().await {
+        ends.push((started_ms, call.until_ms));
+    }
+    assert_eq!(ends, [(1, None), (1, Some(5_000_000)), (2, None)]);
+}
