Give simulated workers a clock per process, and let calls for the former one reach the next

Cause: all workers of shard_model shared one clock that never began anew, and no lease was cut to the maximum. Change: each process of a worker has a clock of its own; a lease end is cut to 6 s (10 s while leases are lent) from the moment at which a call is carried out, and holds for all that runs on the worker. The scenario Restarts crashes half of the workers, which return within 1 s and are cut off up to 1.3 s later, or with their leader, which is replaced and goes on until it resigns. Its clocks are up to 2% slow, and a leader confirms at once when it awaits that, as in the product.

--- a/crates/core/tests/shard_model/main.rs
+++ b/crates/core/tests/shard_model/main.rs
@@ -220,6 +220,22 @@
     assert!(lapsed(Mutant::NoLoans) >= 40);
 }
 
+/// The number of seeds with restarts and cuts that are simulated with all rules in force.
+const RESTART_SEEDS: u64 = 600;
+
+/// Guards against tasks that run twice since a call for a worker's former incarnation has set a longer
+/// lease than the leader, or its successor, counts.
+#[test_case(0; "with leaders that read no rows")]
+#[test_case(700; "with leaders that read rows at a fast link")]
+fn a_lease_that_a_call_for_the_former_incarnation_has_set_is_counted(reading_ms: u64) {
+    for seed in 0..RESTART_SEEDS {
+        if let Some(violation) = run_slow_world(seed, Mutant::None, Scenario::Restarts, reading_ms)
+        {
+            panic!("seed {seed}: {violation}");
+        }
+    }
+}
+
 #[test_case(Mutant::AckBeforeStore, Scenario::Crashes, MAX_LISTED_ENDS; "ended attempts are acknowledged before they are stored")]
 #[test_case(Mutant::AckAcrossRestart, Scenario::Crashes, MAX_LISTED_ENDS; "ended attempts are acknowledged by a stale number")]
 #[test_case(Mutant::UnconditionalWrites, Scenario::Crashes, MAX_LISTED_ENDS; "writes are applied after newer ones")]
--- a/crates/core/tests/shard_model/world.rs
+++ b/crates/core/tests/shard_model/world.rs
@@ -1,7 +1,7 @@
 //! A simulation of workers, a store and leaders, with injected faults.
 //!
 //! Names that end in `_ms` are simulated times or durations in milliseconds. The simulated clock
-//! also serves as Unix time and, but for a drift while leases are lent, as the workers' clock.
+//! also serves as Unix time. Each incarnation of a worker has a clock of its own.
 
 mod deputies;
 mod leaders;
@@ -9,7 +9,7 @@
 mod workers;
 
 use {
-    deputies::{Cut, SimulatedDeputy},
+    deputies::{Cut, LOANED_MAX_LEASE, SimulatedDeputy},
     leaders::{Leader, worker_in_use},
     marigoldbend_core::{
         hash::{HashMap, HashSet},
@@ -22,7 +22,7 @@
     network::Message,
     rand::{RngExt, SeedableRng, rngs::SmallRng},
     std::time::{Duration, Instant},
-    workers::{Listing, Worker},
+    workers::{Clock, Listing, Worker, clock_rate_per_mille},
 };
 
 /// The rule of the protocol that is left out.
@@ -82,6 +82,9 @@
     /// One of two failure domains is cut off from the leaders, both ways or one way, while two deputies
     /// there may renew leases. Some jobs are long-running.
     Cuts,
+    /// Half of the workers crash, return soon and are cut off from the leaders shortly after, or are cut
+    /// off together with their leader first. Some jobs are long-running.
+    Restarts,
 }
 
 /// The time between two steps of the simulation, in milliseconds.
@@ -96,19 +99,37 @@
 /// The duration of the phase without faults that follows, in milliseconds.
 const CALM_MS: u64 = 22_000;
 
+/// How long after the faults a job may be open while workers restart, when tasks run longer.
+const RESTART_CALM_MS: u64 = 50_000;
+
 /// The same for jobs with a task under which two workers have crashed, which starts less and less
 /// often.
 const MAX_CALM_MS: u64 = 1_500_000;
 
+/// The maximum duration of a lease on a worker.
+const MAX_LEASE: Duration = Duration::from_secs(6);
+
+/// The reading of the workers' clocks at simulated time zero, in milliseconds.
+const FIRST_CLOCK_MS: u64 = 100_000;
+
 /// The number of workers.
 const WORKERS: u64 = 3;
 
 /// The same while workers are replaced.
 const REPLACED_WORKERS: u64 = 4;
 
+/// The same while half of the workers restart at a time.
+const RESTARTED_WORKERS: u64 = 6;
+
+/// The minimum time between two crashes of half of the workers, in milliseconds.
+const RESTART_INTERVAL_MS: u64 = 7_000;
+
 /// The maximum number of long-running jobs, which run until the end.
 const MAX_LONG_RUNNING_JOBS: u32 = 3;
 
+/// The same while workers restart, when each has one task.
+const MAX_SINGLE_TASKS: u32 = 10;
+
 /// The share of the jobs with a task that crashes its workers, in thousandths.
 const CRASHING_JOBS_PER_MILLE: u32 = 80;
 
@@ -211,11 +232,13 @@
         reading_ms: u64,
         max_listed_ends: usize,
     ) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
         let worker = |i: u64| Worker {
             up: true,
             listing: Listing::Ready,
             restarts_at_ms: 0,
             started_ms: i + 1,
+            clock: Clock::new(0, FIRST_CLOCK_MS, clock_rate_per_mille(scenario, &mut rng)),
             highest_token: 0,
             running: HashMap::default(),
             finished: Vec::new(),
@@ -224,14 +247,15 @@
             lease_until_ms: 0,
             valid_ends_ms: HashMap::default(),
             unreachable_until_ms: HashMap::default(),
+            cut_off_ms: 0..0,
+            near_leader: 0,
         };
-        let worker_count = if scenario == Scenario::Crashes {
-            WORKERS
-        } else {
-            REPLACED_WORKERS
+        let worker_count = match scenario {
+            Scenario::Crashes => WORKERS,
+            Scenario::Restarts => RESTARTED_WORKERS,
+            _ => REPLACED_WORKERS,
         };
         let mut world = Self {
-            rng: SmallRng::seed_from_u64(seed),
             mutant,
             scenario,
             reading_ms,
@@ -239,6 +263,7 @@
             base: Instant::now(),
             now_ms: 1_000,
             workers: (0..worker_count).map(worker).collect(),
+            rng,
             deputies: if scenario == Scenario::Cuts {
                 (0..2).map(SimulatedDeputy::new).collect()
             } else {
@@ -274,10 +299,10 @@
             _ => FAULTS_MS,
         };
         let faults_until_ms = self.now_ms + faults_ms;
-        let calm_until_ms = faults_until_ms + CALM_MS;
+        let calm_until_ms = faults_until_ms + self.calm_ms();
         let end_ms = faults_until_ms + MAX_CALM_MS;
         while self.violation.is_none()
-            && (self.now_ms < calm_until_ms
+            && (self.now_ms < faults_until_ms + CALM_MS
                 || (self.now_ms < end_ms && self.unfinished_job(u32::MAX).is_some()))
         {
             if self.now_ms >= calm_until_ms {
@@ -311,7 +336,8 @@
                 Some(JobState::Completed) => true,
                 Some(JobState::Failed) => crashes >= 2,
                 _ if spec.steps[0].long_running => {
-                    self.now_ms < self.last_crash_ms + CALM_MS || self.runs_all_tasks(*id, spec)
+                    self.now_ms < self.last_crash_ms + self.calm_ms()
+                        || self.runs_all_tasks(*id, spec)
                 }
                 _ => false,
             };
@@ -331,6 +357,22 @@
         tasks.all(|task| self.workers.iter().any(|w| w.running.contains_key(&task)))
     }
 
+    /// Returns how long after the faults a job may be open.
+    fn calm_ms(&self) -> u64 {
+        match self.scenario {
+            Scenario::Restarts => RESTART_CALM_MS,
+            _ => CALM_MS,
+        }
+    }
+
+    /// Returns the maximum duration of a lease on a worker.
+    fn max_lease(&self) -> Duration {
+        match self.scenario {
+            Scenario::Cuts => LOANED_MAX_LEASE,
+            _ => MAX_LEASE,
+        }
+    }
+
     /// Returns true with a probability of `per_mille` thousandths.
     fn chance_per_mille(&mut self, per_mille: u32) -> bool {
         self.rng.random_range(0..1_000) < per_mille
@@ -343,11 +385,16 @@
 
     /// Adds a job, a takeover or a fault, each with a small probability per step.
     fn inject_faults(&mut self) {
-        if self.chance_per_mille(4) && self.jobs.len() < 40 {
+        let max_jobs = match self.scenario {
+            Scenario::Restarts => 20,
+            _ => 40,
+        };
+        if self.chance_per_mille(4) && self.jobs.len() < max_jobs {
             let id = JobId(self.jobs.len() as u64 + 1);
             let tasks = self.rng.random_range(1..4);
             self.jobs.push((id, spec(self.lease_token, tasks)));
-            if self.scenario != Scenario::Cuts && self.chance_per_mille(CRASHING_JOBS_PER_MILLE) {
+            let may_crash = !matches!(self.scenario, Scenario::Cuts | Scenario::Restarts);
+            if may_crash && self.chance_per_mille(CRASHING_JOBS_PER_MILLE) {
                 self.crashing.insert(TaskName {
                     job: id,
                     occurrence: 0,
@@ -356,12 +403,10 @@
                 });
             }
         }
-        // Most cuts must pass without a change of leaders.
-        let is_rare = self.scenario == Scenario::Cuts;
-        if self.chance_per_mille(2) && (!is_rare || self.chance_per_mille(80)) {
+        if self.chance_per_mille(2) && self.may_change_leader() {
             self.take_over();
         }
-        if self.chance_per_mille(2) && (!is_rare || self.chance_per_mille(80)) {
+        if self.chance_per_mille(2) && self.may_change_leader() {
             let i = self.rng.random_range(0..self.leaders.len());
             if i + 1 < self.leaders.len() || self.chance_per_mille(300) {
                 self.leaders[i].alive = false;
@@ -377,11 +422,13 @@
         let crashes_per_mille = match self.scenario {
             Scenario::Crashes | Scenario::Replacements => 2,
             Scenario::LongRunningJobs | Scenario::Cuts => 1,
+            Scenario::Restarts => 0,
         };
         if self.chance_per_mille(crashes_per_mille) {
             let i = self.rng.random_range(0..self.workers.len());
             self.crash(i);
         }
+        let is_rare = self.scenario == Scenario::Cuts;
         if self.chance_per_mille(3) && (!is_rare || self.chance_per_mille(250)) {
             let i = self.rng.random_range(0..self.workers.len());
             let leader_token = self.rng.random_range(0..=self.lease_token);
@@ -394,28 +441,76 @@
         if !self.leaders.iter().any(|l| l.alive) && self.chance_per_mille(20) {
             self.take_over();
         }
-        if self.scenario == Scenario::Cuts {
-            self.inject_cuts();
+        match self.scenario {
+            Scenario::Cuts => self.inject_cuts(),
+            Scenario::Restarts => self.inject_restarts(),
+            _ => {}
         }
         if self.scenario != Scenario::Crashes {
-            if matches!(self.scenario, Scenario::LongRunningJobs | Scenario::Cuts)
-                && self.long_running_jobs < MAX_LONG_RUNNING_JOBS
-                && self.chance_per_mille(2)
-            {
+            let (max_jobs, per_mille) = match self.scenario {
+                Scenario::Replacements => (0, 0),
+                Scenario::Restarts => (MAX_SINGLE_TASKS, 4),
+                _ => (MAX_LONG_RUNNING_JOBS, 2),
+            };
+            if self.long_running_jobs < max_jobs && self.chance_per_mille(per_mille) {
                 let id = JobId(self.jobs.len() as u64 + 1);
-                let tasks = self.rng.random_range(1..3);
+                let tasks = match self.scenario {
+                    Scenario::Restarts => 1,
+                    _ => self.rng.random_range(1..3),
+                };
                 let spec = long_running_spec(self.lease_token, tasks);
                 self.jobs.push((id, spec));
                 self.long_running_jobs += 1;
             }
             for i in 0..self.workers.len() {
-                if self.scenario != Scenario::Cuts {
+                if !matches!(self.scenario, Scenario::Cuts | Scenario::Restarts) {
                     self.change_listing(i);
                 }
             }
         }
     }
 
+    /// Returns whether a leader may be replaced or killed now. Most cuts and restarts must pass without.
+    fn may_change_leader(&mut self) -> bool {
+        match self.scenario {
+            Scenario::Cuts => self.chance_per_mille(80),
+            Scenario::Restarts => {
+                let is_near_crash = self.now_ms < self.last_crash_ms + 1_500;
+                self.chance_per_mille(if is_near_crash { 600 } else { 100 })
+            }
+            _ => true,
+        }
+    }
+
+    /// Crashes half of the workers, with a small probability, if none has crashed lately.
+    fn inject_restarts(&mut self) {
+        let is_first = self.last_crash_ms == 0;
+        let may_crash = is_first || self.now_ms >= self.last_crash_ms + RESTART_INTERVAL_MS;
+        if !may_crash || !self.chance_per_mille(4) {
+            return;
+        }
+        let first = self.rng.random_range(0..2);
+        let crashing = (first..self.workers.len()).step_by(2);
+        crashing.clone().for_each(|i| self.crash(i));
+        // Their leader may be cut off together with them; then it is replaced.
+        let has_leader = self.chance_per_mille(400);
+        let leader = self.leaders.last_mut();
+        let leader = leader.filter(|l| has_leader && l.alive && l.restoring.is_none());
+        let near_leader = leader.map_or(0, |leader| {
+            leader.is_cut_off = true;
+            leader.token
+        });
+        for i in crashing {
+            self.workers[i].near_leader = near_leader;
+            if near_leader > 0 {
+                self.workers[i].cut_off_ms.start = self.now_ms;
+            }
+        }
+        if near_leader > 0 {
+            self.take_over();
+        }
+    }
+
     /// Changes a worker's entry in the platform's list, or lets the worker leave if it has no runs,
     /// with a small probability.
     fn change_listing(&mut self, worker_index: usize) {
@@ -452,6 +547,7 @@
         for worker in &mut self.workers {
             worker.listing = Listing::Ready;
             worker.unreachable_until_ms.clear();
+            worker.cut_off_ms = 0..0;
             worker.restarts_at_ms = worker.restarts_at_ms.min(self.now_ms);
         }
         if !self.leaders.last().is_some_and(|l| l.alive) {
--- a/crates/core/tests/shard_model/world/deputies.rs
+++ b/crates/core/tests/shard_model/world/deputies.rs
@@ -1,10 +1,7 @@
 //! The simulated deputies in the domain `z`, which may be cut off from the leaders.
 
 use {
-    super::{
-        Mutant, STEP_MS, Scenario, World, leaders::worker_index, long_running_spec,
-        network::Message,
-    },
+    super::{Mutant, STEP_MS, World, leaders::worker_index, long_running_spec, network::Message},
     marigoldbend_core::sched::{
         deputy::{Deputy, RenewalCall},
         job::JobId,
@@ -15,8 +12,8 @@
     std::time::Duration,
 };
 
-/// The maximum duration of a lease on a worker.
-pub(super) const MAX_LEASE: Duration = Duration::from_secs(10);
+/// The maximum duration of a lease on a worker while leases are lent.
+pub(super) const LOANED_MAX_LEASE: Duration = Duration::from_secs(10);
 
 /// The time between two requests of a deputy for a loan, in milliseconds.
 const REQUEST_MS: u64 = 800;
@@ -68,14 +65,6 @@
 }
 
 impl World {
-    /// Returns the reading of the workers' clocks, which run 2% slow while leases are lent.
-    pub(super) fn worker_clock_ms(&self) -> u64 {
-        match self.scenario {
-            Scenario::Cuts => self.now_ms * 98 / 100,
-            _ => self.now_ms,
-        }
-    }
-
     /// Returns whether messages from the leaders to a worker are lost.
     pub(super) fn is_cut_to(&self, worker_index: usize) -> bool {
         worker_domain(worker_index) == "z" && self.cut.to_domain && self.is_cut()
@@ -239,7 +228,7 @@
     pub(super) fn handle_renewal(&mut self, deputy: usize, call: RenewalCall, sent_ms: u64) {
         let worker_index = worker_index(&call.worker);
         let is_fencing = self.mutant != Mutant::NoFencing;
-        let clock_ms = self.worker_clock_ms();
+        let max_lease = self.max_lease();
         let worker = &mut self.workers[worker_index];
         if !worker.up {
             return;
@@ -249,13 +238,9 @@
         } else {
             worker.highest_token = worker.highest_token.max(call.token);
             if let Some(until_ms) = call.until_ms {
-                let until_ms = until_ms.min(clock_ms + MAX_LEASE.as_millis() as u64);
-                worker.lease_until_ms = worker.lease_until_ms.max(until_ms);
-                for running in worker.running.values_mut() {
-                    running.lease_until_ms = running.lease_until_ms.max(until_ms);
-                }
+                worker.renew(until_ms, max_lease, self.now_ms);
             }
-            Some((worker.started_ms, clock_ms))
+            Some((worker.started_ms, worker.clock.reading_ms(self.now_ms)))
         };
         self.send(Message::RenewalReply(deputy, call, sent_ms, reply), true);
     }
--- a/crates/core/tests/shard_model/world/leaders.rs
+++ b/crates/core/tests/shard_model/world/leaders.rs
@@ -3,13 +3,14 @@
 use {
     super::{
         Mutant, Scenario, World,
-        deputies::{MAX_LEASE, worker_domain},
+        deputies::{LOANED_MAX_LEASE, worker_domain},
         network::{Message, ReportRequest},
         workers::Listing,
     },
     marigoldbend_core::sched::{
         job::{JobId, JobSpec, Resources},
         journal::Journal,
+        leadership::is_unconfirmed,
         progress::Progress,
         shard::{Command, JobOrigin, Params, RestoringShard, Shard},
         worker::{Availability, WorkerInfo},
@@ -31,6 +32,9 @@
     pub(super) journal: Journal,
     /// False once the leader was killed, or has stopped because it was replaced.
     pub(super) alive: bool,
+    /// Whether the leader is cut off from the store and from all workers that are not cut off together
+    /// with it. It resigns 2 s after its last confirmation.
+    pub(super) is_cut_off: bool,
     /// The leader does nothing until this time; zero if it was never paused.
     pub(super) paused_until_ms: u64,
     /// How many of the accepted jobs the leader has read.
@@ -91,7 +95,7 @@
         if self.scenario != Scenario::Cuts {
             return params;
         }
-        let lending = params.with_loans(MAX_LEASE);
+        let lending = params.with_loans(LOANED_MAX_LEASE);
         match self.mutant {
             Mutant::NoLoans => params,
             Mutant::ShortWaitForLoans => Params {
@@ -124,6 +128,7 @@
             restoring,
             journal: Journal::new(self.lease_token, self.head_row.0),
             alive: true,
+            is_cut_off: false,
             paused_until_ms: 0,
             jobs_read: self.jobs.len(),
             next_heartbeat_ms: self.now_ms + HEARTBEAT_MS,
@@ -266,7 +271,14 @@
         if leader.restoring.is_some() {
             return self.run_restoring(i);
         }
-        if self.now_ms >= leader.next_heartbeat_ms {
+        let awaits_confirmation =
+            self.scenario == Scenario::Restarts && leader.shard.awaits_confirmation();
+        if leader.is_cut_off {
+            if is_unconfirmed(leader.shard.confirmed_at(), true, now) {
+                leader.alive = false;
+                return;
+            }
+        } else if self.now_ms >= leader.next_heartbeat_ms || awaits_confirmation {
             // The store accepts the heartbeat only while the lease row is unchanged.
             leader.next_heartbeat_ms = self.now_ms + HEARTBEAT_MS;
             if leader.token != self.lease_token {
@@ -277,7 +289,7 @@
         }
         self.read_list(i);
         let leader = &mut self.leaders[i];
-        while leader.jobs_read < self.jobs.len() {
+        while leader.jobs_read < self.jobs.len() && !leader.is_cut_off {
             let (id, spec) = &self.jobs[leader.jobs_read];
             leader.jobs_read += 1;
             if spec.token > leader.token && self.mutant != Mutant::IgnoreJobToken {
@@ -340,6 +352,12 @@
         }
     }
 
+    /// Returns whether the leader with a token is cut off from the store.
+    pub(super) fn is_leader_cut_off(&self, token: u64) -> bool {
+        let leader = self.leaders.iter().find(|l| l.token == token);
+        leader.is_some_and(|l| l.is_cut_off)
+    }
+
     /// Returns the leader with a token, unless it is dead or paused.
     pub(super) fn active_leader(&mut self, token: u64) -> Option<&mut Leader> {
         let now_ms = self.now_ms;
--- a/crates/core/tests/shard_model/world/network.rs
+++ b/crates/core/tests/shard_model/world/network.rs
@@ -35,7 +35,8 @@
     pub(super) fencing_token: u64,
     /// The number of the newest ended attempt that is acknowledged; zero if none is.
     pub(super) acked_end: u64,
-    /// The new end of the leases, in milliseconds; `None` if they are not renewed.
+    /// The new end of the leases, on the clock of the incarnation that the leader knows; `None` if they
+    /// are not renewed.
     pub(super) until_ms: Option<u64>,
     /// When the request was sent, in milliseconds.
     pub(super) sent_ms: u64,
@@ -213,6 +214,13 @@
 
     /// Applies a write in the store and sends the result; no result is sent if `timed_out`.
     pub(super) fn handle_write(&mut self, leader_token: u64, write: Write, timed_out: bool) {
+        if self.is_leader_cut_off(leader_token) {
+            if !timed_out {
+                let unknown = Message::Written(leader_token, write, WriteResult::Unknown);
+                self.messages.push((self.now_ms + 400, unknown));
+            }
+            return;
+        }
         if leader_token != self.lease_token {
             // The lease row has changed, so the store rejects the write and the leader stops.
             if let Some(leader) = self.active_leader(leader_token) {
@@ -328,7 +336,7 @@
             return;
         }
         let fencing = self.mutant != Mutant::NoFencing;
-        let clock_ms = self.worker_clock_ms();
+        let max_lease = self.max_lease();
         let worker = &mut self.workers[worker_index];
         if fencing && request.fencing_token < worker.highest_token {
             if let Some(leader) = self.active_leader(leader_token) {
@@ -340,10 +348,7 @@
         self.acknowledge(worker_index, request.acked_end);
         let worker = &mut self.workers[worker_index];
         if let Some(until_ms) = request.until_ms {
-            worker.lease_until_ms = worker.lease_until_ms.max(until_ms);
-            for running in worker.running.values_mut() {
-                running.lease_until_ms = running.lease_until_ms.max(until_ms);
-            }
+            worker.renew(until_ms, max_lease, self.now_ms);
         }
         let row = |(task, r): (&TaskName, &Running)| RunningRow {
             task: *task,
@@ -354,7 +359,7 @@
         };
         let report = Report {
             started_ms: worker.started_ms,
-            clock_ms,
+            clock_ms: worker.clock.reading_ms(self.now_ms),
             running: worker.running.iter().map(row).collect(),
             finished: worker
                 .finished
--- a/crates/core/tests/shard_model/world/workers.rs
+++ b/crates/core/tests/shard_model/world/workers.rs
@@ -10,7 +10,8 @@
             worker::{CommandReply, EndReason, FinishedRow},
         },
     },
-    rand::RngExt,
+    rand::{RngExt, rngs::SmallRng},
+    std::{ops::Range, time::Duration},
 };
 
 /// The maximum number of starts of a task that crashes its workers, without a change of leaders.
@@ -22,8 +23,40 @@
     pub(super) attempt: u32,
     /// When the task completes.
     pub(super) ends_at_ms: u64,
-    /// When the lease expires, which ends the attempt.
-    pub(super) lease_until_ms: u64,
+}
+
+/// The clock of one incarnation of a worker.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Clock {
+    /// When the clock was started, in simulated time, and its reading then.
+    start: (u64, u64),
+    /// How fast the clock runs, in thousandths of real time.
+    rate_per_mille: u64,
+}
+
+/// Returns how fast a worker's clock runs, in thousandths of real time.
+pub(super) fn clock_rate_per_mille(scenario: Scenario, rng: &mut SmallRng) -> u64 {
+    match scenario {
+        Scenario::Cuts => 980,
+        Scenario::Restarts => rng.random_range(980..=1_000),
+        _ => 1_000,
+    }
+}
+
+impl Clock {
+    /// Creates a clock that shows `reading_ms` at `now_ms`.
+    pub(super) fn new(now_ms: u64, reading_ms: u64, rate_per_mille: u64) -> Self {
+        Self {
+            start: (now_ms, reading_ms),
+            rate_per_mille,
+        }
+    }
+
+    /// Returns the reading at `now_ms`.
+    pub(super) fn reading_ms(&self, now_ms: u64) -> u64 {
+        let (started_ms, first_ms) = self.start;
+        first_ms + (now_ms - started_ms) * self.rate_per_mille / 1_000
+    }
 }
 
 /// A worker's entry in the platform's list.
@@ -44,6 +77,8 @@
     pub(super) restarts_at_ms: u64,
     /// When the current incarnation started; identifies the incarnation.
     pub(super) started_ms: u64,
+    /// The clock of the current incarnation.
+    pub(super) clock: Clock,
     /// The highest fencing token that the current incarnation has received; zero if none.
     pub(super) highest_token: u64,
     pub(super) running: HashMap<TaskName, Running>,
@@ -53,15 +88,25 @@
     pub(super) next_end_number: u64,
     /// The highest attempt of each task that has ended or that a command stopped.
     pub(super) highest_attempts: HashMap<TaskName, u32>,
-    /// When the worker's lease expires; zero if it has none.
+    /// When the worker's lease expires on its clock, which ends all its runs; zero if it has none.
     pub(super) lease_until_ms: u64,
     /// When each of `finished` ended that is done and after which no lease has expired, by number.
     pub(super) valid_ends_ms: HashMap<u64, u64>,
     /// By leader token: the time until which that leader can't reach the worker.
     pub(super) unreachable_until_ms: HashMap<u64, u64>,
+    /// When no leader but `near_leader` can reach the worker; empty if there is no such time.
+    pub(super) cut_off_ms: Range<u64>,
+    /// The token of the leader that is cut off together with the worker; zero if none is.
+    pub(super) near_leader: u64,
 }
 
 impl Worker {
+    /// Extends the worker's lease to `until_ms` on its clock, but to at most `max_lease` from now.
+    pub(super) fn renew(&mut self, until_ms: u64, max_lease: Duration, now_ms: u64) {
+        let max_until_ms = self.clock.reading_ms(now_ms) + max_lease.as_millis() as u64;
+        self.lease_until_ms = self.lease_until_ms.max(until_ms.min(max_until_ms));
+    }
+
     /// Records that an attempt has ended, for the next reports.
     pub(super) fn record_end(&mut self, task: TaskName, attempt: u32, reason: EndReason) {
         self.finished.push(FinishedRow {
@@ -81,13 +126,14 @@
     /// Restarts the workers that are due, and ends the attempts that are done or whose lease has
     /// expired.
     pub(super) fn run_workers(&mut self) {
-        let clock_ms = self.worker_clock_ms();
         for worker in &mut self.workers {
             if !worker.up {
                 if self.now_ms >= worker.restarts_at_ms {
                     worker.up = true;
                     worker.listing = Listing::Ready;
                     worker.started_ms = self.now_ms + 10;
+                    let rate_per_mille = clock_rate_per_mille(self.scenario, &mut self.rng);
+                    worker.clock = Clock::new(self.now_ms, 0, rate_per_mille);
                     worker.highest_token = 0;
                     worker.finished.clear();
                     worker.next_end_number = 1;
@@ -97,10 +143,11 @@
                 }
                 continue;
             }
+            let has_lapsed = worker.lease_until_ms <= worker.clock.reading_ms(self.now_ms);
             let ended: Vec<_> = worker
                 .running
                 .iter()
-                .filter(|(_, r)| r.ends_at_ms <= self.now_ms || r.lease_until_ms <= clock_ms)
+                .filter(|(_, r)| r.ends_at_ms <= self.now_ms || has_lapsed)
                 .map(|(task, r)| (*task, r.attempt, r.ends_at_ms <= self.now_ms))
                 .collect();
             if self.cut.until_ms > 0 {
@@ -123,7 +170,7 @@
                     },
                 );
             }
-            if worker.lease_until_ms <= clock_ms {
+            if has_lapsed {
                 worker.valid_ends_ms.clear();
             }
         }
@@ -138,9 +185,13 @@
         lease_until_ms: u64,
         token: u64,
     ) -> CommandReply {
-        let run_ms = self.rng.random_range(50..1_500);
+        let run_ms = match self.scenario {
+            Scenario::Restarts => 50..8_000,
+            _ => 50..1_500,
+        };
+        let run_ms = self.rng.random_range(run_ms);
         let is_long_running = self.is_long_running(task);
-        let clock_ms = self.worker_clock_ms();
+        let max_lease = self.max_lease();
         let is_fenced =
             self.mutant != Mutant::NoFencing && token < self.workers[worker_index].highest_token;
         let worker = &mut self.workers[worker_index];
@@ -161,7 +212,7 @@
         {
             return CommandReply::Old;
         }
-        if lease_until_ms <= clock_ms {
+        if lease_until_ms <= worker.clock.reading_ms(self.now_ms) {
             return CommandReply::Late;
         }
         if worker.running.len() >= 3 {
@@ -174,19 +225,9 @@
             } else {
                 self.now_ms + run_ms
             },
-            lease_until_ms,
-        };
-        let running = Running {
-            // A lease end applies to all runs on the worker.
-            lease_until_ms: if self.scenario == Scenario::Cuts {
-                lease_until_ms.max(worker.lease_until_ms)
-            } else {
-                lease_until_ms
-            },
-            ..running
         };
         worker.running.insert(task, running);
-        worker.lease_until_ms = worker.lease_until_ms.max(lease_until_ms);
+        worker.renew(lease_until_ms, max_lease, self.now_ms);
         self.check_start(worker_index, task);
         if self.crashing.contains(&task) {
             self.crash(worker_index);
@@ -203,6 +244,7 @@
     /// Crashes a worker, which runs nothing afterwards.
     pub(super) fn crash(&mut self, worker_index: usize) {
         let down_ms = match self.scenario {
+            Scenario::Restarts => 100..1_000,
             Scenario::Crashes | Scenario::Replacements => 50..6_000,
             Scenario::LongRunningJobs | Scenario::Cuts => MAX_DELAY_MS..2 * MAX_DELAY_MS,
         };
@@ -211,6 +253,10 @@
         let worker = &mut self.workers[worker_index];
         worker.up = false;
         worker.restarts_at_ms = self.now_ms + down_ms;
+        if self.scenario == Scenario::Restarts {
+            let from_ms = worker.restarts_at_ms + self.rng.random_range(0..1_300);
+            worker.cut_off_ms = from_ms..from_ms + self.rng.random_range(4_000..9_000);
+        }
         for (task, _) in worker.running.drain() {
             *self.crashes.entry(task).or_default() += 1;
         }
@@ -303,8 +349,11 @@
     /// Returns whether the leader with `leader_token` can reach a worker.
     pub(super) fn is_reachable(&self, leader_token: u64, worker_index: usize) -> bool {
         let worker = &self.workers[worker_index];
+        let is_cut_off =
+            worker.cut_off_ms.contains(&self.now_ms) || self.is_leader_cut_off(leader_token);
         worker.up
             && !self.is_cut_to(worker_index)
+            && (!is_cut_off || worker.near_leader == leader_token)
             && worker
                 .unreachable_until_ms
                 .get(&leader_token)
