Let simulated calls reach only the incarnation that they are for

Cause: the product sends a start only to the incarnation that has answered on the connection, and renews no lease on one without a report; the model's restarts did not have these rules. Two mutants: leases set by calls for former incarnations are not counted, starts reach any incarnation. Both mutants are detected.

--- a/crates/core/tests/shard_model/main.rs
+++ b/crates/core/tests/shard_model/main.rs
@@ -252,6 +252,8 @@
 #[test_case(Mutant::ShortWaitForLoans, Scenario::Cuts, MAX_LISTED_ENDS; "new leaders do not wait for loans of earlier ones")]
 #[test_case(Mutant::KeepOldLoans, Scenario::Cuts, MAX_LISTED_ENDS; "deputies use loans that they have returned")]
 #[test_case(Mutant::IgnoreLeftOutEnds, Scenario::Crashes, 3; "reports that leave out ended attempts are treated as complete")]
+#[test_case(Mutant::IgnoreFormerCalls, Scenario::Restarts, MAX_LISTED_ENDS; "leases set by calls for former incarnations are not counted")]
+#[test_case(Mutant::StartAnyIncarnation, Scenario::Restarts, MAX_LISTED_ENDS; "starts reach other incarnations")]
 fn mutant_is_detected(mutant: Mutant, scenario: Scenario, max_listed_ends: usize) {
     // Some seeds fail with all rules in force.
     let is_violated =
--- a/crates/core/tests/shard_model/world.rs
+++ b/crates/core/tests/shard_model/world.rs
@@ -67,6 +67,11 @@
     ShortWaitForLoans,
     /// Deputies go on with the caps of earlier loans when they have received a later one.
     KeepOldLoans,
+    /// Report requests renew leases on connections on which no report has been read, and leaders do not
+    /// count leases that calls for a worker's former incarnation have set.
+    IgnoreFormerCalls,
+    /// Starts are sent to whatever incarnation of a worker answers.
+    StartAnyIncarnation,
 }
 
 /// What happens beside the faults of messages and leaders.
