Start nothing on a restarted worker before the store confirms the leader

Callers could see a task run twice, or again after it was done: a leader is cut off with a worker that restarts, and is replaced. For up to 2 s it goes on, and starts tasks on the worker, whose leases a call for the former incarnation may have set to 6 s: up to 8.1 s after the successor's lease row, which waits 6.2 s. Change: a restarted worker gets no task until a report has shown that it refuses other calls, and the store has confirmed the leader by a call sent after that; the lease row is read at once for it. The report after the first one does not wait at the worker. Then a successor's lease row is later than the worker's fence, and its wait is long enough; it follows max_lease_ms where that is more than 6 s.

--- a/crates/core/src/sched/shard/leases.rs
+++ b/crates/core/src/sched/shard/leases.rs
@@ -10,12 +10,19 @@
 };
 
 impl Shard {
-    /// Returns whether runs with expired leases wait until the store confirms that this instance is
-    /// still the leader; see [`Shard::confirm`].
+    /// Returns whether runs with expired leases, or starts on restarted workers, wait until the store
+    /// confirms that this instance is still the leader; see [`Shard::confirm`].
     pub fn awaits_confirmation(&self) -> bool {
         self.awaits_confirmation
     }
 
+    /// Returns whether the next report of a worker is needed at once, to learn that it refuses calls for its
+    /// former incarnation.
+    pub fn awaits_fence(&self, worker_id: &str) -> bool {
+        let worker = self.workers.get(worker_id);
+        worker.is_some_and(|w| w.clock.awaits_fence())
+    }
+
     /// Treats runs as lost whose worker is unresponsive and whose leases have expired, and removes
     /// such workers if they are unlisted.
     ///
@@ -34,6 +41,8 @@
         for (id, worker) in &mut self.workers {
             if !is_unresponsive(worker) {
                 worker.leases_expired_at = None;
+                worker.is_settled = worker.clock.is_settled(self.confirmed_at);
+                self.awaits_confirmation |= !worker.is_settled && !worker.clock.awaits_fence();
                 continue;
             }
             // The clock has only the leases that this leader granted.
--- a/crates/core/src/sched/shard/restoring.rs
+++ b/crates/core/src/sched/shard/restoring.rs
@@ -207,6 +207,7 @@
             self.on_report(&id, &last.report, last.sent_at, now, unix_ms);
             if let Some(worker) = self.workers.get_mut(&id) {
                 worker.clock = restored.clock;
+                worker.is_settled = worker.clock.is_settled(self.confirmed_at);
                 worker.answered_at = Some(last.arrived_at);
             }
         }
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -302,6 +302,8 @@
     pub incarnations: u64,
     /// The worker's clock as estimated from its reports, and the end of its leases.
     pub clock: LeaseClock,
+    /// Whether tasks may start on the worker's present incarnation; see [`LeaseClock::is_settled`].
+    pub is_settled: bool,
     /// When the leader first found the worker's leases expired; `None` while the worker responds.
     pub leases_expired_at: Option<Instant>,
     /// When the worker's last report arrived; `None` before the first.
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -340,6 +340,7 @@
             draining_since: draining.then_some(now),
             incarnations: 0,
             clock: LeaseClock::default(),
+            is_settled: true,
             leases_expired_at: None,
             answered_at: None,
             connection_lost_at: None,
@@ -415,6 +416,7 @@
         let has_passed = |until: Option<Instant>| until.is_none_or(|until| until <= now);
         self.may_get_work(now)
             && self.is_stored_in_use
+            && self.is_settled
             && self.is_responsive(now)
             && self.connection_lost_at.is_none()
             && !self.has_unaccounted_runs
--- a/crates/core/src/sched/worker.rs
+++ b/crates/core/src/sched/worker.rs
@@ -171,6 +171,8 @@
     unfenced_ms: u64,
     /// What is still to show that it refuses them.
     unfenced: Unfenced,
+    /// When a report after a restart has shown that it refuses them; `None` if none has.
+    fenced_at: Option<Instant>,
 }
 
 impl LeaseClock {
@@ -204,6 +206,9 @@
             Unfenced::ForGood | Unfenced::No => false,
         };
         if is_fenced {
+            if self.unfenced != Unfenced::UntilFirstReport {
+                self.fenced_at = Some(now);
+            }
             self.unfenced = Unfenced::No;
             self.unfenced_ms = 0;
             self.record_grant(clock_ms.saturating_add(ms(max_lease)));
@@ -260,6 +265,20 @@
         self.lent_until_ms = until_ms;
     }
 
+    /// Returns whether a report requested with a higher token is awaited after a restart.
+    pub fn awaits_fence(&self) -> bool {
+        matches!(self.unfenced, Unfenced::UntilReportSentAfter(_))
+    }
+
+    /// Returns whether tasks may start on the process, of a leader that the store has confirmed by a call
+    /// sent at `confirmed_at`.
+    ///
+    /// A successor whose lease row was written before the process refused other calls would not wait for
+    /// the leases that these may have set.
+    pub fn is_settled(&self, confirmed_at: Instant) -> bool {
+        !self.awaits_fence() && self.fenced_at.is_none_or(|at| at < confirmed_at)
+    }
+
     /// Returns the earliest present reading of the worker's clock, and the reading until which leases may
     /// last, both in milliseconds; `None` if the worker has not reported its clock.
     pub fn lease_bounds(&self, now: Instant) -> Option<(u64, u64)> {
--- a/crates/core/tests/former_process.rs
+++ b/crates/core/tests/former_process.rs
@@ -139,6 +139,8 @@
     a: Process,
     bb: Process,
     is_cut_off: bool,
+    /// Until when the store confirms the leader, in milliseconds.
+    confirmed_until_ms: u64,
     /// When the task has started on `bb`, in milliseconds.
     started_elsewhere_ms: Option<u64>,
 }
@@ -159,6 +161,7 @@
             a: Process::new(0, 5_000_000),
             bb: Process::new(0, 1_000),
             is_cut_off: false,
+            confirmed_until_ms: u64::MAX,
             started_elsewhere_ms: None,
         }
     }
@@ -187,7 +190,9 @@
         while self.now_ms < until_ms {
             self.now_ms += STEP_MS;
             let now = self.now();
-            self.shard.confirm(now);
+            if self.now_ms <= self.confirmed_until_ms {
+                self.shard.confirm(now);
+            }
             if self.now_ms.is_multiple_of(REPORT_MS) {
                 self.request_report("a");
                 self.request_report("bb");
@@ -422,3 +427,21 @@
     assert_eq!(clock.grant(ms(4_000), now), Some(u64::MAX));
     assert!(!clock.has_expired(now + ms(60_000)));
 }
+
+/// Guards against a run that outlasts a successor's wait, on a worker that restarted when the store had
+/// confirmed the leader for the last time: a call for its former process may have set a lease.
+#[test]
+fn a_leader_that_is_not_confirmed_starts_a_task_on_a_restarted_worker() {
+    for (confirmed_until_ms, expected) in [(2_000, false), (u64::MAX, true)] {
+        let mut world = World::new(Params::default(), TOKEN);
+        world.confirmed_until_ms = confirmed_until_ms;
+        world.run_until(3_000);
+        world.a = Process::new(3_000, 1_000);
+        world.request_report("a");
+        let now = world.now();
+        world.shard.add_job(TASK.job, spec(), JobOrigin::New, now);
+        world.run_until(4_000);
+        assert_eq!(world.a.attempt.is_some(), expected);
+        assert_eq!(world.shard.awaits_confirmation(), !expected);
+    }
+}
--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -24,12 +24,19 @@
 /// resigns in favour of an instance of the shard's own domains.
 const MIN_FOREIGN_LEADERSHIP: Duration = Duration::from_secs(4);
 
+/// How late a lease may end by the timers of a worker.
+const LATE_END: Duration = Duration::from_millis(100);
+
 impl Control {
     /// Returns the parameters of a led shard under the current settings.
     pub(super) fn params(&self) -> Params {
+        let max_lease = self.settings.max_lease;
+        // A restarted worker may have leases of the maximum length when this leader takes over.
+        let longest = max_lease * 103 / 100 + LATE_END;
         let params = Params {
-            lease: Params::default().lease.min(self.settings.max_lease),
-            max_lease: self.settings.max_lease,
+            lease: Params::default().lease.min(max_lease),
+            max_lease,
+            unknown_run_limit: Params::default().unknown_run_limit.max(longest),
             drain: self.settings.drain,
             max_listed_ends: worker_wire::MAX_LISTED_ENDS,
             displace_long_running: self.settings.features.displace_long_running,
--- a/crates/scheduler/src/shard_leader.rs
+++ b/crates/scheduler/src/shard_leader.rs
@@ -339,7 +339,9 @@
             self.report_requested_at.insert(worker.to_owned(), now);
             Duration::ZERO
         };
-        let wait = if has_unstored_ends {
+        let wait = if self.shard.awaits_fence(worker) {
+            Duration::ZERO
+        } else if has_unstored_ends {
             Duration::from_millis(50)
         } else if self.shard.has_mixed_load(worker) {
             MIXED_LOAD_REPORT_WAIT
