stand-ins: workers that start again, and that are cut off

A worker can now crash and start again, and be cut off and reconnected. Its network is down in both cases: connections are no longer polled, so that no call arrives and no answer leaves, and they are reset when they are used after that. Removed workers use the same.

--- a/stand-ins/src/job_workers.rs
+++ b/stand-ins/src/job_workers.rs
@@ -9,17 +9,18 @@
         job_record::JobRecord,
         rows::{RowStore, respond},
     },
-    hyper::{Request, StatusCode, body::Incoming},
+    hyper::{Request, StatusCode, body::Incoming, service::service_fn},
+    hyper_util::{
+        rt::{TokioExecutor, TokioIo},
+        server::conn::auto,
+    },
     marigoldbend_core::sched::{
         job::{Resources, TaskName},
         worker::{
             Availability, CommandReply, EndReason, FinishedRow, Report, RunningRow, WorkerInfo,
         },
     },
-    marigoldbend_http::{
-        body::{HttpResponse, read_whole},
-        server::{Limits, serve},
-    },
+    marigoldbend_http::body::{HttpResponse, read_whole},
     marigoldbend_platform::rows::RowKey,
     marigoldbend_wire::{
         stand_in::{self as wire, WorkerAction, WorkerCall},
@@ -28,13 +29,14 @@
     parking_lot::Mutex,
     std::{
         collections::{BTreeMap, HashMap},
-        future::pending,
+        convert::Infallible,
         io,
+        os::fd::AsFd,
         sync::Arc,
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
     tokio::{
-        net::TcpListener,
+        net::{TcpListener, TcpStream},
         sync::watch,
         time::{interval, sleep_until, timeout},
     },
@@ -72,8 +74,14 @@
     ends: Instant,
 }
 
-#[derive(Default)]
+/// The state of a worker's process, which begins anew when the worker starts again.
 struct State {
+    /// The Unix time of the start, in milliseconds.
+    started_ms: u64,
+    /// When the worker's clock read zero.
+    epoch: Instant,
+    /// The number of the last entry in the list of workers.
+    last_entry: u64,
     token: u64,
     running: BTreeMap<TaskName, Run>,
     /// The end of the leases.
@@ -82,17 +90,46 @@
     last_number: u64,
     /// The highest attempt of each task that was stopped or ended here.
     ended: HashMap<TaskName, u32>,
-    /// Whether the worker was removed.
-    is_removed: bool,
+    /// Whether the process has crashed.
+    has_crashed: bool,
+}
+
+impl State {
+    fn new() -> Self {
+        Self {
+            started_ms: unix_ms(),
+            epoch: Instant::now(),
+            last_entry: 0,
+            token: 0,
+            running: BTreeMap::new(),
+            leased_until: None,
+            finished: Vec::new(),
+            last_number: 0,
+            ended: HashMap::new(),
+            has_crashed: false,
+        }
+    }
+
+    /// Returns the worker's clock, in milliseconds.
+    fn clock_ms(&self) -> u64 {
+        self.epoch.elapsed().as_millis() as u64
+    }
+}
+
+/// Whether a worker can be reached.
+#[derive(Clone, Copy, Default)]
+struct Network {
+    is_down: bool,
+    /// How often it went down.
+    outages: u64,
 }
 
 /// One worker.
 struct Worker {
     info: WorkerInfo,
     max_lease: Duration,
-    /// When the worker's clock read zero.
-    epoch: Instant,
     state: Mutex<State>,
+    network: watch::Sender<Network>,
     /// Wakes the timer and the reports that wait for an end, after each change of the state.
     changed: watch::Sender<()>,
     record: JobRecord,
@@ -125,20 +162,20 @@
                 availability: Availability::Ready,
                 capacity: cfg.capacity,
                 labels: vec!["kind-1".to_owned(), format!("rack-{}", index % 4)],
-                started_ms: unix_ms(),
+                started_ms: 0,
                 remaining_ms: None,
             };
             let worker = Arc::new(Worker {
                 info,
                 max_lease: cfg.max_lease,
-                epoch: Instant::now(),
-                state: Mutex::default(),
+                state: Mutex::new(State::new()),
+                network: watch::Sender::default(),
                 changed: watch::Sender::default(),
                 record: record.clone(),
             });
             tokio::spawn(write_entries(worker.clone(), store.clone(), cfg.heartbeat));
             tokio::spawn(end_runs_in_time(worker.clone()));
-            start_server(listener, worker.clone());
+            tokio::spawn(accept_connections(listener, worker.clone()));
             workers.push(worker);
         }
         Ok(Self {
@@ -161,11 +198,47 @@
     /// Removes a worker for good: its attempts end as failed, it answers no call any more, and its
     /// entry in the list of workers is deleted.
     pub fn remove(&self, id: &str) {
-        let worker = self.workers.iter().find(|worker| worker.info.id == id);
-        if let Some(worker) = worker {
-            worker.remove(Instant::now());
-            self.store.delete(RowKey::new(WORKERS_TABLE, "", id));
-        }
+        self.crash(id);
+        self.store.delete(RowKey::new(WORKERS_TABLE, "", id));
+    }
+
+    /// Ends a worker's process and takes its machine off the network: its attempts end as failed, and
+    /// nobody notices since no call is answered or refused.
+    pub fn crash(&self, id: &str) {
+        self.worker(id).crash(Instant::now());
+    }
+
+    /// Starts a crashed worker again under its id and address, with a new clock and no memory.
+    pub fn start_again(&self, id: &str) {
+        let worker = self.worker(id);
+        *worker.state.lock() = State::new();
+        worker.set_network_down(false);
+        worker.write_entry(&self.store);
+    }
+
+    /// Takes a worker off the network while its process runs on: no call arrives, and no answer leaves.
+    pub fn cut_off(&self, id: &str) {
+        self.worker(id).set_network_down(true);
+    }
+
+    /// Ends what [`JobWorkers::cut_off`] began. Earlier connections are reset at their next use.
+    pub fn reconnect(&self, id: &str) {
+        let worker = self.worker(id);
+        worker.set_network_down(false);
+        worker.write_entry(&self.store);
+    }
+
+    /// Returns the ids of a failure domain's workers.
+    pub fn of_domain(&self, domain: &str) -> Vec<String> {
+        let workers = self.workers.iter().map(|worker| &worker.info);
+        let workers = workers.filter(|info| info.domain == domain);
+        workers.map(|info| info.id.clone()).collect()
+    }
+
+    fn worker(&self, id: &str) -> &Worker {
+        let mut workers = self.workers.iter();
+        let worker = workers.find(|worker| worker.info.id == id);
+        worker.expect("the id of a worker")
     }
 }
 
@@ -180,16 +253,10 @@
 
 /// Writes the worker's entry in the list of workers at each heartbeat.
 async fn write_entries(worker: Arc<Worker>, store: RowStore, heartbeat: Duration) {
-    let name = RowKey::new(WORKERS_TABLE, "", &worker.info.id);
     let mut ticks = interval(heartbeat);
-    for number in 1.. {
+    loop {
         ticks.tick().await;
-        // The lock is held during the write so that no entry is written after a removal.
-        let state = worker.state.lock();
-        if state.is_removed {
-            return;
-        }
-        store.put(name.clone(), wire::write_entry(&worker.info, number));
+        worker.write_entry(&store);
     }
 }
 
@@ -206,24 +273,48 @@
     }
 }
 
-fn start_server(listener: TcpListener, worker: Arc<Worker>) {
-    let (stop, stopped) = watch::channel(false);
-    let handler = move |_, req| {
-        let worker = worker.clone();
-        async move {
-            let response = worker.handle(req).await;
-            let is_removed = worker.state.lock().is_removed;
-            if is_removed {
-                pending::<()>().await;
-            }
-            response
+async fn accept_connections(listener: TcpListener, worker: Arc<Worker>) {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            // Without this option, small responses wait for the acknowledgement of earlier ones.
+            let _ = stream.set_nodelay(true);
+            tokio::spawn(serve_connection(stream, worker.clone()));
         }
+    }
+}
+
+/// Serves a connection until the network is down. Resets it when it is used after that.
+async fn serve_connection(stream: TcpStream, worker: Arc<Worker>) {
+    let mut network = worker.network.subscribe();
+    let initial = *network.borrow();
+    let Ok(same_stream) = duplicate(&stream) else {
+        return;
     };
-    tokio::spawn(async move {
-        serve(listener, Limits::default(), handler, stopped).await;
-        // The sender must outlive the server, which stops when the sender is dropped.
-        drop(stop);
+    // A connection that is dropped is reset then. An error could only mean that it has ended.
+    let _ = stream.set_zero_linger();
+    let service = service_fn(|req| {
+        let worker = worker.clone();
+        async move { Ok::<_, Infallible>(worker.handle(req).await) }
     });
+    let builder = auto::Builder::new(TokioExecutor::new());
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    // A connection that is not polled neither receives nor sends.
+    tokio::pin!(connection);
+    let is_out = |now: &Network| now.is_down || now.outages != initial.outages;
+    tokio::select! {
+        biased;
+        _ = network.wait_for(is_out) => {}
+        // The error is ignored because the client sees its connection end.
+        _ = &mut connection => return,
+    }
+    // The sender lives as long as the worker.
+    let _ = network.wait_for(|now| !now.is_down).await;
+    let _ = same_stream.peek(&mut [0]).await;
+}
+
+fn duplicate(stream: &TcpStream) -> io::Result<TcpStream> {
+    let fd = stream.as_fd().try_clone_to_owned()?;
+    TcpStream::from_std(fd.into())
 }
 
 impl Worker {
@@ -255,13 +346,31 @@
         }
     }
 
-    /// Returns the worker's clock, in milliseconds.
-    fn clock_ms(&self) -> u64 {
-        self.epoch.elapsed().as_millis() as u64
+    fn set_network_down(&self, is_down: bool) {
+        self.network.send_modify(|network| {
+            network.outages += u64::from(is_down && !network.is_down);
+            network.is_down = is_down;
+        });
+    }
+
+    /// Writes the worker's entry in the list of workers, unless it is off the network.
+    fn write_entry(&self, store: &RowStore) {
+        // The lock is held during the write so that no entry is written after a crash.
+        let mut state = self.state.lock();
+        if state.has_crashed || self.network.borrow().is_down {
+            return;
+        }
+        state.last_entry += 1;
+        let info = WorkerInfo {
+            started_ms: state.started_ms,
+            ..self.info.clone()
+        };
+        let name = RowKey::new(WORKERS_TABLE, "", &info.id);
+        store.put(name, wire::write_entry(&info, state.last_entry));
     }
 
     fn reply(&self, reply: CommandReply) -> HttpResponse {
-        let (status, body) = wire::write_reply(reply, self.clock_ms());
+        let (status, body) = wire::write_reply(reply, self.state.lock().clock_ms());
         respond(status, body)
     }
 
@@ -269,15 +378,16 @@
         let now = Instant::now();
         self.advance(now);
         let mut state = self.state.lock();
-        if state.is_removed {
+        if state.has_crashed {
             return CommandReply::Refused;
         }
         if call.token < state.token {
             return CommandReply::Fenced;
         }
         state.token = call.token;
+        let epoch = state.epoch;
         let until = call.until_ms.map(|ms| {
-            let until = self.epoch + Duration::from_millis(ms);
+            let until = epoch + Duration::from_millis(ms);
             until.min(now + self.max_lease)
         });
         let is_start = matches!(call.action, WorkerAction::Start { .. });
@@ -347,10 +457,11 @@
         }
     }
 
-    fn remove(&self, now: Instant) {
+    fn crash(&self, now: Instant) {
+        self.set_network_down(true);
         self.advance(now);
         let mut state = self.state.lock();
-        state.is_removed = true;
+        state.has_crashed = true;
         let running: Vec<_> = state.running.keys().copied().collect();
         for task in running {
             self.end(&mut state, task, EndReason::Failed, now);
@@ -419,8 +530,8 @@
         });
         let finished = state.finished.iter().take(MAX_REPORTED_ENDS);
         Report {
-            started_ms: self.info.started_ms,
-            clock_ms: self.clock_ms(),
+            started_ms: state.started_ms,
+            clock_ms: state.clock_ms(),
             running: running.collect(),
             finished: finished.cloned().collect(),
         }
