jobs: tests of restarted workers that are cut off, which fail

A report request or a start that bears a lease end of the clock of a worker's former process sets the new one's lease to the longest, 6 s, while the leader counts 4 s from its own grants. If the worker is cut off then, its tasks start elsewhere before its leases have ended.

Change: four of eight workers crash and are back 0.6 s later. A start that got no reply is carried out by the new process; each worker is cut off for 9 s as soon as it runs a long task. In the first case the leader has had a report of the new process by then, in the second it has not. The workers' reports are 40 ms apart, since reports that arrive together made the overlap as short as a few milliseconds. No logic is changed.

--- a/crates/entry/tests/jobs/main.rs
+++ b/crates/entry/tests/jobs/main.rs
@@ -12,4 +12,5 @@
 mod outages;
 mod overload;
 mod path;
+mod restarts;
 mod throttle;
