jobs: tests of restarted workers that are cut off after their leader's loss

The next leader knows neither which calls its predecessor sent to the former process of a worker nor what lease they set.

Change: the leader is lost once the restarted workers run long tasks; they are cut off at once, or after the next leader has found these runs. Ends that no leader has acknowledged are waited for, since such a task may start again. No logic is changed.

--- a/crates/entry/tests/jobs/restarts.rs
+++ b/crates/entry/tests/jobs/restarts.rs
@@ -57,6 +57,8 @@
     jobs: Vec<Job>,
     /// When the workers that crash had ended their tasks.
     idle_since: Instant,
+    /// The index of the leader, once it is lost.
+    lost_leader: Option<usize>,
 }
 
 impl Restarts {
@@ -72,6 +74,7 @@
             crashing,
             jobs: Vec::new(),
             idle_since: Instant::now(),
+            lost_leader: None,
         };
         for label in OTHER_LABELS {
             let count = WORKERS / 2 / OTHER_LABELS.len();
@@ -188,7 +191,10 @@
         for id in cut_off {
             self.deployment.workers.reconnect(id);
         }
-        let caller = self.deployment.caller();
+        let mut caller = self.deployment.caller();
+        if let Some(lost) = self.lost_leader {
+            caller.leave_out(lost);
+        }
         let open = caller.wait_for_completion(&self.jobs, SETUP_LIMIT).await;
         let runs = self.runs(jobs, step);
         for run in &runs {
@@ -218,3 +224,36 @@
     let cut_off = restarts.for_each_start(&jobs, step, cut_off).await;
     restarts.check(&jobs, step, &cut_off).await;
 }
+
+/// The same if the leader is lost before the cut, with and without a report to the next one.
+#[test_case(&[SHORT_TIME], true; "noticed and reported to the next one")]
+#[test_case(&[], false; "not noticed and not reported to the next one")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn no_task_runs_twice_if_the_leader_is_lost_before_a_restarted_worker_is_cut_off(
+    earlier_times: &[Duration],
+    is_reported: bool,
+) {
+    let mut restarts = Restarts::start().await;
+    let leader = restarts.deployment.wait_for_leader().await;
+    let (jobs, step) = restarts.restart_workers(earlier_times).await;
+    let busy = restarts.for_each_start(&jobs, step, |_| {}).await;
+    // A task whose end is not stored may start again.
+    let workers = &restarts.deployment.workers;
+    let are_stored = wait_until(SETUP_LIMIT, async || !workers.has_unacknowledged_ends());
+    assert!(are_stored.await, "the ends are not acknowledged");
+    restarts.deployment.instances[leader].kill();
+    restarts.lost_leader = Some(leader);
+    let is_found = |id: &String| {
+        let found = format!("worker={id} found running");
+        let mut instances = restarts.deployment.instances.iter();
+        instances.any(|instance| instance.log().contains(&found))
+    };
+    let are_found = wait_until(SETUP_LIMIT, async || {
+        !is_reported || busy.iter().all(is_found)
+    });
+    assert!(are_found.await, "the next leader finds no runs");
+    for id in &busy {
+        restarts.deployment.workers.cut_off(id);
+    }
+    restarts.check(&jobs, step, &busy).await;
+}
--- a/stand-ins/src/job_workers.rs
+++ b/stand-ins/src/job_workers.rs
@@ -195,6 +195,12 @@
         ends.map(|end| end.saturating_duration_since(now)).min()
     }
 
+    /// Returns whether any worker reports the end of an attempt that is not acknowledged.
+    pub fn has_unacknowledged_ends(&self) -> bool {
+        let mut states = self.workers.iter().map(|worker| worker.state.lock());
+        states.any(|state| !state.finished.is_empty())
+    }
+
     /// Removes a worker for good: its attempts end as failed, it answers no call any more, and its
     /// entry in the list of workers is deleted.
     pub fn remove(&self, id: &str) {
