Prepare a report request only after the report before is handled

Callers could see a run lapse or an end forgotten: the request that followed the first report of a restarted worker was prepared before that report was handled, since messages of one priority in the control thread's queue have no order. Change: a report is delivered, not only queued, before the next request is asked for. The wait of a successor follows max_lease_ms after loans are added.

--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -31,21 +31,25 @@
     /// Returns the parameters of a led shard under the current settings.
     pub(super) fn params(&self) -> Params {
         let max_lease = self.settings.max_lease;
-        // A restarted worker may have leases of the maximum length when this leader takes over.
+        // A restarted worker may have leases of the maximum length, on a slow clock, when this leader
+        // takes over.
         let longest = max_lease * 103 / 100 + LATE_END;
         let params = Params {
             lease: Params::default().lease.min(max_lease),
             max_lease,
-            unknown_run_limit: Params::default().unknown_run_limit.max(longest),
             drain: self.settings.drain,
             max_listed_ends: worker_wire::MAX_LISTED_ENDS,
             displace_long_running: self.settings.features.displace_long_running,
             cost_of_delay: self.settings.features.cost_of_delay,
             ..Params::default()
         };
-        match self.delegation.max_lease {
+        let params = match self.delegation.max_lease {
             Some(max_lease) => params.with_loans(max_lease),
             None => params,
+        };
+        Params {
+            unknown_run_limit: params.unknown_run_limit.max(longest),
+            ..params
         }
     }
 
--- a/crates/scheduler/src/control/watches.rs
+++ b/crates/scheduler/src/control/watches.rs
@@ -118,7 +118,9 @@
                     None => Event::ConnectionLost(name, token, worker),
                 };
                 let to = to.clone();
-                Box::pin(async move { send_event(&to, event).await })
+                // The next request must not be prepared by what was known before this report: it may
+                // be the first one of another incarnation.
+                Box::pin(async move { deliver_event(&to, event).await })
             };
         let name = shard.to_owned();
         let command_result = move |result| -> crate::commands::BoxFuture<()> {
