Start on a restarted worker only by the entry of its present incarnation

Change: no task starts while the list describes an earlier incarnation than the one that reports, and the pause of the list's watch ends when that is seen.

--- a/crates/core/src/sched/shard/reports.rs
+++ b/crates/core/src/sched/shard/reports.rs
@@ -101,6 +101,7 @@
         let has_higher_token = worker.incarnations < TOKENS_PER_LEADER;
         worker.clock = LeaseClock::after_restart(self.params.max_lease, has_higher_token, now);
         worker.is_settled = false;
+        self.awaits_entry |= !worker.has_current_entry();
         worker.last_reported_end = 0;
         worker.last_acked_end = 0;
         worker.omits_inherited_ends = false;
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -287,6 +287,9 @@
     pub info: WorkerInfo,
     /// Whether the platform lists the worker.
     pub listed: bool,
+    /// When the incarnation that the list describes started, in milliseconds of Unix time; zero if
+    /// unknown.
+    pub listed_started_ms: u64,
     /// Whether the worker's failure domain is evacuated, so that it gets no new tasks.
     pub is_evacuated: bool,
     /// Whether the stored list of workers in use certainly contains the worker with its current
@@ -567,6 +570,9 @@
     /// Whether runs with expired leases wait until the store confirms the leadership; only then do
     /// their tasks restart.
     pub(super) awaits_confirmation: bool,
+    /// Whether a worker has restarted since the last call of [`Shard::take_awaits_entry`] that the list
+    /// does not describe yet.
+    pub(super) awaits_entry: bool,
     /// The next number of incarnations of workers that were removed, by id: the tokens of a worker that comes
     /// back are higher than all that it may have seen.
     pub(super) removed_incarnations: HashMap<String, u64>,
@@ -622,6 +628,7 @@
             resigning: false,
             confirmed_at: now,
             awaits_confirmation: false,
+            awaits_entry: false,
             removed_incarnations: HashMap::default(),
             other_shard_loads: HashMap::default(),
             fenced: false,
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -59,6 +59,7 @@
             worker.free.gpu += info.capacity.gpu - worker.info.capacity.gpu;
         }
         let started_ms = worker.info.started_ms;
+        worker.listed_started_ms = info.started_ms;
         worker.info = info.clone();
         // Only the worker's own reports show that it has restarted.
         worker.info.started_ms = started_ms;
@@ -113,6 +114,12 @@
         }
     }
 
+    /// Returns whether the list should be read again at once, since a worker has restarted that it does not
+    /// describe yet.
+    pub fn take_awaits_entry(&mut self) -> bool {
+        std::mem::take(&mut self.awaits_entry)
+    }
+
     /// Returns the id and address of each worker; the leader requests reports from all of them.
     pub fn worker_addresses(&self) -> impl Iterator<Item = (&str, &str)> {
         let workers = self.workers.values();
@@ -327,7 +334,9 @@
     fn new(info: WorkerInfo, now: Instant) -> Self {
         let free = info.capacity;
         let draining = info.availability == Availability::Draining;
+        let listed_started_ms = info.started_ms;
         Self {
+            listed_started_ms,
             info: WorkerInfo {
                 started_ms: 0,
                 ..info
@@ -406,6 +415,11 @@
         self.refusals > 0 && self.runs.values().any(|run| run.phase == RunPhase::Sent)
     }
 
+    /// Returns whether the list describes the incarnation that reports: another one may be of another kind.
+    pub(super) fn has_current_entry(&self) -> bool {
+        self.listed_started_ms == 0 || self.listed_started_ms >= self.info.started_ms
+    }
+
     /// Returns whether the worker gets new tasks as soon as nothing temporary is against it.
     pub(super) fn may_get_work(&self, now: Instant) -> bool {
         !self.is_leaving(now) && !self.is_evacuated
@@ -417,6 +431,7 @@
         self.may_get_work(now)
             && self.is_stored_in_use
             && self.is_settled
+            && self.has_current_entry()
             && self.is_responsive(now)
             && self.connection_lost_at.is_none()
             && !self.has_unaccounted_runs
--- a/crates/core/tests/former_process.rs
+++ b/crates/core/tests/former_process.rs
@@ -445,3 +445,30 @@
         assert_eq!(world.shard.awaits_confirmation(), !expected);
     }
 }
+
+/// Guards against a start on a new process by the list's entry of the former one: a new process may be of
+/// another kind.
+#[test]
+fn a_start_waits_for_the_entry_of_the_present_process() {
+    let mut world = World::new(Params::default(), TOKEN);
+    let entry = WorkerInfo {
+        started_ms: 1,
+        labels: vec!["fast".to_owned()],
+        ..info("a")
+    };
+    world.shard.worker_listed(&entry, world.base);
+    world.a = Process::new(1, 5_000_000);
+    world.run_until(1_000);
+    // The report of the new process arrives before its entry, which lacks the label.
+    world.a = Process::new(1_000, 1_000);
+    let mut spec = spec();
+    spec.steps[0].required_label = Some("fast".to_owned());
+    let now = world.now();
+    world.shard.add_job(TASK.job, spec, JobOrigin::New, now);
+    world.request_report("a");
+    world.run_until(1_500);
+    assert_eq!(
+        world.a.attempt, None,
+        "a start by the former process's entry"
+    );
+}
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -63,7 +63,7 @@
         sync::Arc,
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
-    tokio::time::sleep,
+    tokio::{sync::Notify, time::sleep},
     xtra::prelude::*,
 };
 
@@ -145,6 +145,8 @@
     incarnation: u64,
     clock: Arc<dyn Clock>,
     store: Arc<Store>,
+    /// Ends the pause before the next read of the list of workers.
+    list_wake: Arc<Notify>,
     socket: UdpSocket,
     metrics: Arc<Metrics>,
     view: Arc<ArcSwap<View>>,
@@ -238,6 +240,7 @@
             incarnation,
             clock,
             store,
+            list_wake: Arc::default(),
             socket,
             metrics,
             view,
@@ -439,6 +442,10 @@
             Event::Report(shard, token, worker, report, sent_at) => {
                 if let Some(leader) = self.shard_leader(&shard, token) {
                     leader.on_report(&worker, &report, sent_at, now, unix_ms);
+                    let awaits_entry = leader.shard.take_awaits_entry();
+                    if awaits_entry {
+                        self.list_wake.notify_one();
+                    }
                     self.advance_shard(&shard, now);
                 } else if let Some(restoring) = self.restoring_leader(&shard, token) {
                     restoring.on_report(&worker, report, sent_at, now);
--- a/crates/scheduler/src/control/watches.rs
+++ b/crates/scheduler/src/control/watches.rs
@@ -22,6 +22,7 @@
             part: String::new(),
             long_poll_timeout: CONFIG_WAIT,
             pause_between_polls: Duration::ZERO,
+            wake: None,
             catch_up: CatchUp::Rows,
         };
         let to = address.clone();
@@ -40,6 +41,7 @@
             part: String::new(),
             long_poll_timeout: LIST_WAIT,
             pause_between_polls: LIST_PAUSE,
+            wake: Some(self.list_wake.clone()),
             catch_up: CatchUp::Changes,
         };
         let to = address.clone();
@@ -77,6 +79,7 @@
             part: shard.to_owned(),
             long_poll_timeout: LIST_WAIT,
             pause_between_polls: Duration::ZERO,
+            wake: None,
             catch_up: CatchUp::Changes,
         };
         let shard = shard.to_owned();
--- a/crates/scheduler/src/watch.rs
+++ b/crates/scheduler/src/watch.rs
@@ -13,7 +13,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::{select, time::sleep},
+    tokio::{select, sync::Notify, time::sleep},
 };
 
 /// The delay before a failed call is repeated.
@@ -43,6 +43,8 @@
     /// The pause after each response, for tables whose changes are not urgent; there is none while
     /// the store has a backlog of changes.
     pub pause_between_polls: Duration,
+    /// Ends the pause when notified, as by who waits for a certain change; `None` if nobody does.
+    pub wake: Option<Arc<Notify>>,
     /// What is read after a failed call.
     pub catch_up: CatchUp,
 }
@@ -174,7 +176,7 @@
                 };
                 callback(Update { event, as_of }).await;
                 if !target.pause_between_polls.is_zero() && !has_backlog {
-                    sleep(target.pause_between_polls).await;
+                    pause(&target).await;
                 }
             }
             Err(StoreError::HistoryDeleted) => {
@@ -198,6 +200,18 @@
     }
 }
 
+/// Waits for the pause between two calls, or until someone waits for a change.
+async fn pause(target: &WatchTarget) {
+    let pause = sleep(target.pause_between_polls);
+    match &target.wake {
+        None => pause.await,
+        Some(wake) => select! {
+            () = pause => {}
+            () = wake.notified() => {}
+        },
+    }
+}
+
 /// Returns whether the store may have more changes than `rows`, after which it continues at
 /// `version`. A reply that was cut short continues at its last row.
 pub(crate) fn may_be_cut_short(rows: &[Row], version: u64) -> bool {
--- a/crates/scheduler/tests/watch.rs
+++ b/crates/scheduler/tests/watch.rs
@@ -88,6 +88,7 @@
         long_poll_timeout: Duration::from_millis(100),
         // Longer than the time limit of the test.
         pause_between_polls: Duration::from_secs(3_600),
+        wake: None,
         catch_up: CatchUp::Changes,
     };
     let (tx, mut rx) = mpsc::unbounded_channel();
@@ -200,6 +201,7 @@
         part: String::new(),
         long_poll_timeout: WAIT,
         pause_between_polls: Duration::ZERO,
+        wake: None,
         catch_up,
     };
     let (tx, mut updates) = mpsc::unbounded_channel();
@@ -237,6 +239,7 @@
         // Longer than the time limit of the test.
         long_poll_timeout: Duration::from_secs(3_600),
         pause_between_polls: Duration::ZERO,
+        wake: None,
         catch_up,
     };
     let watch_task = tokio::spawn(watch_table(store.clone(), target, None, |_| {
