Weigh each crash of a worker against the tasks that ran there

Cause: the workers that crashed under a task were counted, whatever else crashed with them and however long the task had run there.

Change: a sequential probability ratio test with the age of the run, what else ran there, the peers lost at the same time and the rate of crashes (docs/design/crash-evidence.md). The sum is stored after the other fields of the row.

Replaced: a_task_that_may_crash_its_workers_starts_less_and_less_often (4 cases) asserted at most five starts in 180 s and that the job is not failed. Without delays of minutes the two exclude each other, and the task is guilty in all four cases. It is now a_task_that_is_never_seen_to_run_on_its_crashed_workers_is_given_up, with the same bound on the starts, and the job must be failed. a_task_that_lost_its_worker_to_domain_crashes_starts_again covers the other side, starts without a reply under tasks without fault.

--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -7,6 +7,7 @@
 //! report, the reply to a command) and emits commands to workers and rows to store.
 
 pub mod admission;
+pub mod crash_evidence;
 pub mod deputy;
 pub mod evacuation;
 pub mod failure_rates;
--- a/crates/core/src/sched/progress.rs
+++ b/crates/core/src/sched/progress.rs
@@ -4,7 +4,10 @@
 //! of long-running tasks where they run; the workers report the rest.
 
 use {
-    crate::sched::job::{JobId, TaskName},
+    crate::sched::{
+        crash_evidence::Evidence,
+        job::{JobId, TaskName},
+    },
     serde::{Deserialize, Serialize},
     snafu::Snafu,
 };
@@ -85,8 +88,7 @@
     pub confirmed: bool,
     /// Whether the run was certainly still running when the process crashed.
     pub certain: bool,
-    /// Whether the process sent no more reports soon after the start of the run, which was the last
-    /// start on it.
+    /// Whether a task that crashes its workers may well have done so at that age of its run.
     pub blamed: bool,
 }
 
@@ -103,6 +105,10 @@
     pub crashed: Vec<LostProcess>,
     /// The processes that may have crashed.
     pub unresolved: Vec<LostProcess>,
+    /// The evidence that the task crashes its workers; `None` in rows of earlier versions, which
+    /// counted `crashed`.
+    #[serde(skip)]
+    pub evidence: Option<Evidence>,
 }
 
 /// Where a long-running task runs: on the named worker or nowhere.
@@ -147,7 +153,8 @@
     /// only if there are any, so that earlier versions of this program can read it.
     #[serde(skip)]
     pub losses: Vec<LossRecord>,
-    /// Where long-running tasks run. They follow the losses in the row, and only if there are any.
+    /// Where long-running tasks run. They follow the losses in the row, and only if there are any. The
+    /// evidence in the losses comes last.
     #[serde(skip)]
     pub placements: Vec<PlacementRecord>,
 }
@@ -161,10 +168,16 @@
             return row;
         }
         let row = postcard::to_extend(&self.losses, row).unwrap_or_default();
-        if self.placements.is_empty() {
+        let evidence: Vec<_> = self.losses.iter().map(|losses| losses.evidence).collect();
+        let has_evidence = evidence.iter().any(Option::is_some);
+        if self.placements.is_empty() && !has_evidence {
+            return row;
+        }
+        let row = postcard::to_extend(&self.placements, row).unwrap_or_default();
+        if !has_evidence {
             return row;
         }
-        postcard::to_extend(&self.placements, row).unwrap_or_default()
+        postcard::to_extend(&evidence, row).unwrap_or_default()
     }
 
     /// Decodes a row.
@@ -179,7 +192,16 @@
             let (losses, rest) = postcard::take_from_bytes(rest).map_err(|_| ProgressError)?;
             progress.losses = losses;
             if !rest.is_empty() {
-                progress.placements = postcard::from_bytes(rest).map_err(|_| ProgressError)?;
+                let (placements, rest) =
+                    postcard::take_from_bytes(rest).map_err(|_| ProgressError)?;
+                progress.placements = placements;
+                if !rest.is_empty() {
+                    let evidence: Vec<Option<Evidence>> =
+                        postcard::from_bytes(rest).map_err(|_| ProgressError)?;
+                    for (losses, evidence) in progress.losses.iter_mut().zip(evidence) {
+                        losses.evidence = evidence;
+                    }
+                }
             }
         }
         Ok(progress)
--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -20,6 +20,7 @@
 //! - `leases`: the expiry of leases, and the resending of commands.
 //! - `lending`: loans of the right to renew leases.
 //! - `losses`: lost processes of workers, and the tasks that ran on them.
+//! - `lost_workers`: the evidence of a crash against the tasks that ran on the worker.
 //! - `moves`: moves jobs to less loaded shards before they start.
 //! - `outlook`: the expected waits of new jobs.
 //! - `placements`: the stored placements of long-running tasks.
@@ -54,6 +55,7 @@
 mod leases;
 mod lending;
 mod losses;
+mod lost_workers;
 mod moves;
 mod outlook;
 mod placements;
--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -224,9 +224,9 @@
             }
             let avoid_worker = task.avoid_worker.clone();
             let losses = task.losses.as_ref();
-            let is_suspected = losses.is_some_and(|losses| losses.is_suspected());
-            if losses.is_some_and(|losses| losses.has_crashes()) {
-                self.dispatch_crashing_task(name, service, step, now);
+            let unix_ms = self.processes.polled.1;
+            if losses.is_some_and(|losses| losses.is_suspected(unix_ms)) {
+                self.dispatch_suspected_task(name, service, step, now);
                 continue;
             }
             let forced = self.may_start_despite_interference(name.job, step, now);
@@ -241,12 +241,12 @@
                 return;
             }
             let chosen = match &avoid_worker {
-                None if !is_suspected => {
+                None => {
                     let remaining = (step.count - index) as usize;
                     self.find_ranked(&mut ranking, name, service, step, forced, remaining, now)
                 }
-                avoid_worker => {
-                    let avoid_worker = avoid_worker.as_deref();
+                Some(avoid_worker) => {
+                    let avoid_worker = Some(avoid_worker.as_str());
                     self.find_other_worker(name, service, step, avoid_worker, forced, now)
                 }
             };
@@ -255,7 +255,6 @@
                 // Other tasks may use workers that this one may not.
                 let is_limited = step.max_per_worker > 0
                     || avoid_worker.is_some()
-                    || is_suspected
                     || self
                         .approvals
                         .contains_key(&(name.job, name.occurrence, name.step));
--- a/crates/core/src/sched/shard/losses.rs
+++ b/crates/core/src/sched/shard/losses.rs
@@ -7,6 +7,7 @@
     crate::{
         hash::HashMap,
         sched::{
+            crash_evidence::{Evidence, Exposure, RATE_MEMORY},
             job::{JobId, TaskName},
             progress::{LossRecord, LostProcess},
         },
@@ -14,36 +15,29 @@
     std::time::{Duration, Instant},
 };
 
-/// The number of workers that must have crashed under a task to give it up if the last one crashed
-/// right after its start.
-const MAX_BLAMED_CRASHES: usize = 2;
-
-/// The number of workers that must have crashed under a task to give it up.
-const MAX_CRASHES: usize = 3;
-
-/// The same if the run may have ended before some of the crashes.
-const MAX_LIKELY_CRASHES: usize = 4;
-
-/// The same if the task may not have started on some of the crashed workers.
-const MAX_POSSIBLE_CRASHES: usize = 5;
+/// The time between two polls above which this instance counts as stalled.
+pub(super) const STALL: Duration = Duration::from_millis(500);
 
-/// The delays of a start, in seconds, by the number of workers that the task has lost. A task that
-/// lost a few by chance hardly waits; one that may have crashed them all soon stops to do so.
-const RESTART_DELAYS_S: [u64; 5] = [0, 0, 1, 2, 8];
+/// The number of workers that must have crashed while they certainly had a run of a task before it is
+/// given up.
+const MIN_CERTAIN_CRASHES: usize = 2;
 
-/// The delay of a start after more lost workers.
-const MAX_RESTART_DELAY_S: u64 = 600;
+/// The same if they may have had one.
+const MIN_POSSIBLE_CRASHES: usize = 4;
 
-/// The time between two polls above which this instance counts as stalled.
-pub(super) const STALL: Duration = Duration::from_millis(500);
+/// How long a lost process is remembered.
+const MAX_LOST_AGE: Duration = Duration::from_secs(3 * RATE_MEMORY.as_secs());
 
 /// The workers that a task has lost.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Losses {
-    /// The processes that crashed.
+    /// The processes that crashed soon after the task had started there, or whose crash speaks against it
+    /// in another way, since it last ran for long.
     pub crashed: Vec<LostProcess>,
     /// The processes that may have crashed.
     pub unresolved: Vec<LostProcess>,
+    /// The evidence that the task crashes its workers.
+    pub evidence: Evidence,
     /// The process that has, or is about to get, a run of the task; `None` if none or unknown.
     pub current: Option<LostProcess>,
     /// Whether `current` is stored.
@@ -51,46 +45,50 @@
 }
 
 impl Losses {
-    /// Returns whether the task may be the reason why workers crash.
-    pub(super) fn is_suspected(&self) -> bool {
-        self.has_crashes() || self.unresolved.len() > 1
+    /// Returns whether the task may be the reason why workers crash, so that its starts are stored.
+    pub(super) fn is_suspected(&self, unix_ms: u64) -> bool {
+        self.evidence.is_suspected(unix_ms)
     }
 
-    /// Returns whether a worker has crashed under the task, so that its starts are stored.
-    pub(super) fn has_crashes(&self) -> bool {
-        !self.crashed.is_empty()
-    }
-
-    /// Returns the delay of the next start.
-    pub(super) fn restart_delay(&self) -> Duration {
-        let count = self.crashed.len() + self.unresolved.len();
-        let delay_s = RESTART_DELAYS_S.get(count).copied();
-        Duration::from_secs(delay_s.unwrap_or(MAX_RESTART_DELAY_S))
+    /// Returns whether the task is to be given up: the evidence is conclusive, and at least two workers
+    /// certainly had a run of the task when they crashed, or so many may have had that two did.
+    pub(super) fn is_given_up(&self, unix_ms: u64) -> bool {
+        let certain = self.crashed.iter().filter(|p| p.certain).count();
+        let confirmed = self.crashed.iter().filter(|p| p.confirmed).count();
+        self.evidence.is_conclusive(confirmed, unix_ms)
+            && (certain >= MIN_CERTAIN_CRASHES || self.crashed.len() >= MIN_POSSIBLE_CRASHES)
     }
 
-    /// Adds a lost process that has crashed, unless it was added before; returns whether the task
-    /// is to be given up.
-    fn add_crash(&mut self, process: LostProcess) -> bool {
+    /// Adds the evidence of a lost process that has crashed, unless it was added before.
+    fn add_crash(&mut self, process: LostProcess, log_ratio: f64, unix_ms: u64) {
         let is_same = |other: &LostProcess| {
             other.address == process.address && other.started_ms == process.started_ms
         };
         if self.crashed.iter().any(is_same) {
-            return false;
+            return;
+        }
+        self.evidence.add(log_ratio, unix_ms);
+        if process.blamed || log_ratio > 0.0 {
+            self.crashed.push(process);
+        } else if self.evidence.is_zero() {
+            self.crashed.clear();
         }
-        let is_blamed = process.certain && process.blamed;
-        self.crashed.push(process);
-        let certain = self.crashed.iter().filter(|p| p.certain).count();
-        let confirmed = self.crashed.iter().filter(|p| p.confirmed).count();
-        (is_blamed && certain >= MAX_BLAMED_CRASHES)
-            || certain >= MAX_CRASHES
-            || confirmed >= MAX_LIKELY_CRASHES
-            || (self.crashed.len() >= MAX_POSSIBLE_CRASHES && confirmed > 1)
     }
 
     /// Resolves the lost processes at the address of an observation: a newer process shows that a lost
     /// one has crashed; a report of the same process, that it has not.
-    pub(super) fn resolve(&mut self, name: TaskName, observation: &Observation) -> Resolution {
+    ///
+    /// `log_ratio` returns the evidence of a crash; see [`crash_evidence`](crate::sched::crash_evidence).
+    pub(super) fn resolve(
+        &mut self,
+        name: TaskName,
+        observation: &Observation,
+        log_ratio: impl Fn(&LostProcess) -> f64,
+        crash_rate: f64,
+        unix_ms: u64,
+    ) -> Resolution {
         let mut resolution = Resolution::default();
+        self.evidence.set_crash_rate(crash_rate);
         for process in std::mem::take(&mut self.unresolved) {
             if process.address != observation.address {
                 self.unresolved.push(process);
@@ -101,15 +99,26 @@
                     certain: process.confirmed && has_run,
                     ..process
                 };
+                let log_ratio = log_ratio(&process);
+                resolution.is_blamed |= process.blamed;
+                let earlier = self.evidence.at(unix_ms);
+                let line = format!(
+                    "address={} certain={} confirmed={} evidence={log_ratio:.2} before={earlier:.2}",
+                    process.address, process.certain, process.confirmed,
+                );
+                self.add_crash(process, log_ratio, unix_ms);
+                let decision = if self.is_given_up(unix_ms) {
+                    "give_up"
+                } else if self.is_suspected(unix_ms) {
+                    "suspect"
+                } else {
+                    "none"
+                };
                 log::warn!(
-                    "jobs: task={name} address={} crashed under it: certain={} confirmed={} blamed={} earlier={}.",
-                    process.address,
-                    process.certain,
-                    process.confirmed,
-                    process.blamed,
+                    "jobs: task={name} crashed under it: {line} sum={:.2} crashes={} decision={decision}.",
+                    self.evidence.at(unix_ms),
                     self.crashed.len(),
                 );
-                resolution.is_given_up |= self.add_crash(process);
             } else if process.started_ms == observation.started_ms && observation.has_reported {
                 resolution.is_alive = true;
             } else {
@@ -117,6 +126,7 @@
                 self.unresolved.push(process);
             }
         }
+        resolution.is_given_up = resolution.has_crashed && self.is_given_up(unix_ms);
         resolution
     }
 }
@@ -130,6 +140,8 @@
     pub is_given_up: bool,
     /// Whether one still runs.
     pub is_alive: bool,
+    /// Whether one has crashed soon after the start.
+    pub is_blamed: bool,
     /// Whether one at the address remains unresolved.
     pub is_incomplete: bool,
 }
@@ -158,12 +170,45 @@
 #[derive(Clone, Debug)]
 pub(super) struct Observation {
     pub address: String,
-    /// When the process started, in milliseconds of Unix time.
+    /// When the process started, in milliseconds of Unix time; [`VANISHED`] if there is none.
     pub started_ms: u64,
     /// Whether it was observed by a report, not only in the list.
     pub has_reported: bool,
 }
 
+/// What stands for a newer process if a worker was silent until its leases ended and the platform has
+/// stopped listing it.
+pub(super) const VANISHED: u64 = u64::MAX;
+
+/// A process of a worker that was lost.
+#[derive(Clone, Debug)]
+pub(super) struct LostWorker {
+    pub address: String,
+    pub started_ms: u64,
+    pub domain: String,
+    pub labels: Vec<String>,
+    /// Between which times it was lost.
+    pub lost_between: (Instant, Instant),
+    /// What it ran, with the parts of the runs in which it was lost.
+    pub runs: Vec<(TaskName, Exposure)>,
+    /// Whether it has crashed; it may be cut off instead.
+    pub has_crashed: bool,
+    /// The evidence against `runs`, once the workers that were lost at the same time are known.
+    pub log_ratios: Option<Vec<f64>>,
+    /// The probability that a worker is lost then for another reason than what it runs.
+    pub ordinary_probability: f64,
+    /// Whether a task that ran there was given up, and may well have crashed it.
+    pub is_explained: bool,
+}
+
+impl LostWorker {
+    /// Returns the evidence against a task; `None` if it did not run there, or nothing is known yet.
+    pub(super) fn log_ratio(&self, name: TaskName) -> Option<f64> {
+        let index = self.runs.iter().position(|(task, _)| *task == name)?;
+        self.log_ratios.as_ref()?.get(index).copied()
+    }
+}
+
 /// The processes of the workers, and those that were lost.
 #[derive(Clone, Debug)]
 pub(super) struct Processes {
@@ -173,6 +218,12 @@
     pub unresolved: HashMap<String, Vec<TaskName>>,
     /// The processes observed at such addresses since the last poll.
     pub observations: Vec<Observation>,
+    /// The processes that were lost lately.
+    pub lost: Vec<LostWorker>,
+    /// The rate at which workers crash for other reasons than what they run, per second.
+    pub crash_rate: f64,
+    /// The same as an earlier leader stored it last, and when, in milliseconds of Unix time.
+    pub earlier_crash_rate: (u64, f64),
     /// When the shard was last polled, and the Unix time then, in milliseconds.
     pub polled: (Instant, u64),
     /// When the shard was last polled after a pause in which reports may have been missed.
@@ -188,6 +239,9 @@
             newest: HashMap::default(),
             unresolved: HashMap::default(),
             observations: Vec::new(),
+            lost: Vec::new(),
+            crash_rate: 0.0,
+            earlier_crash_rate: (0, 0.0),
             polled: (now, 0),
             stalled_at: None,
             counts: LossCounts::default(),
@@ -197,7 +251,10 @@
     /// Adds an observation of a process, if one was lost at its address; see
     /// [`Shard::count_crashes`].
     pub(super) fn add_observation(&mut self, address: &str, started_ms: u64, has_reported: bool) {
-        if self.unresolved.contains_key(address) {
+        let is_same = |o: &Observation| {
+            o.address == address && o.started_ms == started_ms && o.has_reported == has_reported
+        };
+        if self.unresolved.contains_key(address) && !self.observations.iter().any(is_same) {
             self.observations.push(Observation {
                 address: address.to_owned(),
                 started_ms,
@@ -212,6 +269,8 @@
         if now.duration_since(polled_at) > STALL {
             self.stalled_at = Some(now);
         }
+        let is_recent = |lost: &LostWorker| now.duration_since(lost.lost_between.1) < MAX_LOST_AGE;
+        self.lost.retain(is_recent);
         self.polled = (now, unix_ms);
     }
 
@@ -232,6 +291,12 @@
     /// Makes the stored losses of an added job known to [`Shard::count_crashes`].
     pub(super) fn add_losses(&mut self, id: JobId, records: &[LossRecord]) {
         for record in records {
+            if let Some(evidence) = record.evidence {
+                let stored = evidence.crash_rate();
+                if stored.0 > self.earlier_crash_rate.0 {
+                    self.earlier_crash_rate = stored;
+                }
+            }
             for process in &record.unresolved {
                 self.add_unresolved(&process.address, record.task(id));
             }
@@ -258,12 +323,19 @@
             index: name.index,
             crashed: losses.crashed.clone(),
             unresolved: unresolved.cloned().collect(),
+            evidence: Some(losses.evidence),
         })
     }
 
     /// Restores the losses that an earlier leader stored.
     pub(super) fn restore_losses(&mut self, record: &LossRecord) {
+        let evidence = match record.evidence {
+            Some(evidence) => evidence,
+            None if record.crashed.is_empty() => Evidence::default(),
+            None => Evidence::suspected(),
+        };
         self.losses = Some(Box::new(Losses {
+            evidence,
             crashed: record.crashed.clone(),
             unresolved: record.unresolved.clone(),
             current: None,
--- a/crates/core/src/sched/shard/runs.rs
+++ b/crates/core/src/sched/shard/runs.rs
@@ -93,8 +93,9 @@
         let Some(worker) = self.workers.get_mut(worker_id) else {
             return;
         };
+        let unix_ms = self.processes.polled.1;
         let losses = job_task.losses.as_ref();
-        let on_probation = losses.is_some_and(|losses| losses.is_suspected());
+        let on_probation = losses.is_some_and(|losses| losses.is_suspected(unix_ms));
         job_task.workers.push(worker_id.to_owned());
         job_task.idle_since = None;
         job_task.attempt = job_task.attempt.max(attempt);
@@ -126,7 +127,7 @@
             resend_at: now,
             in_doubt: false,
             has_unlisted_end: false,
-            on_probation,
+            is_inherited: phase != RunPhase::Sent,
             process_started_ms: worker.info.started_ms,
             is_whole: phase == RunPhase::Sent && !is_resumed,
             progress_percent: -1.0,
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -256,8 +256,8 @@
     /// Whether the last report leaves out ended attempts and does not list the run, which may thus
     /// have ended in any way.
     pub has_unlisted_end: bool,
-    /// Whether a worker had crashed under the task before the start.
-    pub on_probation: bool,
+    /// Whether an earlier leader may have started the run.
+    pub is_inherited: bool,
     /// When the worker's process at the time of the start had started, in milliseconds of Unix time.
     pub process_started_ms: u64,
     /// Whether the run was started by this leader and does the whole task, so that the time until its
--- a/crates/core/src/sched/shard/workers.rs
+++ b/crates/core/src/sched/shard/workers.rs
@@ -24,7 +24,7 @@
 
 /// How long a responsive worker still gets new tasks after the platform has stopped listing it.
 /// After an outage of the platform, a worker's entry may return only 2 s later.
-const UNLISTED_GRACE: Duration = Duration::from_millis(2_300);
+pub(super) const UNLISTED_GRACE: Duration = Duration::from_millis(2_300);
 
 /// The delay before a command is resent because it got no reply or, for a stop command, because the
 /// worker replied that it is unhealthy.
--- a/crates/core/tests/crashes.rs
+++ b/crates/core/tests/crashes.rs
@@ -2,6 +2,7 @@
 
 use {
     marigoldbend_core::sched::{
+        crash_evidence::Evidence,
         job::{JobId, JobSpec, Resources, Step, TaskName},
         progress::{JobOutcome, JobState, LossRecord, LostProcess, Progress, TaskRecord},
         shard::{Command, JobOrigin, Params, Shard},
@@ -115,6 +116,8 @@
     starts_ms: Vec<u64>,
     /// The machines that are cut off from the leader, by their index.
     cut_off: HashSet<usize>,
+    /// If start commands are lost: the machine to which the first one was sent, by its index.
+    lost_start: Option<Option<usize>>,
 }
 
 impl World {
@@ -140,6 +143,7 @@
             workers_in_use: Vec::new(),
             starts_ms: Vec::new(),
             cut_off: HashSet::new(),
+            lost_start: None,
         };
         world.list();
         world
@@ -282,6 +286,14 @@
             }
             _ => return false,
         };
+        if let Some(lost_start) = &mut self.lost_start {
+            let index = self.machines.iter().position(|m| m.id == worker);
+            *lost_start = lost_start.or(index);
+            let reply = CommandReply::Silent;
+            self.shard
+                .on_start_reply(&worker, task, attempt, reply, now);
+            return false;
+        }
         let is_crashing = task.job == CRASHING;
         let cut_off = &self.cut_off;
         let mut machines = self.machines.iter_mut().enumerate();
@@ -312,6 +324,21 @@
         is_reached && is_crashing
     }
 
+    /// Crashes a worker.
+    fn crash(&mut self, index: usize) {
+        let now = self.now();
+        let machine = &mut self.machines[index];
+        if machine.crashed_ms.is_some() {
+            return;
+        }
+        machine.crashed_ms = Some(self.now_ms);
+        machine.runs.clear();
+        machine.finished.clear();
+        if self.behaviour.closes {
+            self.shard.on_connection_lost(&machine.id, now);
+        }
+    }
+
     /// Replaces the leader by one that knows only what is stored.
     fn replace_leader(&mut self) {
         self.token += 1;
@@ -371,19 +398,49 @@
     assert_eq!(counts.given_up, 1);
 }
 
-/// Guards against a task that takes one worker after the other away, while it is not known whether
-/// it has started there, or whether they have crashed.
+/// Guards against a task that crashes one worker after the other, while its starts get no reply or the
+/// workers do not return.
 #[test_case(Behaviour { replies: false, ..USUAL }; "start command gets no reply")]
 #[test_case(Behaviour { replies: false, keeps_id: true, ..USUAL }; "no reply and the same id")]
 #[test_case(Behaviour { replies: false, leader_fails_at: &[2, 3], ..USUAL }; "no reply and other leaders")]
 #[test_case(Behaviour { returns: false, ..USUAL }; "workers never return")]
-fn a_task_that_may_crash_its_workers_starts_less_and_less_often(behaviour: Behaviour) {
+fn a_task_that_is_never_seen_to_run_on_its_crashed_workers_is_given_up(behaviour: Behaviour) {
     let mut world = World::new(20, behaviour);
     world.add_job(CRASHING, 1, 1_000);
     world.run_until(180_000, |_| false);
     let starts = world.starts_ms.len();
     assert!(starts <= MAX_STARTS, "started at {:?}", world.starts_ms);
-    assert_ne!(world.state(CRASHING), Some(JobState::Failed));
+    assert_eq!(world.state(CRASHING), Some(JobState::Failed));
+}
+
+/// Guards against giving up a task whose starts get no reply since the workers crash together.
+#[test_case(false; "the start commands get no reply")]
+#[test_case(true; "the tasks have started")]
+fn a_task_that_lost_its_worker_to_domain_crashes_starts_again(has_started: bool) {
+    let mut world = World::new(12, USUAL);
+    let job = JobId(2);
+    world.add_job(job, 1, 400_000);
+    let has_run = |m: &Machine| !m.runs.is_empty();
+    for _ in 0..6 {
+        world.lost_start = (!has_started).then_some(None);
+        let until = world.now_ms + 9_000;
+        let starts = world.run_until(until, |world| {
+            matches!(world.lost_start, Some(Some(_))) || world.machines.iter().any(has_run)
+        });
+        assert!(starts, "no start at {} ms", world.now_ms);
+        let index = world.machines.iter().position(has_run);
+        let index = index.or(world.lost_start.flatten()).expect("a start");
+        for i in (index % 2..12).step_by(2) {
+            world.crash(i);
+        }
+        let until = world.now_ms + 500;
+        world.run_until(until, |_| false);
+    }
+    world.lost_start = None;
+    let until = world.now_ms + 9_000;
+    let runs = world.run_until(until, |world| world.machines.iter().any(has_run));
+    assert!(runs, "no run at {} ms", world.now_ms);
+    assert_ne!(world.state(job), Some(JobState::Failed));
 }
 
 /// Guards against giving up the tasks that only share a worker with one that crashes it.
@@ -483,6 +540,13 @@
         ..LossRecord::default()
     });
     let row = progress.encode();
-    assert_eq!(Progress::decode(&row), Ok(progress));
+    assert_eq!(Progress::decode(&row), Ok(progress.clone()));
     assert_eq!(postcard::from_bytes(&row), Ok(earlier));
+    let mut evidence = Evidence::default();
+    evidence.add(3.0, 1);
+    let without_evidence = row;
+    progress.losses[0].evidence = Some(evidence);
+    let row = progress.encode();
+    assert!(row.starts_with(&without_evidence));
+    assert_eq!(Progress::decode(&row), Ok(progress));
 }
