--- a/crates/core/src/sched/shard/crashes.rs
+++ b/crates/core/src/sched/shard/crashes.rs
@@ -299,21 +299,15 @@
             .filter(|lost| lost.address == observation.address)
             .filter_map(|lost| Some((lost.started_ms, lost.log_ratio(name)?)))
             .collect();
-        let stable = LostProcess {
-            confirmed: true,
-            ..LostProcess::default()
-        };
-        let stored_ratios = [true, false].map(|blamed| {
-            let process = LostProcess {
-                blamed,
-                ..stable.clone()
-            };
-            self.weigh_stored(&process, now)
-        });
+        let stable_ratio = self.weigh_stored(true, now);
+        let stored_ratio = self.weigh_stored(false, now);
         let log_ratio = |process: &LostProcess| {
             let mut known = known.iter().filter(|(ms, _)| *ms == process.started_ms);
-            let is_stable = process.confirmed && !process.blamed;
-            let stored = stored_ratios[usize::from(is_stable)];
+            let stored = if process.confirmed && !process.blamed {
+                stable_ratio
+            } else {
+                stored_ratio
+            };
             known.next().map_or(stored, |(_, ratio)| *ratio)
         };
         let crash_rate = self.processes.crash_rate;
--- a/crates/core/src/sched/shard/lost_workers.rs
+++ b/crates/core/src/sched/shard/lost_workers.rs
@@ -14,7 +14,6 @@
                 weigh_crash,
             },
             job::TaskName,
-            progress::LostProcess,
         },
     },
     std::time::{Duration, Instant},
@@ -208,13 +207,14 @@
         }
     }
 
-    /// Returns the evidence of a crash against a task whose loss an earlier leader has stored.
-    pub(super) fn weigh_stored(&self, process: &LostProcess, now: Instant) -> f64 {
+    /// Returns the evidence of a crash against a task whose loss an earlier leader has stored, either as
+    /// the loss of a stable run or as one that may speak against the task.
+    pub(super) fn weigh_stored(&self, is_stable: bool, now: Instant) -> f64 {
         let observed = now.duration_since(self.leader_since);
         let (_, earlier_rate) = self.processes.earlier_crash_rate;
         let rate = crash_rate(0.0, self.workers.len(), observed, earlier_rate);
         let rate = rate.max(self.processes.crash_rate);
-        let exposure = if process.confirmed && !process.blamed {
+        let exposure = if is_stable {
             STORED_STABLE_EXPOSURE
         } else {
             STORED_EXPOSURE
