--- a/crates/core/tests/crash_evidence/world.rs
+++ b/crates/core/tests/crash_evidence/world.rs
@@ -380,6 +380,10 @@
             if let Some((acked, _)) = self.shard.prepare_report_request(&machine.id, now) {
                 machine.finished.retain(|end| end.number > acked);
             }
+            if self.shard.awaits_fence(&machine.id) {
+                // This request does not wait at the worker.
+                machine.report_ms = now_ms;
+            }
         }
     }
 
