--- a/crates/core/tests/loans.rs
+++ b/crates/core/tests/loans.rs
@@ -172,6 +172,20 @@
         }
     }
 
+    /// Starts both workers again, under their ids, and lists their new incarnations.
+    fn restart_workers(&mut self) {
+        self.run = None;
+        self.incarnation_ms = self.now_ms;
+        let now = self.base + ms(self.now_ms);
+        for id in ["a", "bb"] {
+            let info = WorkerInfo {
+                started_ms: self.incarnation_ms,
+                ..worker(id)
+            };
+            self.shard.worker_listed(&info, now);
+        }
+    }
+
     /// Returns how long after the loss of the worker with the task this starts again.
     fn restart_delay(&mut self) -> u64 {
         // The first reports and unknown runs of earlier leaders count no more.
@@ -225,8 +239,7 @@
 fn a_restarted_worker_may_have_a_lease_of_the_maximum_length() {
     let mut world = World::new(Params::default().with_loans(MAX_LEASE));
     world.run_until(15_000);
-    world.run = None;
-    world.incarnation_ms = 15_000;
+    world.restart_workers();
     world.run_until(16_000);
     world.vanished = world.run.take().map(|(worker, _)| worker);
     world.run_until(36_000);
