Store the done occurrences of a job as ranges

Cause: the progress row lists each occurrence that is done. 100,000 take 283,495 bytes, a row may have 65,536, and a row that is refused holds up the others of its transaction. A job each minute reaches that limit in 19 days.

Change: the leader keeps the done occurrences as ranges (NumberSet). Up to 1,000 are still stored as a list, so the rows of ordinary jobs have not changed and earlier versions read them; of more the ranges follow the other parts of the row. An earlier version that leads reads no done occurrences from such a row.

--- a/crates/core/src/sched/mod.rs
+++ b/crates/core/src/sched/mod.rs
@@ -18,6 +18,7 @@
 pub mod leadership;
 pub mod learnt;
 pub mod loans;
+pub mod number_set;
 pub mod placement;
 pub mod progress;
 pub mod queues;
--- a/crates/core/src/sched/progress.rs
+++ b/crates/core/src/sched/progress.rs
@@ -7,6 +7,7 @@
     crate::sched::{
         crash_evidence::Evidence,
         job::{JobId, TaskName},
+        number_set::NumberSet,
     },
     serde::{Deserialize, Serialize},
     snafu::Snafu,
@@ -148,7 +149,7 @@
     /// Whether a task has ever started.
     pub started: bool,
     /// The occurrences whose tasks are all done; `tasks` has no records of them.
-    pub occurrences_done: Vec<u32>,
+    pub occurrences_done: NumberSet,
     /// The records of the tasks that are done, have failed attempts or have a checkpoint.
     pub tasks: Vec<TaskRecord>,
     /// The losses of the tasks that are not done. They follow the other fields in the row, and
@@ -156,7 +157,8 @@
     #[serde(skip)]
     pub losses: Vec<LossRecord>,
     /// Where long-running tasks run. They follow the losses in the row, and only if there are any. The
-    /// evidence in the losses comes last.
+    /// evidence in the losses follows them, and then the ranges of `occurrences_done` if those are too
+    /// many for a list. Earlier versions don't read the ranges.
     #[serde(skip)]
     pub placements: Vec<PlacementRecord>,
 }
@@ -166,20 +168,26 @@
     pub fn encode(&self) -> Vec<u8> {
         // Encoding plain data into a growing buffer can't fail.
         let row = postcard::to_stdvec(self).unwrap_or_default();
-        if self.losses.is_empty() && self.placements.is_empty() {
+        let has_ranges = self.occurrences_done.is_unlisted();
+        if self.losses.is_empty() && self.placements.is_empty() && !has_ranges {
             return row;
         }
         let row = postcard::to_extend(&self.losses, row).unwrap_or_default();
         let evidence: Vec<_> = self.losses.iter().map(|losses| losses.evidence).collect();
         let has_evidence = evidence.iter().any(Option::is_some);
-        if self.placements.is_empty() && !has_evidence {
+        if self.placements.is_empty() && !has_evidence && !has_ranges {
             return row;
         }
         let row = postcard::to_extend(&self.placements, row).unwrap_or_default();
-        if !has_evidence {
+        if !has_evidence && !has_ranges {
             return row;
         }
-        postcard::to_extend(&evidence, row).unwrap_or_default()
+        let row = postcard::to_extend(&evidence, row).unwrap_or_default();
+        if !has_ranges {
+            return row;
+        }
+        let ranges = self.occurrences_done.gaps_and_lengths();
+        postcard::to_extend(&ranges, row).unwrap_or_default()
     }
 
     /// Decodes a row.
@@ -190,22 +198,28 @@
     pub fn decode(buf: &[u8]) -> Result<Self> {
         let (mut progress, rest): (Self, _) =
             postcard::take_from_bytes(buf).map_err(|_| ProgressError)?;
+        // A row ends after any of the parts.
+        let (losses, rest) = take_or_default(rest)?;
+        progress.losses = losses;
+        let (placements, rest) = take_or_default(rest)?;
+        progress.placements = placements;
+        let (evidence, rest) = take_or_default::<Vec<Option<Evidence>>>(rest)?;
+        for (losses, evidence) in progress.losses.iter_mut().zip(evidence) {
+            losses.evidence = evidence;
+        }
         if !rest.is_empty() {
-            let (losses, rest) = postcard::take_from_bytes(rest).map_err(|_| ProgressError)?;
-            progress.losses = losses;
-            if !rest.is_empty() {
-                let (placements, rest) =
-                    postcard::take_from_bytes(rest).map_err(|_| ProgressError)?;
-                progress.placements = placements;
-                if !rest.is_empty() {
-                    let evidence: Vec<Option<Evidence>> =
-                        postcard::from_bytes(rest).map_err(|_| ProgressError)?;
-                    for (losses, evidence) in progress.losses.iter_mut().zip(evidence) {
-                        losses.evidence = evidence;
-                    }
-                }
-            }
+            let (ranges, _) = take_or_default::<Vec<(u32, u32)>>(rest)?;
+            let done = NumberSet::from_gaps_and_lengths(&ranges);
+            progress.occurrences_done = done.map_err(|_| ProgressError)?;
         }
         Ok(progress)
     }
 }
+
+/// Decodes the next part of a row, which is empty if the row ends before it; returns the rest as well.
+fn take_or_default<'de, T: Default + Deserialize<'de>>(buf: &'de [u8]) -> Result<(T, &'de [u8])> {
+    if buf.is_empty() {
+        return Ok((T::default(), buf));
+    }
+    postcard::take_from_bytes(buf).map_err(|_| ProgressError)
+}
--- a/crates/core/src/sched/shard/ends.rs
+++ b/crates/core/src/sched/shard/ends.rs
@@ -174,15 +174,15 @@
                 }
             }
             if occurrence.remaining.iter().all(|remaining| *remaining == 0) {
-                job.occurrences_done.push(name.occurrence);
+                job.occurrences_done.insert(name.occurrence);
             }
         }
         let done = &job.occurrences_done;
         job.occurrences.retain(|o| {
-            !done.contains(&o.number) || o.tasks.iter().flatten().any(|t| !t.workers.is_empty())
+            !done.contains(o.number) || o.tasks.iter().flatten().any(|t| !t.workers.is_empty())
         });
-        job.records.retain(|r| !done.contains(&r.occurrence));
-        let is_finished = job.occurrences_done.len() as u32 >= job.spec.occurrence_count();
+        job.records.retain(|r| !done.contains(r.occurrence));
+        let is_finished = job.occurrences_done.len() >= u64::from(job.spec.occurrence_count());
         for (worker, task) in other_runs {
             self.stop_run(&worker, task);
         }
--- a/crates/core/src/sched/shard/jobs.rs
+++ b/crates/core/src/sched/shard/jobs.rs
@@ -206,7 +206,7 @@
     pub(super) fn add_occurrence(&mut self) {
         let number = self.next_occurrence;
         self.next_occurrence += 1;
-        if self.occurrences_done.contains(&number) {
+        if self.occurrences_done.contains(number) {
             return;
         }
         let steps = self.spec.steps.iter();
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -22,6 +22,7 @@
             interference::{Image, Interference, PairEstimate, Pressure},
             job::{JobId, JobSpec, Resources, TaskName},
             loans::{LoanLedger, MAX_LOAN},
+            number_set::NumberSet,
             progress::{JobOutcome, LossRecord, PlacementRecord, Progress, TaskRecord},
             run_times::{RunTimes, ShapeTimes},
             size_fairness::SizeFairness,
@@ -469,7 +470,7 @@
     /// The occurrences that are due and still have open tasks or runs.
     pub occurrences: Vec<Occurrence>,
     /// The numbers of occurrences whose tasks are all done.
-    pub occurrences_done: Vec<u32>,
+    pub occurrences_done: NumberSet,
     /// The number of the first occurrence that has not been added yet.
     pub next_occurrence: u32,
     /// The stored records of tasks whose occurrences have not been added yet.
