Compute due times of occurrences without overflow

With an interval near the end of its range that overflows: a debug build ends ("attempt to add with overflow"), a release build wraps, so an occurrence starts ages before its time.

Change: JobSpec::due_occurrences divides the time since the first occurrence by the interval, which can't overflow.

--- a/crates/core/src/sched/job.rs
+++ b/crates/core/src/sched/job.rs
@@ -302,6 +302,22 @@
         work.fold(0, u64::saturating_add)
     }
 
+    /// Returns how many occurrences are due at `unix_ms`, in milliseconds of Unix time. The only one
+    /// of a job without a schedule always is.
+    pub fn due_occurrences(&self, unix_ms: u64) -> u32 {
+        let count = self.occurrence_count();
+        let Some(since_first_ms) = unix_ms.checked_sub(self.first_ms) else {
+            return if self.occurrences > 0 { 0 } else { count };
+        };
+        match since_first_ms.checked_div(self.interval_ms) {
+            Some(intervals) if self.occurrences > 0 => {
+                let due = u32::try_from(intervals.saturating_add(1));
+                due.map_or(count, |due| due.min(count))
+            }
+            _ => count,
+        }
+    }
+
     /// Returns the number of occurrences of the job, at least one.
     pub fn occurrence_count(&self) -> u32 {
         self.occurrences.max(1)
--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -110,12 +110,7 @@
             .values_mut()
             .filter(|j| j.outcome == JobOutcome::Open)
         {
-            while job.next_occurrence < job.spec.occurrence_count() {
-                let due_ms =
-                    job.spec.first_ms + u64::from(job.next_occurrence) * job.spec.interval_ms;
-                if job.spec.occurrences > 0 && due_ms > unix_ms {
-                    break;
-                }
+            while job.next_occurrence < job.spec.due_occurrences(unix_ms) {
                 job.add_occurrence();
                 self.changed = true;
             }
--- a/crates/core/tests/shard.rs
+++ b/crates/core/tests/shard.rs
@@ -634,6 +634,28 @@
     assert!(matches!(starts[1], (1, 1_300..1_460)), "{starts:?}");
 }
 
+/// The due time overflowed, which ended the process or started the second occurrence at once.
+#[test_case(7, u64::MAX - 1; "an interval near the end of its range")]
+#[test_case(5, u64::MAX; "the longest interval")]
+fn a_huge_interval_makes_no_second_occurrence_due(first_ms: u64, interval_ms: u64) {
+    let mut fixture = Fixture::new(&[worker("w", 9_000)]);
+    let scheduled = JobSpec {
+        occurrences: 3,
+        first_ms,
+        interval_ms,
+        ..job(vec![step(1, 1_000)])
+    };
+    fixture
+        .shard
+        .add_job(JOB, scheduled, JobOrigin::New, fixture.now());
+    let mut occurrences = Vec::new();
+    for _ in 0..5 {
+        let starts = fixture.starts(100).into_iter();
+        occurrences.extend(starts.map(|(task, _)| task.occurrence));
+    }
+    assert_eq!(occurrences, [0]);
+}
+
 #[test]
 fn cancellation_stops_the_runs_and_is_stored() {
     let mut fixture = Fixture::new(&[worker("w", 4_000)]);
