Add only the due occurrences that may start soon

Cause: a dispatch adds all due occurrences, each with tasks of its own, and looks each task up by a search for its occurrence from the first on, so it takes time by the square of their number, on the thread that also sends heartbeats. A new leader serves until all workers have answered; then the inherited job is dispatched as well, and it stops. A run that a worker reports adds all earlier occurrences, too. 2,000,000,000 times end the process by its memory.

Change (module `occurrences`): due occurrences are counted. The oldest are added while fewer than 1,024 tasks may start, shared among such jobs, and tasks of a step when it is ready. They are found by binary search. A report adds just the occurrence that it names, and those of stored records come first. In one dispatch the occurrences of a step share a ranking of the workers, and those that follow one without room are not tried. What is kept of a done occurrence is dropped. The work and the demand of a job count all due occurrences, as before.

A small job accepted meanwhile starts in the next poll.

--- a/crates/core/src/sched/shard.rs
+++ b/crates/core/src/sched/shard.rs
@@ -22,6 +22,7 @@
 //! - `losses`: lost processes of workers, and the tasks that ran on them.
 //! - `lost_workers`: the evidence of a crash against the tasks that ran on the worker.
 //! - `moves`: moves jobs to less loaded shards before they start.
+//! - `occurrences`: the occurrences of scheduled jobs, of which only those are kept that may start soon.
 //! - `outlook`: the expected waits of new jobs.
 //! - `placements`: the stored placements of long-running tasks.
 //! - `queries`: states of jobs, counts and loads, for callers and other instances.
@@ -57,6 +58,7 @@
 mod losses;
 mod lost_workers;
 mod moves;
+mod occurrences;
 mod outlook;
 mod placements;
 mod queries;
--- a/crates/core/src/sched/shard/crashes.rs
+++ b/crates/core/src/sched/shard/crashes.rs
@@ -293,7 +293,7 @@
         now: Instant,
         unix_ms: u64,
     ) {
-        self.add_occurrences_up_to(name);
+        self.add_occurrence_of(name);
         let lost = self.processes.lost.iter();
         let known: Vec<_> = lost
             .filter(|lost| lost.address == observation.address)
--- a/crates/core/src/sched/shard/dispatch.rs
+++ b/crates/core/src/sched/shard/dispatch.rs
@@ -5,9 +5,9 @@
         candidates::Ranking,
         state::{Command, RunPhase, Shard, Task},
     },
-    crate::sched::{
-        job::{JobId, Step, TaskName},
-        progress::JobOutcome,
+    crate::{
+        hash::HashMap,
+        sched::job::{JobId, Step, TaskName},
     },
     std::{
         cmp::Reverse,
@@ -39,6 +39,19 @@
 /// The platform's own limit is higher: one half.
 const MOSTLY_FREE_PERCENT: i64 = 42;
 
+/// How many occurrences of a job are tried in one dispatch after a step of theirs has found no worker,
+/// if the step may use other workers in each of them.
+const MAX_FAILED_OCCURRENCES: u32 = 4;
+
+/// What one dispatch has found for a step of a job, in the occurrences so far.
+#[derive(Debug, Default)]
+struct StepScan {
+    /// In how many occurrences the step has found no worker.
+    failures: u32,
+    /// The number of tasks of the step in the occurrences that are left.
+    remaining: usize,
+}
+
 impl Shard {
     /// Checks leases and the runs on workers, dispatches tasks if a dispatch is due, and returns
     /// the commands to send.
@@ -56,12 +69,12 @@
             self.stop_draining_runs(now);
             self.move_evacuated_runs(now);
             self.stop_stuck(now);
-            self.add_due_occurrences(unix_ms);
+            self.add_due_occurrences(now, unix_ms);
             self.resolve_placements(now);
         }
         self.count_crashes(now, unix_ms);
         if !self.resigning && self.next_dispatch_at() <= now {
-            self.add_due_occurrences(unix_ms);
+            self.add_due_occurrences(now, unix_ms);
             self.dispatched_at = Some(now);
             if !self.starts_are_held() {
                 self.dispatch(now);
@@ -102,21 +115,6 @@
         last_dispatch + interval
     }
 
-    /// Adds the occurrences of scheduled jobs that are due at `unix_ms`, in milliseconds of Unix
-    /// time, and the only occurrence of each other job.
-    fn add_due_occurrences(&mut self, unix_ms: u64) {
-        for job in self
-            .jobs
-            .values_mut()
-            .filter(|j| j.outcome == JobOutcome::Open)
-        {
-            while job.next_occurrence < job.spec.due_occurrences(unix_ms) {
-                job.add_occurrence();
-                self.changed = true;
-            }
-        }
-    }
-
     /// Dispatches the open jobs in the order that the module `waiting` sets.
     fn dispatch(&mut self, now: Instant) {
         self.update_estimates(now);
@@ -183,36 +181,69 @@
             ready_steps
                 .sort_by_key(|(occurrence, i)| (*occurrence, Reverse(chains[usize::from(*i)])));
         }
-        for (occurrence, step) in ready_steps {
+        let mut scans: HashMap<u16, StepScan> = HashMap::default();
+        for (_, step) in &ready_steps {
+            let count = spec.steps[usize::from(*step)].count as usize;
+            scans.entry(*step).or_default().remaining += count;
+        }
+        // The occurrences share the ranking while only tasks of one step start.
+        let mut ranking = Ranking::default();
+        let mut ranked_step = None;
+        for (occurrence, step_index) in ready_steps {
             let name = TaskName {
                 job: id,
                 occurrence,
-                step,
+                step: step_index,
                 index: 0,
             };
-            let step = &spec.steps[usize::from(step)];
+            let step = &spec.steps[usize::from(step_index)];
+            let uses_same_workers = !spec.needs_approval && step.max_per_worker == 0;
+            let max_failures = if uses_same_workers {
+                1
+            } else {
+                MAX_FAILED_OCCURRENCES
+            };
+            let scan = scans.entry(step_index).or_default();
+            if scan.failures >= max_failures {
+                continue;
+            }
             if spec.needs_approval && !self.is_approved(name, &spec.service, now) {
                 continue;
             }
-            if step.gang {
-                self.dispatch_gang(name, &spec.service, step, now);
+            let has_room = if step.gang {
+                ranked_step = None;
+                self.dispatch_gang(name, &spec.service, step, now)
             } else {
-                self.dispatch_step(name, &spec.service, step, now);
-            }
+                if !uses_same_workers || ranked_step.replace(step_index) != Some(step_index) {
+                    ranking = Ranking::default();
+                }
+                self.dispatch_step(name, &spec.service, step, scan.remaining, &mut ranking, now)
+            };
+            scan.failures += u32::from(!has_room);
+            scan.remaining = scan.remaining.saturating_sub(step.count as usize);
         }
     }
 
     /// Starts the startable tasks of a step in order, and stops at the first that fits on no
-    /// worker.
-    fn dispatch_step(&mut self, name: TaskName, service: &str, step: &Step, now: Instant) {
-        let mut ranking = Ranking::default();
+    /// worker; returns false if there was one.
+    ///
+    /// `remaining` is the number of tasks that may use `ranking`, beginning with these.
+    fn dispatch_step(
+        &mut self,
+        name: TaskName,
+        service: &str,
+        step: &Step,
+        remaining: usize,
+        ranking: &mut Ranking,
+        now: Instant,
+    ) -> bool {
         let placement_key = PlacementKey::new(service, step);
         let is_held = self.is_held(name.job);
         for index in 0..step.count {
             let name = TaskName { index, ..name };
             let job = self.jobs.get_mut(&name.job);
             let Some(task) = job.and_then(|j| j.task(&name)) else {
-                return;
+                return true;
             };
             if !task.is_startable(is_held, now) {
                 continue;
@@ -222,6 +253,7 @@
             let unix_ms = self.processes.polled.1;
             if losses.is_some_and(|losses| losses.is_suspected(unix_ms)) {
                 self.dispatch_suspected_task(name, service, step, now);
+                *ranking = Ranking::default();
                 continue;
             }
             let forced = self.may_start_despite_interference(name.job, step, now);
@@ -233,12 +265,12 @@
                     .is_some_and(|r| step.request.covers(r))
             {
                 self.hold_back_workers(name, service, step, now);
-                return;
+                return false;
             }
             let chosen = match &avoid_worker {
                 None => {
-                    let remaining = (step.count - index) as usize;
-                    self.find_ranked(&mut ranking, name, service, step, forced, remaining, now)
+                    let remaining = remaining.saturating_sub(index as usize);
+                    self.find_ranked(ranking, name, service, step, forced, remaining, now)
                 }
                 Some(avoid_worker) => {
                     let avoid_worker = Some(avoid_worker.as_str());
@@ -256,7 +288,7 @@
                 if !forced && !is_limited {
                     self.unplaceable.insert(placement_key, step.request);
                 }
-                return;
+                return false;
             };
             if forced {
                 log::info!(
@@ -264,8 +296,9 @@
                 );
             }
             self.start(&worker, name, now);
-            self.update_ranking(&mut ranking, &worker, name, service, step, now);
+            self.update_ranking(ranking, &worker, name, service, step, now);
         }
+        true
     }
 
     /// Returns whether a best-effort task may start on a worker where it interferes with serving
--- a/crates/core/src/sched/shard/disruption.rs
+++ b/crates/core/src/sched/shard/disruption.rs
@@ -16,10 +16,7 @@
         if step.gang || job.outcome != JobOutcome::Open {
             return None;
         }
-        let occurrence = job
-            .occurrences
-            .iter()
-            .find(|o| o.number == name.occurrence)?;
+        let occurrence = job.occurrence(name.occurrence)?;
         let tasks = occurrence.tasks.get(usize::from(name.step))?;
         let is_at_work = |(index, task): &(usize, &Task)| {
             let name = TaskName {
--- a/crates/core/src/sched/shard/ends.rs
+++ b/crates/core/src/sched/shard/ends.rs
@@ -28,7 +28,7 @@
         now: Instant,
         unix_ms: u64,
     ) {
-        self.add_occurrences_up_to(row.task);
+        self.add_occurrence_of(row.task);
         let worker = self.workers.get(worker_id);
         let run = worker.and_then(|w| w.runs.get(&row.task));
         let run_info = run.map(|run| {
@@ -146,11 +146,9 @@
             return;
         };
         let mut other_runs = Vec::new();
-        if let Some(occurrence) = job
-            .occurrences
-            .iter_mut()
-            .find(|o| o.number == name.occurrence)
-        {
+        let spec = job.spec.clone();
+        let mut is_occurrence_done = false;
+        if let Some(occurrence) = job.occurrence_mut(name.occurrence) {
             let step = usize::from(name.step);
             let gang_size = occurrence.tasks[step].len();
             let range = if gang {
@@ -173,16 +171,18 @@
                     other_runs.extend(task.workers.iter().map(|w| (w.clone(), task_name)));
                 }
             }
-            if occurrence.remaining.iter().all(|remaining| *remaining == 0) {
-                job.occurrences_done.insert(name.occurrence);
+            if occurrence.remaining[step] == 0 {
+                occurrence.add_ready_tasks(&spec.steps);
             }
+            is_occurrence_done = occurrence.remaining.iter().all(|remaining| *remaining == 0);
         }
-        let done = &job.occurrences_done;
-        job.occurrences.retain(|o| {
-            !done.contains(o.number) || o.tasks.iter().flatten().any(|t| !t.workers.is_empty())
+        if is_occurrence_done {
+            self.on_occurrence_done(name.job, name.occurrence);
+        }
+        let job = self.jobs.get(&name.job);
+        let is_finished = job.is_some_and(|job| {
+            job.occurrences_done.len() >= u64::from(job.spec.occurrence_count())
         });
-        job.records.retain(|r| !done.contains(r.occurrence));
-        let is_finished = job.occurrences_done.len() >= u64::from(job.spec.occurrence_count());
         for (worker, task) in other_runs {
             self.stop_run(&worker, task);
         }
@@ -198,7 +198,7 @@
     /// The run is not needed if the job is unknown or has finished, the task is done, or the task
     /// already has a run and its step is not speculative.
     pub(super) fn needs_run(&mut self, name: TaskName) -> bool {
-        self.add_occurrences_up_to(name);
+        self.add_occurrence_of(name);
         let Some(job) = self.jobs.get_mut(&name.job) else {
             return false;
         };
@@ -214,17 +214,6 @@
         task.is_some_and(|t| !t.done && (t.workers.is_empty() || speculative))
     }
 
-    /// Adds the occurrences of a job up to the occurrence of a task that a worker reports.
-    pub(super) fn add_occurrences_up_to(&mut self, name: TaskName) {
-        if let Some(job) = self.jobs.get_mut(&name.job) {
-            while job.next_occurrence <= name.occurrence
-                && job.next_occurrence < job.spec.occurrence_count()
-            {
-                job.add_occurrence();
-            }
-        }
-    }
-
     /// Returns whether the shard has a job that is still open, or that has finished but still has
     /// runs or an outcome that is not stored; see [`Shard::retire`].
     pub(super) fn is_active_job(&self, id: JobId) -> bool {
@@ -235,7 +224,7 @@
 /// Returns the number of attempts of a task's gang in which any member failed. All members of an attempt
 /// have its number, and several may fail before the others end.
 fn gang_failures(job: &Job, name: &TaskName) -> u32 {
-    let occurrence = job.occurrences.iter().find(|o| o.number == name.occurrence);
+    let occurrence = job.occurrence(name.occurrence);
     let tasks = occurrence.and_then(|o| o.tasks.get(usize::from(name.step)));
     let failed = tasks.into_iter().flatten().flat_map(|t| &t.failed_attempts);
     let failed: HashSet<_> = failed.collect();
--- a/crates/core/src/sched/shard/estimates.rs
+++ b/crates/core/src/sched/shard/estimates.rs
@@ -29,8 +29,6 @@
 /// The time that the running tasks of a step still take.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct RunningStep {
-    occurrence: u32,
-    step: u16,
     /// The number of tasks that have a run.
     tasks: u32,
     /// The longest time that any of them still takes, in milliseconds.
@@ -39,6 +37,9 @@
     longest_run_ms: u64,
 }
 
+/// The steps of a job that have running tasks, by occurrence and step.
+type RunningSteps = HashMap<(u32, u16), RunningStep>;
+
 /// The run times of a step's tasks.
 struct StepTimes {
     remaining: Remaining,
@@ -58,8 +59,8 @@
     /// The time of the longest chain of steps in the first occurrence, in milliseconds: of what is
     /// known of its tasks, else of usual ones.
     chain_ms: u64,
-    /// The steps that have running tasks.
-    running: Vec<RunningStep>,
+    /// The steps that have running tasks, by occurrence and step.
+    running: RunningSteps,
 }
 
 impl JobEstimates {
@@ -86,7 +87,7 @@
     }
 
     /// Sets the steps that have running tasks; `first` is the number of the first occurrence.
-    fn set_running(&mut self, spec: &JobSpec, running: Vec<RunningStep>, first: u32) {
+    fn set_running(&mut self, spec: &JobSpec, running: RunningSteps, first: u32) {
         self.running = running;
         // The longest chain of work is that of the tasks as they turn out to be, not as usual.
         let step_ms = |i: usize| {
@@ -111,12 +112,15 @@
     }
 
     fn running(&self, occurrence: u32, step: usize) -> RunningStep {
-        let is_step = |r: &&RunningStep| r.occurrence == occurrence && usize::from(r.step) == step;
-        self.running
-            .iter()
-            .find(is_step)
-            .copied()
-            .unwrap_or_default()
+        let running = self.running.get(&(occurrence, step as u16));
+        running.copied().unwrap_or_default()
+    }
+
+    /// Forgets the run times of an occurrence that is done.
+    pub(super) fn forget_occurrence(&mut self, number: u32) {
+        for step in 0..self.task_ms.len() as u16 {
+            self.longest_done.remove(&(number, step));
+        }
     }
 
     /// Returns the time that a step still takes if its tasks start at once, in milliseconds.
@@ -169,7 +173,7 @@
             return;
         }
         self.estimated_at = Some(now);
-        let mut running: HashMap<JobId, Vec<RunningStep>> = HashMap::default();
+        let mut running: HashMap<JobId, RunningSteps> = HashMap::default();
         let mut by_step: HashMap<(JobId, u32, u16), StepTimes> = HashMap::default();
         let mut overdue: HashMap<&str, (u32, u32)> = HashMap::default();
         for worker in self.workers.values() {
@@ -218,22 +222,8 @@
 }
 
 /// Adds a run to its step that still takes `remaining` and will have taken `run_time`.
-fn add_running(
-    steps: &mut Vec<RunningStep>,
-    name: &TaskName,
-    remaining: Duration,
-    run_time: Duration,
-) {
-    let is_step = |r: &RunningStep| (r.occurrence, r.step) == (name.occurrence, name.step);
-    let index = steps.iter().position(is_step).unwrap_or_else(|| {
-        steps.push(RunningStep {
-            occurrence: name.occurrence,
-            step: name.step,
-            ..RunningStep::default()
-        });
-        steps.len() - 1
-    });
-    let step = &mut steps[index];
+fn add_running(steps: &mut RunningSteps, name: &TaskName, remaining: Duration, run_time: Duration) {
+    let step = steps.entry((name.occurrence, name.step)).or_default();
     step.tasks += 1;
     let remaining_ms = remaining.as_millis() as u64;
     step.longest_ms = step.longest_ms.max(remaining_ms);
@@ -308,17 +298,17 @@
         chains
     }
 
-    /// Returns the work of an occurrence's tasks that are not done, in thousandths of a core times
-    /// milliseconds. Running tasks count in full: with the rest of them alone, large jobs were served
-    /// less often under overload.
-    pub(super) fn occurrence_work(&self, occurrence: &Occurrence) -> u64 {
-        let steps = self.spec.steps.iter().zip(&occurrence.remaining);
+    /// Returns the work of so many tasks of each step, in thousandths of a core times milliseconds.
+    /// Running tasks count in full: with the rest of them alone, large jobs were served less often under
+    /// overload.
+    pub(super) fn work_of_tasks(&self, counts: impl Iterator<Item = u32>) -> u64 {
+        let steps = self.spec.steps.iter().zip(counts);
         let work = steps
             .zip(&self.estimates.task_ms)
-            .map(|((step, remaining), task_ms)| {
+            .map(|((step, count), task_ms)| {
                 let cpu = u64::try_from(step.request.cpu).unwrap_or(0);
                 let task_work = task_ms.saturating_mul(cpu);
-                task_work.saturating_mul(u64::from(*remaining))
+                task_work.saturating_mul(u64::from(count))
             });
         work.fold(0, u64::saturating_add)
     }
--- a/crates/core/src/sched/shard/gangs.rs
+++ b/crates/core/src/sched/shard/gangs.rs
@@ -8,7 +8,7 @@
 };
 
 impl Shard {
-    /// Starts all members of a gang, or none if they don't all fit.
+    /// Starts all members of a gang, or none if they don't all fit; returns false in that case.
     ///
     /// For a step with `same_rack`, the workers of each rack are tried first, then all workers.
     pub(super) fn dispatch_gang(
@@ -17,21 +17,21 @@
         service: &str,
         step: &Step,
         now: Instant,
-    ) {
+    ) -> bool {
         let members = (0..step.count).map(|index| TaskName { index, ..name });
         let members: Vec<_> = members.collect();
         let is_held = self.is_held(name.job);
         let Some(job) = self.jobs.get_mut(&name.job) else {
-            return;
+            return true;
         };
         let mut attempt = 0;
         let mut checkpoint = String::new();
         for member in &members {
             let Some(task) = job.task(member) else {
-                return;
+                return true;
             };
             if !task.is_startable(is_held, now) {
-                return;
+                return true;
             }
             attempt = attempt.max(task.attempt);
             if task.checkpoint > checkpoint {
@@ -75,7 +75,7 @@
                     self.record_start(&worker, member, now);
                     self.queue_start(&worker, member, now);
                 }
-                return;
+                return true;
             }
             for (worker, member) in placed {
                 self.remove_run(&worker, member, now);
@@ -84,6 +84,7 @@
                 }
             }
         }
+        false
     }
 
     /// Returns all labels of the workers, sorted; a worker's rack is among its labels.
--- a/crates/core/src/sched/shard/jobs.rs
+++ b/crates/core/src/sched/shard/jobs.rs
@@ -1,9 +1,9 @@
 //! One job: its occurrences, its runs, its stored progress and its place in the dispatch order.
 
 use {
-    super::state::{Job, Occurrence, Task},
+    super::state::{Job, Occurrence},
     crate::sched::{
-        job::{JobId, LATE_FACTOR, Step, TaskName},
+        job::{JobId, LATE_FACTOR, TaskName},
         progress::{Progress, TaskRecord},
     },
     std::time::Instant,
@@ -36,22 +36,16 @@
         })
     }
 
-    /// Returns a task; `None` if its occurrence is not in `occurrences` or has no such task.
-    pub(super) fn task(&mut self, name: &TaskName) -> Option<&mut Task> {
-        let occurrence = self
-            .occurrences
-            .iter_mut()
-            .find(|o| o.number == name.occurrence)?;
-        let tasks = occurrence.tasks.get_mut(usize::from(name.step))?;
-        tasks.get_mut(name.index as usize)
-    }
-
     /// Returns whether a dispatch may have an effect on the job: it has a task that waits for a run,
     /// or no run at all, so that it may move, or its starts need approvals.
     pub(super) fn needs_dispatch(&self) -> bool {
         if self.spec.needs_approval {
             return true;
         }
+        let has_unadded = |o: &Occurrence| o.has_unadded_tasks();
+        if self.unadded_occurrences() > 0 || self.occurrences.iter().any(has_unadded) {
+            return true;
+        }
         let mut has_run = false;
         for task in self
             .occurrences
@@ -70,8 +64,8 @@
     /// Returns the CPU that the job's open tasks request, in thousandths of a core: first that of
     /// tasks that reserve it, then that of best-effort tasks.
     pub(super) fn demand(&self) -> (i64, i64) {
-        let mut reserved = 0;
-        let mut best_effort = 0;
+        let mut reserved = self.unadded_cpu(|step| !step.best_effort);
+        let mut best_effort = self.unadded_cpu(|step| step.best_effort);
         for occurrence in &self.occurrences {
             for (remaining, step) in occurrence.remaining.iter().zip(&self.spec.steps) {
                 let requested = i64::from(*remaining) * step.request.cpu;
@@ -110,12 +104,7 @@
                 }
             }
         }
-        let is_current = |r: &TaskRecord| {
-            self.occurrences
-                .iter()
-                .any(|occurrence| occurrence.number == r.occurrence)
-        };
-        tasks.extend(self.records.iter().filter(|r| !is_current(r)).cloned());
+        tasks.extend(self.records.iter().cloned());
         Progress {
             outcome: self.outcome,
             finished_ms: self.finished_ms,
@@ -128,15 +117,6 @@
     }
 }
 
-impl Occurrence {
-    /// Returns whether a step, with the given index, has tasks left and depends on no unfinished
-    /// step.
-    pub(super) fn is_ready(&self, index: usize, step: &Step) -> bool {
-        let is_done = |a: &u16| self.remaining[usize::from(*a)] == 0;
-        self.remaining[index] > 0 && step.after.iter().all(is_done)
-    }
-}
-
 /// How late a job will finish. Of two jobs that are equal in priority and in whether they are
 /// long-running, the one with the smaller value is dispatched first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -150,11 +130,15 @@
 }
 
 impl Job {
-    /// Returns the estimated remaining work of the added occurrences, in thousandths of a core times
+    /// Returns the estimated remaining work of the due occurrences, in thousandths of a core times
     /// milliseconds.
     pub(super) fn remaining_work(&self) -> u64 {
-        let works = self.occurrences.iter().map(|o| self.occurrence_work(o));
-        works.fold(0, u64::saturating_add)
+        let works = self.occurrences.iter();
+        let works = works.map(|o| self.work_of_tasks(o.remaining.iter().copied()));
+        let counts = self.spec.steps.iter().map(|step| step.count);
+        let unadded = u64::from(self.unadded_occurrences());
+        let unadded_work = self.work_of_tasks(counts).saturating_mul(unadded);
+        works.fold(unadded_work, u64::saturating_add)
     }
 
     /// Returns the work of `counts` tasks of each step according to the caller's estimates, in
@@ -201,57 +185,4 @@
         let remaining_ms = self.remaining_chain_ms(self.occurrences.first());
         Some(time_left_ms - remaining_ms as i64)
     }
-
-    /// Adds the next occurrence with its stored progress, unless all its tasks are done.
-    pub(super) fn add_occurrence(&mut self) {
-        let number = self.next_occurrence;
-        self.next_occurrence += 1;
-        if self.occurrences_done.contains(number) {
-            return;
-        }
-        let steps = self.spec.steps.iter();
-        let mut occurrence = Occurrence {
-            number,
-            remaining: steps.clone().map(|step| step.count).collect(),
-            tasks: steps
-                .map(|step| vec![Task::default(); step.count as usize])
-                .collect(),
-        };
-        for record in self.records.iter().filter(|r| r.occurrence == number) {
-            let tasks_of_step = occurrence.tasks.get_mut(usize::from(record.step));
-            let Some(task) = tasks_of_step.and_then(|s| s.get_mut(record.index as usize)) else {
-                continue;
-            };
-            task.failed_attempts.clone_from(&record.failed);
-            let last_failed = record.failed.iter().copied().max();
-            task.attempt = last_failed.unwrap_or(0);
-            task.checkpoint.clone_from(&record.checkpoint);
-            if record.done {
-                task.done = true;
-                occurrence.remaining[usize::from(record.step)] -= 1;
-            }
-        }
-        for record in self.stored_losses.iter().filter(|r| r.occurrence == number) {
-            let tasks_of_step = occurrence.tasks.get_mut(usize::from(record.step));
-            if let Some(task) = tasks_of_step.and_then(|s| s.get_mut(record.index as usize)) {
-                task.restore_losses(record);
-            }
-        }
-        for record in self
-            .stored_placements
-            .iter()
-            .filter(|r| r.occurrence == number)
-        {
-            let tasks_of_step = occurrence.tasks.get_mut(usize::from(record.step));
-            if let Some(task) = tasks_of_step.and_then(|s| s.get_mut(record.index as usize)) {
-                task.placement = Some(record.worker.clone());
-                task.is_located = true;
-                task.awaits_worker = true;
-            }
-        }
-        self.stored_placements.retain(|r| r.occurrence != number);
-        self.stored_losses.retain(|r| r.occurrence != number);
-        self.records.retain(|r| r.occurrence != number);
-        self.occurrences.push(occurrence);
-    }
 }
--- a/crates/core/src/sched/shard/lost_workers.rs
+++ b/crates/core/src/sched/shard/lost_workers.rs
@@ -130,9 +130,8 @@
     /// Returns the evidence against a task.
     fn evidence(&self, name: TaskName, unix_ms: u64) -> f64 {
         let job = self.jobs.get(&name.job);
-        let occurrences = job.iter().flat_map(|job| &job.occurrences);
-        let mut occurrences = occurrences.filter(|o| o.number == name.occurrence);
-        let steps = occurrences.next().map(|o| &o.tasks);
+        let occurrence = job.and_then(|job| job.occurrence(name.occurrence));
+        let steps = occurrence.map(|o| &o.tasks);
         let tasks = steps.and_then(|steps| steps.get(usize::from(name.step)));
         let task = tasks.and_then(|tasks| tasks.get(name.index as usize));
         let losses = task.and_then(|task| task.losses.as_ref());
--- a/crates/core/src/sched/shard/outlook.rs
+++ b/crates/core/src/sched/shard/outlook.rs
@@ -493,11 +493,13 @@
 impl Job {
     /// Returns the number of tasks of a step that may start, or may once the step is ready.
     fn waiting_tasks(&self, step: usize, now: Instant) -> usize {
-        let tasks = self.occurrences.iter().filter_map(|o| o.tasks.get(step));
-        tasks
-            .flatten()
-            .filter(|t| t.is_startable(false, now))
-            .count()
+        let count = self.spec.steps[step].count as usize;
+        let waiting = |occurrence: &Occurrence| match occurrence.tasks[step].as_slice() {
+            [] => count,
+            tasks => tasks.iter().filter(|t| t.is_startable(false, now)).count(),
+        };
+        let added: usize = self.occurrences.iter().map(waiting).sum();
+        added + count.saturating_mul(self.unadded_occurrences() as usize)
     }
 }
 
--- a/crates/core/src/sched/shard/queue_shares.rs
+++ b/crates/core/src/sched/shard/queue_shares.rs
@@ -99,6 +99,7 @@
             });
             cpu.sum::<i64>()
         };
-        self.occurrences.iter().map(of_occurrence).sum()
+        let added: i64 = self.occurrences.iter().map(of_occurrence).sum();
+        added + self.unadded_cpu(|step| !step.best_effort && step.after.is_empty())
     }
 }
--- a/crates/core/src/sched/shard/reports.rs
+++ b/crates/core/src/sched/shard/reports.rs
@@ -207,7 +207,7 @@
     /// Adds a reported run that this leader has not started, or stops it if it is not needed.
     fn adopt(&mut self, worker_id: &str, row: &RunningRow, sent_at: Instant, now: Instant) {
         let is_needed = self.needs_run(row.task);
-        self.add_occurrences_up_to(row.task);
+        self.add_occurrence_of(row.task);
         let token = self.worker_token(worker_id);
         if is_needed {
             log::info!(
--- a/crates/core/src/sched/shard/second_runs.rs
+++ b/crates/core/src/sched/shard/second_runs.rs
@@ -133,7 +133,7 @@
                 let Some(run) = run.filter(|run| matches!(run.phase, RunPhase::Running(_))) else {
                     continue;
                 };
-                let task = job.occurrences.iter().find(|o| o.number == name.occurrence);
+                let task = job.occurrence(name.occurrence);
                 let task = task.map(|o| &o.tasks[usize::from(name.step)][name.index as usize]);
                 let may_start = task.is_some_and(|t| {
                     !t.done && t.workers.len() == 1 && t.losses.is_none() && t.placement.is_none()
--- a/crates/core/src/sched/shard/speeds.rs
+++ b/crates/core/src/sched/shard/speeds.rs
@@ -42,8 +42,7 @@
         let Some(job) = self.jobs.get_mut(&name.job) else {
             return;
         };
-        let mut occurrences = job.occurrences.iter();
-        let occurrence = occurrences.find(|o| o.number == name.occurrence);
+        let occurrence = job.occurrence(name.occurrence);
         let remaining = occurrence.and_then(|o| o.remaining.get(usize::from(name.step)));
         let left = remaining.copied().unwrap_or(0).saturating_sub(1);
         let count = job.spec.steps[usize::from(name.step)].count;
--- a/crates/core/src/sched/shard/stalls.rs
+++ b/crates/core/src/sched/shard/stalls.rs
@@ -131,10 +131,7 @@
     fn knowledge(&self, task: TaskName, run: &Run, paces: &mut StepPaces) -> Option<Knowledge> {
         let job = self.jobs.get(&task.job)?;
         let step = job.spec.steps.get(usize::from(task.step))?;
-        let occurrence = job
-            .occurrences
-            .iter()
-            .find(|o| o.number == task.occurrence)?;
+        let occurrence = job.occurrence(task.occurrence)?;
         let tasks = occurrence.tasks.get(usize::from(task.step))?;
         let own = run.pace.percent_time();
         let siblings = if own.is_some() {
@@ -159,10 +156,7 @@
     /// fewer than [`MIN_SIBLINGS`] have shown it.
     fn step_percent_time(&self, name: TaskName, count: usize) -> Option<Duration> {
         let job = self.jobs.get(&name.job)?;
-        let occurrence = job
-            .occurrences
-            .iter()
-            .find(|o| o.number == name.occurrence)?;
+        let occurrence = job.occurrence(name.occurrence)?;
         let tasks = occurrence.tasks.get(usize::from(name.step))?;
         let runs = tasks.iter().zip(0..).take(count).flat_map(|(task, index)| {
             let name = TaskName { index, ..name };
--- a/crates/core/src/sched/shard/state.rs
+++ b/crates/core/src/sched/shard/state.rs
@@ -449,7 +449,8 @@
     pub number: u32,
     /// The number of tasks that are not done, for each step.
     pub remaining: Vec<u32>,
-    /// The tasks, by step and by their index in the step.
+    /// The tasks, by step and by their index in the step; none of a step before it is ready or one of
+    /// its tasks is named by a report or a stored record.
     pub tasks: Vec<Vec<Task>>,
 }
 
@@ -467,11 +468,16 @@
     pub finished_ms: u64,
     /// The outcome in the stored row.
     pub stored_outcome: JobOutcome,
-    /// The occurrences that are due and still have open tasks or runs.
+    /// The occurrences that were added and still have open tasks or runs, by ascending number. Of the
+    /// due ones only so many are added as may start soon; see the module `occurrences`.
     pub occurrences: Vec<Occurrence>,
     /// The numbers of occurrences whose tasks are all done.
     pub occurrences_done: NumberSet,
-    /// The number of the first occurrence that has not been added yet.
+    /// The numbers of those that are still in `occurrences`, since tasks had other runs.
+    pub done_with_runs: Vec<u32>,
+    /// How many occurrences were due at the last check.
+    pub due_occurrences: u32,
+    /// The lowest number that an occurrence may have that was neither added nor done.
     pub next_occurrence: u32,
     /// The stored records of tasks whose occurrences have not been added yet.
     pub records: Vec<TaskRecord>,
@@ -702,6 +708,8 @@
             stored_outcome: JobOutcome::Open,
             occurrences: Vec::new(),
             occurrences_done: progress.occurrences_done,
+            done_with_runs: Vec::new(),
+            due_occurrences: 0,
             next_occurrence: 0,
             records: progress.tasks,
             has_losses: !progress.losses.is_empty(),
--- a/crates/core/src/sched/shard/waiting.rs
+++ b/crates/core/src/sched/shard/waiting.rs
@@ -214,7 +214,7 @@
         if now.duration_since(held_since) >= MAX_HOLD {
             return;
         }
-        let occurrence = job.occurrences.iter().find(|o| o.number == name.occurrence);
+        let occurrence = job.occurrence(name.occurrence);
         let tasks = occurrence.and_then(|o| o.tasks.get(usize::from(name.step)));
         let startable = tasks.map_or(0, |tasks| {
             let startable = tasks.iter().filter(|t| t.is_startable(is_held, now));
