Tell who leads in heartbeats whatever names there are

Cause: a heartbeat holds the shards that the sender leads together with lists of queues and services, whose names have any length. If these don't fit into 1,300 bytes, nothing is sent at all, so an instance counts as dead by its configuration.

Change: Heartbeat::into_parts tells the led shards, takeovers and tokens in any case, in further datagrams if need be. Queues and services get the room that is left, with a note in the heartbeat that some are left out; loads take turns, and receivers keep those that they were told. A load that is not known draws no jobs to a shard. Earlier versions decode all that they know. The log says once what is left out.

A silent leader whose row in the store goes on changing is replaced all the same: its row is written each second, so waiting for it would delay each takeover after a loss by 1.4 s or more, while a takeover costs a look at each worker.

--- a/crates/entry/tests/jobs/common.rs
+++ b/crates/entry/tests/jobs/common.rs
@@ -492,7 +492,20 @@
 
     /// Submits a job through an instance once; `None` if there is no response.
     pub async fn submit_once(&self, target: usize, job: Job, body: &bytes::Bytes) -> Option<Reply> {
-        let path = format!("/{}/{}", QUEUES[job.queue], job.id);
+        self.submit_to(target, QUEUES[job.queue], job.id, body)
+            .await
+    }
+
+    /// Submits a job to the queue of this name through an instance once; `None` if there is no
+    /// response.
+    pub async fn submit_to(
+        &self,
+        target: usize,
+        queue: &str,
+        id: JobId,
+        body: &bytes::Bytes,
+    ) -> Option<Reply> {
+        let path = format!("/{queue}/{id}");
         self.call(target, Method::POST, &path, body.clone()).await
     }
 
@@ -523,7 +536,13 @@
     /// Reads the number of pending jobs of a queue through an instance; `None` if there is no
     /// usable response.
     pub async fn pending(&self, target: usize, queue: usize) -> Option<u32> {
-        let path = format!("/{}/", QUEUES[queue]);
+        self.pending_of(target, QUEUES[queue]).await
+    }
+
+    /// Reads the number of pending jobs of the queue of this name through an instance; `None` if there
+    /// is no usable response.
+    pub async fn pending_of(&self, target: usize, queue: &str) -> Option<u32> {
+        let path = format!("/{queue}/");
         let reply = self.call(target, Method::GET, &path, bytes::Bytes::new());
         wire::read_pending(&reply.await?.body)
     }
--- a/crates/entry/tests/jobs/path.rs
+++ b/crates/entry/tests/jobs/path.rs
@@ -3,7 +3,10 @@
 
 use {
     crate::common::{Deployment, Job, QUEUES, Share, body, wait_until},
+    marigoldbend::core::sched::job::JobId,
     std::time::Duration,
+    test_case::test_case,
+    tokio::time::sleep,
 };
 
 /// The instances of these tests.
@@ -19,6 +22,12 @@
 /// The maximum time until all jobs are completed.
 const COMPLETION_LIMIT: Duration = Duration::from_secs(20);
 
+/// The maximum time until a configuration is in force, with a margin for a busy machine.
+const CONFIG_LIMIT: Duration = Duration::from_secs(5);
+
+/// The time in which leaders would change several times.
+const LEADERSHIP_CHECK: Duration = Duration::from_secs(3);
+
 /// The maximum age of a count of pending jobs, with a margin for a busy machine.
 const PENDING_LIMIT: Duration = Duration::from_secs(3);
 
@@ -57,6 +66,40 @@
     }
 }
 
+/// A leader with jobs in many queues with long names sent no heartbeats, so another took over each
+/// second.
+#[test_case(60, 39; "review 13")]
+#[test_case(150, 150; "longer names than a heartbeat holds")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn leaders_changed_beside_many_queue_names(queues: usize, len: usize) {
+    let deployment = start().await;
+    let leader = deployment.wait_for_leader().await;
+    let names = (0..queues).map(|i| format!("queue-{i:0width$}", width = len - 6));
+    let names: Vec<_> = names.collect();
+    deployment.configure(8, &names);
+    let caller = deployment.caller();
+    let too_large = body(Duration::from_millis(200), 100 * TASK_CPU);
+    for (i, name) in names.iter().enumerate() {
+        let id = JobId(0x9a00 + i as u64);
+        let is_accepted = wait_until(CONFIG_LIMIT, async || {
+            let reply = caller.submit_to(i, name, id, &too_large).await;
+            reply.is_some_and(|reply| reply.status.is_success())
+        });
+        assert!(is_accepted.await, "{name}");
+    }
+    sleep(LEADERSHIP_CHECK).await;
+    for (index, instance) in deployment.instances.iter().enumerate() {
+        let takeovers = instance.takeovers();
+        let expected = usize::from(index == leader);
+        assert_eq!(
+            takeovers.len(),
+            expected,
+            "{}: {takeovers:?}",
+            instance.name
+        );
+    }
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn jobs_are_completed_once_while_the_leader_is_killed() {
     let mut deployment = start().await;
--- a/crates/peer/src/heartbeat.rs
+++ b/crates/peer/src/heartbeat.rs
@@ -16,9 +16,17 @@
 pub const MAX_BYTES: usize = 1_300;
 
 /// The maximum number of queues in the [`LedShard::pending`] lists of one heartbeat, taken
-/// together.
+/// together. A sender of an earlier version does not say that it has left others out.
 pub const MAX_QUEUES: usize = 40;
 
+/// How many bytes the lengths of a heartbeat's lists may grow by as entries are added, with those of
+/// its [`Omissions`].
+const LENGTH_MARGIN: usize = 16;
+
+/// The room in bytes that is left for loads and queues if a heartbeat is divided: two entries with the
+/// longest names that the platform allows.
+const DETAILS_ROOM: usize = 440;
+
 /// A result of encoding or decoding a heartbeat.
 pub type Result<T, E = HeartbeatError> = std::result::Result<T, E>;
 
@@ -60,6 +68,18 @@
     pub services: Vec<Outlook>,
 }
 
+/// What a heartbeat leaves out, since its datagram would be too long.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Omissions {
+    /// Whether there are queues with jobs that have not started in no [`LedShard::pending`] list.
+    pub pending: bool,
+    /// Whether there are services in no [`LedShard::loads`] list. The next heartbeats have others.
+    pub loads: bool,
+    /// Whether it continues another heartbeat, which has as many shards as fit and was sent just
+    /// before.
+    pub continues: bool,
+}
+
 /// A heartbeat.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Heartbeat {
@@ -101,6 +121,9 @@
     /// and for a shard whose outlooks are not known.
     #[serde(skip)]
     pub outlooks: Vec<ShardOutlook>,
+    /// What the heartbeat leaves out.
+    #[serde(skip)]
+    pub omissions: Omissions,
 }
 
 impl Heartbeat {
@@ -118,24 +141,110 @@
         left_out
     }
 
+    /// Divides the heartbeat into ones that are no longer than [`MAX_BYTES`], nearly always one.
+    ///
+    /// Which shards the sender leads and takes over, and the tokens that it knows, are told in any
+    /// case, in further heartbeats if need be: an instance that misses them counts the sender as
+    /// silent. Names of services and queues, of which a configuration may hold any number, take the
+    /// room that is left; [`Omissions`] says so if that is too little. The loads begin with another
+    /// service in each `round`, so that the receivers learn all of them in turn.
+    pub fn into_parts(mut self, round: usize) -> Vec<Self> {
+        let led_shards = std::mem::take(&mut self.led_shards);
+        let mut outlooks = std::mem::take(&mut self.outlooks);
+        let taking_over = std::mem::take(&mut self.taking_over);
+        let newest_tokens = std::mem::take(&mut self.newest_tokens);
+        let mut parts = Parts::new(self);
+        let (bare, details): (Vec<_>, Vec<_>) = led_shards.into_iter().map(LedShard::split).unzip();
+        let mut places = Vec::with_capacity(bare.len());
+        for shard in bare {
+            places.push(parts.make_room(&shard));
+            parts.last().led_shards.push(shard);
+        }
+        for shard in taking_over {
+            parts.make_room(&shard);
+            parts.last().taking_over.push(shard);
+        }
+        for token in newest_tokens {
+            parts.make_room(&token);
+            parts.last().newest_tokens.push(token);
+        }
+        let mut parts = parts.parts;
+        let max_queues = MAX_QUEUES / places.len().max(1);
+        for ((part, shard), details) in places.into_iter().zip(details) {
+            let (heartbeat, room) = &mut parts[part];
+            heartbeat.add_details(shard, details, max_queues, round, room);
+            let name = heartbeat.led_shards[shard].shard.as_str();
+            if let Some(index) = outlooks.iter().position(|o| o.shard == name) {
+                heartbeat.outlooks.push(outlooks.swap_remove(index));
+            }
+        }
+        parts.into_iter().map(|(heartbeat, _)| heartbeat).collect()
+    }
+
+    /// Adds the loads and queues of the shard with this index that fit into `room`, in bytes, the loads
+    /// into half of it.
+    fn add_details(
+        &mut self,
+        shard: usize,
+        (mut loads, mut pending): Details,
+        max_queues: usize,
+        round: usize,
+        room: &mut usize,
+    ) {
+        let shard = &mut self.led_shards[shard];
+        let mut loads_room = *room / 2;
+        if loads.iter().map(encoded_len).sum::<usize>() > loads_room {
+            let first = round % loads.len();
+            loads.rotate_left(first);
+        }
+        *room -= loads_room;
+        let fitting = count_fitting(&loads, &mut loads_room);
+        *room += loads_room;
+        self.omissions.loads |= fitting < loads.len();
+        loads.truncate(fitting);
+        shard.loads = loads;
+        let listed = &pending[..pending.len().min(max_queues)];
+        let fitting = count_fitting(listed, room);
+        self.omissions.pending |= fitting < pending.len();
+        pending.truncate(fitting);
+        shard.pending = pending;
+    }
+
+    /// Returns whether queues with jobs that have not started may be in none of the lists.
+    pub fn may_omit_pending(&self) -> bool {
+        let max_queues = MAX_QUEUES / self.led_shards.len().max(1);
+        let mut shards = self.led_shards.iter();
+        self.omissions.pending || shards.any(|shard| shard.pending.len() >= max_queues)
+    }
+
     /// Encodes the heartbeat.
     ///
     /// # Errors
     ///
     /// Returns an error if the heartbeat is longer than [`MAX_BYTES`].
     pub fn encode(&self) -> Result<Vec<u8>> {
+        let message = self.message();
+        let buf = if self.omissions == Omissions::default() {
+            frame::encode(MAGIC, MAX_BYTES, &message)
+        } else {
+            frame::encode(MAGIC, MAX_BYTES, &(message, self.omissions))
+        };
+        buf.ok_or(HeartbeatError::TooLong)
+    }
+
+    /// Returns the parts in the order in which they were added to the protocol.
+    fn message(&self) -> impl Serialize {
         let store_age_ms = self
             .store_age
             .map(|age| u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
-        let message = (
+        (
             self,
             self.cpu_share,
             store_age_ms,
             &self.newest_tokens,
             self.waits_for_loans,
             &self.outlooks,
-        );
-        frame::encode(MAGIC, MAX_BYTES, &message).ok_or(HeartbeatError::TooLong)
+        )
     }
 
     /// Decodes a heartbeat.
@@ -152,18 +261,94 @@
         let (store_age_ms, rest) = take_or_default::<Option<u32>>(rest)?;
         let (newest_tokens, rest) = take_or_default(rest)?;
         let (waits_for_loans, rest) = take_or_default(rest)?;
-        let (outlooks, _) = take_or_default(rest)?;
+        let (outlooks, rest) = take_or_default(rest)?;
+        let (omissions, _) = take_or_default(rest)?;
         Ok(Self {
             cpu_share,
             newest_tokens,
             waits_for_loans,
             outlooks,
+            omissions,
             store_age: store_age_ms.map(|ms| Duration::from_millis(ms.into())),
             ..heartbeat
         })
     }
 }
 
+/// The loads and the queues of a led shard; see [`LedShard`].
+type Details = (Vec<(String, u32, u32)>, Vec<(String, u32)>);
+
+impl LedShard {
+    /// Separates what is of bounded length from the lists of names.
+    fn split(mut self) -> (Self, Details) {
+        let loads = std::mem::take(&mut self.loads);
+        let pending = std::mem::take(&mut self.pending);
+        (self, (loads, pending))
+    }
+}
+
+/// The heartbeats that one is divided into, each with the room that it has left, in bytes.
+struct Parts {
+    parts: Vec<(Heartbeat, usize)>,
+    /// A heartbeat without lists, and its room.
+    empty: (Heartbeat, usize),
+}
+
+impl Parts {
+    fn new(empty: Heartbeat) -> Self {
+        let used = MAGIC.len() + encoded_len(&empty.message()) + LENGTH_MARGIN;
+        let room = MAX_BYTES.saturating_sub(used);
+        Self {
+            parts: vec![(empty.clone(), room)],
+            empty: (empty, room),
+        }
+    }
+
+    fn last(&mut self) -> &mut Heartbeat {
+        let last = self.parts.len() - 1;
+        &mut self.parts[last].0
+    }
+
+    /// Makes room for an entry in the last heartbeat, or in a new one if it does not fit there;
+    /// returns the indices of that heartbeat and of its next led shard.
+    fn make_room(&mut self, entry: &impl Serialize) -> (usize, usize) {
+        let len = encoded_len(entry);
+        let is_full = |(heartbeat, room): &(Heartbeat, usize)| {
+            let has_entries = !heartbeat.led_shards.is_empty()
+                || !heartbeat.taking_over.is_empty()
+                || !heartbeat.newest_tokens.is_empty();
+            has_entries && *room < len + DETAILS_ROOM
+        };
+        if self.parts.last().is_some_and(is_full) {
+            let (mut heartbeat, room) = self.empty.clone();
+            heartbeat.omissions.continues = true;
+            self.parts.push((heartbeat, room));
+        }
+        let last = self.parts.len() - 1;
+        let (heartbeat, room) = &mut self.parts[last];
+        *room = room.saturating_sub(len);
+        (last, heartbeat.led_shards.len())
+    }
+}
+
+/// Returns how many of the first entries fit into `room`, in bytes, and takes it from there.
+fn count_fitting(entries: &[impl Serialize], room: &mut usize) -> usize {
+    let mut count = 0;
+    for entry in entries {
+        let Some(rest) = room.checked_sub(encoded_len(entry)) else {
+            break;
+        };
+        *room = rest;
+        count += 1;
+    }
+    count
+}
+
+/// Returns the encoded length of plain data, in bytes.
+fn encoded_len(value: &impl Serialize) -> usize {
+    postcard::to_stdvec(value).map_or(usize::MAX, |buf| buf.len())
+}
+
 /// Decodes the next part of a heartbeat, which is absent if the sender has an earlier version;
 /// returns the rest as well.
 fn take_or_default<'de, T: Default + Deserialize<'de>>(buf: &'de [u8]) -> Result<(T, &'de [u8])> {
--- a/crates/peer/tests/heartbeat.rs
+++ b/crates/peer/tests/heartbeat.rs
@@ -4,8 +4,10 @@
     marigoldbend_core::sched::admission::{
         Forecast, Outlook, REQUEST_BOUNDS, WORK_LEVELS, WaitsByPriority,
     },
-    marigoldbend_peer::heartbeat::{Heartbeat, LedShard, MAX_BYTES, MAX_QUEUES, ShardOutlook},
-    std::time::Duration,
+    marigoldbend_peer::heartbeat::{
+        Heartbeat, LedShard, MAX_BYTES, MAX_QUEUES, Omissions, ShardOutlook,
+    },
+    std::{collections::BTreeSet, time::Duration},
     test_case::test_case,
 };
 
@@ -34,6 +36,7 @@
         newest_tokens: Vec::new(),
         waits_for_loans: false,
         outlooks: Vec::new(),
+        omissions: Omissions::default(),
     }
 }
 
@@ -128,3 +131,113 @@
     let services = decoded.outlooks.iter().map(|o| o.services.len());
     assert_eq!(services.sum::<usize>(), expected);
 }
+
+/// Returns `count` names of `len` characters.
+fn names(kind: &str, count: usize, len: usize) -> impl Iterator<Item = String> {
+    (0..count).map(move |i| format!("{kind}-{i:0width$}", width = len - kind.len() - 1))
+}
+
+/// A leader with many or long names to tell sent no heartbeats, so others took over each second.
+#[test_case(1, 40, 39, 1, 6; "the names of review 13")]
+#[test_case(1, 350, 200, 46, 200; "the longest names of many queues and services")]
+#[test_case(1, 46, 12, 46, 40; "short names of queues and long ones of services")]
+#[test_case(25, 40, 39, 46, 39; "all shards of the target")]
+#[test_case(25, 4, 8, 1, 200; "long names of shards")]
+fn a_leader_with_long_names_is_heard(
+    shards: usize,
+    queues: usize,
+    queue_len: usize,
+    services: usize,
+    len: usize,
+) {
+    let led_shards = names("shard", shards, len.max(9)).map(|shard| LedShard {
+        shard,
+        token: u64::MAX,
+        lease_version: u64::MAX,
+        loads: names("srv", services, len.max(6))
+            .map(|name| (name, 1_000, 1_000))
+            .collect(),
+        pending: names("q", queues, queue_len)
+            .map(|name| (name, u32::MAX))
+            .collect(),
+    });
+    let sent = Heartbeat {
+        name: "n".repeat(200),
+        domain: "d".repeat(200),
+        led_shards: led_shards.collect(),
+        taking_over: names("other", 3, len.max(9)).collect(),
+        newest_tokens: names("shard", shards, len.max(9))
+            .map(|name| (name, u64::MAX))
+            .collect(),
+        outlooks: outlooks(services),
+        ..heartbeat(69, Some(STORE_AGE))
+    };
+    let mut told = Vec::new();
+    let mut loads = BTreeSet::new();
+    for round in 0..services {
+        told.clear();
+        for (i, mut part) in sent.clone().into_parts(round).into_iter().enumerate() {
+            part.leave_out_outlooks();
+            let buf = part.encode().expect("a heartbeat that fits");
+            let part = Heartbeat::decode(&buf).expect("a heartbeat");
+            assert_eq!(part.omissions.continues, i > 0);
+            assert_eq!(
+                (&part.name, part.incarnation),
+                (&sent.name, sent.incarnation)
+            );
+            let pending: usize = part.led_shards.iter().map(|l| l.pending.len()).sum();
+            let all = queues * part.led_shards.len();
+            assert!(pending == all || part.may_omit_pending());
+            for led_shard in &part.led_shards {
+                let is_complete = led_shard.loads.len() == services;
+                assert!(is_complete || part.omissions.loads);
+                let names = led_shard.loads.iter().map(|(name, ..)| name.clone());
+                loads.extend(names.map(|name| (led_shard.shard.clone(), name)));
+            }
+            told.push(part);
+        }
+    }
+    let shard_of = |l: &LedShard| (l.shard.clone(), l.token, l.lease_version);
+    let led: Vec<_> = told
+        .iter()
+        .flat_map(|p| p.led_shards.iter().map(shard_of))
+        .collect();
+    let expected: Vec<_> = sent.led_shards.iter().map(shard_of).collect();
+    assert_eq!(led, expected);
+    let tokens: Vec<_> = told.iter().flat_map(|p| p.newest_tokens.clone()).collect();
+    assert_eq!(tokens, sent.newest_tokens);
+    let taking_over: Vec<_> = told.iter().flat_map(|p| p.taking_over.clone()).collect();
+    assert_eq!(taking_over, sent.taking_over);
+    assert!(
+        shards > 1 || loads.len() == services,
+        "the loads of all services are told in turn: {}",
+        loads.len()
+    );
+}
+
+/// An instance of an earlier version ignores what follows the parts that it knows.
+#[test]
+fn omissions_follow_what_earlier_versions_decode() {
+    let without = heartbeat(69, Some(STORE_AGE));
+    let omissions = Omissions {
+        pending: true,
+        ..Omissions::default()
+    };
+    let with = Heartbeat {
+        omissions,
+        ..without.clone()
+    };
+    let without = without.encode().expect("a short heartbeat");
+    let buf = with.encode().expect("a short heartbeat");
+    assert!(buf.starts_with(&without));
+    assert_eq!(Heartbeat::decode(&buf), Ok(with));
+}
+
+/// A sender of an earlier version does not say that it left queues out, which were taken for empty.
+#[test_case(MAX_QUEUES - 1, false; "few queues")]
+#[test_case(MAX_QUEUES, true; "as many as it tells")]
+fn queues_that_an_earlier_version_left_out_are_not_taken_for_empty(queues: usize, omits: bool) {
+    let mut sent = heartbeat(69, Some(STORE_AGE));
+    sent.led_shards[0].pending = names("q", queues, 8).map(|name| (name, 1)).collect();
+    assert_eq!(sent.may_omit_pending(), omits);
+}
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -49,7 +49,7 @@
     marigoldbend_http::connection::{ConnectionPool, TimeLimits},
     marigoldbend_peer::{
         call::DomainEvacuation,
-        heartbeat::{Heartbeat, LedShard, MAX_QUEUES, ShardOutlook},
+        heartbeat::{Heartbeat, LedShard, Omissions, ShardOutlook},
     },
     marigoldbend_platform::{
         backoff::Backoff,
@@ -207,8 +207,10 @@
     rejection: RejectionCheck,
     /// When this instance or a peer last didn't reach the store; `None` if never.
     store_doubted_at: Option<Instant>,
-    /// Of how many services the last heartbeats left out the outlooks.
-    outlooks_left_out: usize,
+    /// What the last heartbeats left out.
+    sent_heartbeats: peers::SentHeartbeats,
+    /// The number of rounds of heartbeats, which decides whose loads are told in them.
+    heartbeat_round: usize,
     /// When calls to the store were last sent again because it serves a peer; `None` if never.
     store_retried_at: Option<Instant>,
     /// The loans of the right to renew leases.
@@ -279,7 +281,8 @@
             stalled_at: None,
             sent_store_reachable: true,
             rejection: RejectionCheck::default(),
-            outlooks_left_out: 0,
+            sent_heartbeats: peers::SentHeartbeats::default(),
+            heartbeat_round: 0,
             store_doubted_at: None,
             store_retried_at: None,
             delegation: Delegation::default(),
--- a/crates/scheduler/src/control/peers.rs
+++ b/crates/scheduler/src/control/peers.rs
@@ -21,6 +21,18 @@
 /// time limit of a call that the store answers slowly.
 const STORE_RETRY_INTERVAL: Duration = Duration::from_millis(2_500);
 
+/// What the heartbeats of one round say and leave out, for the log.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(super) struct SentHeartbeats {
+    /// How many datagrams one heartbeat takes beyond the first.
+    further_datagrams: usize,
+    /// How many of these are too long to be sent.
+    too_long: usize,
+    omissions: Omissions,
+    /// The number of services whose outlooks are left out.
+    outlooks_left_out: usize,
+}
+
 impl Control {
     /// Sends heartbeats to the peers for which one is due, or to all peers if `send_all` is true.
     pub(super) fn send_heartbeats(&mut self, now: Instant, send_all: bool) {
@@ -50,12 +62,13 @@
             let mut pending: Vec<_> = leader.shard.pending().into_iter().collect();
             pending.sort();
             let loads = leader.shard.loads().into_iter();
-            pending.truncate(MAX_QUEUES / self.led_shards.len().max(1));
+            let mut loads: Vec<_> = loads.map(|(s, l)| (s, l.reserved, l.best_effort)).collect();
+            loads.sort();
             LedShard {
                 shard: leader.name.clone(),
                 token: leader.token,
                 lease_version: leader.lease_version,
-                loads: loads.map(|(s, l)| (s, l.reserved, l.best_effort)).collect(),
+                loads,
                 pending,
             }
         });
@@ -74,7 +87,7 @@
             .iter()
             .filter(|(_, leadership)| leadership.taking_over);
         let health = self.store.health();
-        let mut heartbeat = Heartbeat {
+        let heartbeat = Heartbeat {
             name: self.settings.name.clone(),
             domain: domain.clone(),
             incarnation: self.incarnation,
@@ -89,24 +102,40 @@
             waits_for_loans: self.delegation.max_lease.is_some(),
             store_age: health.served_at.map(|at| now.saturating_duration_since(at)),
             outlooks: outlooks.collect(),
+            omissions: Omissions::default(),
         };
-        let left_out = heartbeat.leave_out_outlooks();
-        if left_out != self.outlooks_left_out {
-            log::info!("peers: heartbeats leave out the outlooks of {left_out} services.");
-            self.outlooks_left_out = left_out;
-        }
-        let buf = match heartbeat.encode() {
-            Ok(buf) => buf,
-            Err(e) => {
-                log::error!("peers: no heartbeats are sent: {e}.");
-                return;
-            }
+        let mut parts = heartbeat.into_parts(self.heartbeat_round);
+        self.heartbeat_round = self.heartbeat_round.wrapping_add(1);
+        let outlooks_left_out = parts.iter_mut().map(Heartbeat::leave_out_outlooks).sum();
+        let bufs: Vec<_> = parts.iter().filter_map(|part| part.encode().ok()).collect();
+        let sent = SentHeartbeats {
+            further_datagrams: parts.len() - 1,
+            too_long: parts.len() - bufs.len(),
+            omissions: Omissions {
+                pending: parts.iter().any(|part| part.omissions.pending),
+                loads: parts.iter().any(|part| part.omissions.loads),
+                continues: false,
+            },
+            outlooks_left_out,
         };
+        if sent != self.sent_heartbeats {
+            log::info!(
+                "peers: heartbeats have further_datagrams={} too_long={} and leave out pending={} loads={} outlooks={}.",
+                sent.further_datagrams,
+                sent.too_long,
+                sent.omissions.pending,
+                sent.omissions.loads,
+                sent.outlooks_left_out,
+            );
+            self.sent_heartbeats = sent;
+        }
         for peer in self.peers.values_mut() {
             if send_all || is_due(peer, domain) {
                 peer.heartbeat_sent = Some(now);
-                // A failure counts as a lost datagram; the next heartbeat follows soon.
-                let _ = self.socket.send_to(&buf, peer.address);
+                for buf in &bufs {
+                    // A failure counts as a lost datagram; the next heartbeat follows soon.
+                    let _ = self.socket.send_to(buf, peer.address);
+                }
             }
         }
     }
@@ -117,6 +146,17 @@
         if heartbeat.name == self.settings.name {
             return;
         }
+        if !heartbeat.omissions.continues {
+            self.note_peer(&heartbeat, now);
+        }
+        for (shard, token) in &heartbeat.newest_tokens {
+            self.on_newest_token(shard, *token, now);
+        }
+        self.note_led_shards(heartbeat, now);
+    }
+
+    /// Records the state of a peer.
+    fn note_peer(&mut self, heartbeat: &Heartbeat, now: Instant) {
         let is_new = !self.peers.contains_key(&heartbeat.name);
         let peer = self
             .peers
@@ -151,7 +191,7 @@
         let previous = self.peer_views.insert(
             heartbeat.name.clone(),
             PeerView {
-                domain: heartbeat.domain,
+                domain: heartbeat.domain.clone(),
                 incarnation: heartbeat.incarnation,
                 last_heard: now,
                 store_reachable: heartbeat.store_reachable,
@@ -165,9 +205,11 @@
             log::info!("peers: {} has restarted.", heartbeat.name);
         }
         self.retry_store_calls(now);
-        for (shard, token) in &heartbeat.newest_tokens {
-            self.on_newest_token(shard, *token, now);
-        }
+    }
+
+    /// Records the shards that a peer takes over or leads.
+    fn note_led_shards(&mut self, heartbeat: Heartbeat, now: Instant) {
+        let may_omit_pending = heartbeat.may_omit_pending();
         let rival_takeovers = heartbeat.taking_over.into_iter();
         for shard in rival_takeovers.filter(|_| heartbeat.store_reachable) {
             if let Some(leadership) = self.leadership.get_mut(&shard) {
@@ -196,23 +238,34 @@
             leadership.token = led_shard.token;
             leadership.leader = Some((heartbeat.name.clone(), heartbeat.incarnation));
             leadership.leader_updated_at = Some(now);
-            let loads = led_shard.loads.into_iter();
-            let loads = loads.map(|(s, reserved, best_effort)| {
-                (
-                    s,
-                    ServiceLoad {
-                        reserved,
-                        best_effort,
-                    },
-                )
-            });
+            // What the heartbeat leaves out may be in earlier ones.
+            let earlier = leadership.view.take();
+            let earlier =
+                earlier.filter(|v| heartbeat.omissions.loads && v.token == led_shard.token);
+            let mut loads = earlier.map_or_else(HashMap::default, |view| view.loads);
+            loads.extend(
+                led_shard
+                    .loads
+                    .into_iter()
+                    .map(|(s, reserved, best_effort)| {
+                        (
+                            s,
+                            ServiceLoad {
+                                reserved,
+                                best_effort,
+                            },
+                        )
+                    }),
+            );
             leadership.view = Some(LeaderView {
                 name: heartbeat.name.clone(),
                 address: heartbeat.address,
                 token: led_shard.token,
                 lease_version: led_shard.lease_version,
                 last_heard: now,
-                loads: loads.collect(),
+                loads,
+                may_omit_loads: heartbeat.omissions.loads,
+                may_omit_pending,
                 pending: led_shard.pending.into_iter().collect(),
                 outlooks: outlooks.remove(&led_shard.shard),
             });
--- a/crates/scheduler/src/control/publish.rs
+++ b/crates/scheduler/src/control/publish.rs
@@ -69,7 +69,9 @@
                     lease_version: leader.lease_version,
                     last_heard: now,
                     loads: leader.shard.loads(),
+                    may_omit_loads: false,
                     pending: leader.shard.pending(),
+                    may_omit_pending: false,
                     outlooks: leader.outlooks(self.settings.features),
                 };
                 leaders.insert(shard.clone(), view);
--- a/crates/scheduler/src/view.rs
+++ b/crates/scheduler/src/view.rs
@@ -47,8 +47,14 @@
     pub last_heard: Instant,
     /// The load of the shard, by service.
     pub loads: HashMap<String, ServiceLoad>,
+    /// Whether a service without an entry in `loads` may have a load, since the leader's heartbeats
+    /// have no room for all of them.
+    pub may_omit_loads: bool,
     /// The number of jobs that have not started, by queue; queues without such jobs are absent.
     pub pending: HashMap<String, u32>,
+    /// Whether a queue without an entry in `pending` may have such jobs, since the leader's heartbeats
+    /// have no room for all of them.
+    pub may_omit_pending: bool,
     /// What new jobs have to expect, and when that was computed; `None` if the leader doesn't know or
     /// tell.
     pub outlooks: Option<(Instant, Arc<[Outlook]>)>,
@@ -130,6 +136,10 @@
                 .count();
             let leader = self.leaders.get(shard);
             let load = leader.and_then(|l| l.loads.get(&job.service));
+            let is_unknown = load.is_none() && leader.is_some_and(|l| l.may_omit_loads);
+            if is_unknown && *shard != own {
+                return (rack_matches, u32::MAX, shard);
+            }
             let load = load.copied().unwrap_or_default();
             let load = if best_effort {
                 load.best_effort
--- a/crates/scheduler/tests/leadership.rs
+++ b/crates/scheduler/tests/leadership.rs
@@ -8,7 +8,7 @@
         hash::HashMap,
         sched::leadership::{LEADER_TIMEOUT, LeaseRow},
     },
-    marigoldbend_peer::heartbeat::{Heartbeat, LedShard},
+    marigoldbend_peer::heartbeat::{Heartbeat, LedShard, Omissions},
     marigoldbend_platform::{rows::RowKey, store::Store},
     marigoldbend_scheduler::{
         control::{Control, Event, TICK, deliver_urgent_event},
@@ -95,6 +95,7 @@
         newest_tokens: Vec::new(),
         waits_for_loans: false,
         outlooks: Vec::new(),
+        omissions: Omissions::default(),
         store_age: Some(peer.served_at.elapsed()),
     }
 }
--- a/crates/scheduler/tests/restoring.rs
+++ b/crates/scheduler/tests/restoring.rs
@@ -21,7 +21,7 @@
         connection::{ConnectionPool, Outgoing, TimeLimits},
         server::{Limits, serve},
     },
-    marigoldbend_peer::heartbeat::Heartbeat,
+    marigoldbend_peer::heartbeat::{Heartbeat, Omissions},
     marigoldbend_platform::{rows::RowKey, store::Store},
     marigoldbend_scheduler::{
         commands::BoxFuture,
@@ -596,6 +596,7 @@
         newest_tokens: Vec::new(),
         waits_for_loans,
         outlooks: Vec::new(),
+        omissions: Omissions::default(),
         store_age: Some(Duration::from_millis(100)),
     }
 }
--- a/crates/scheduler/tests/view.rs
+++ b/crates/scheduler/tests/view.rs
@@ -28,7 +28,9 @@
         lease_version: 1,
         last_heard: computed_at,
         loads: HashMap::default(),
+        may_omit_loads: false,
         pending: HashMap::default(),
+        may_omit_pending: false,
         outlooks,
     };
     let known = leader(Some((computed_at, [outlook].into())));
