Request counts of pending jobs that heartbeats leave out

Cause: a heartbeat tells of 40 queues at most, and an instance takes a queue without a count for empty.

Change: if a heartbeat may leave queues out, an instance that was told nothing of a queue requests the count from the leader (Call::Pending), and reads the leader's row in the store if there is no reply.

--- a/crates/entry/src/entry.rs
+++ b/crates/entry/src/entry.rs
@@ -424,6 +424,7 @@
         Call::JobState { .. } => Reply::JobState(None),
         Call::Evacuations { .. } => Reply::Evacuations(None),
         Call::Loan(_) => Reply::Loan(None),
+        Call::Pending { .. } => Reply::Pending(None),
         Call::Snapshot(domain) => {
             let directory = router.directory();
             let (version, row) = &directory.row;
--- a/crates/entry/src/router.rs
+++ b/crates/entry/src/router.rs
@@ -399,7 +399,11 @@
             Ok(Reply::NotRun { .. }) => ("not-run", None),
             Ok(Reply::Unknown { reason }) => ("unknown", Some(RequestOutcome::Unknown(reason))),
             Ok(
-                Reply::Snapshot(_) | Reply::JobState(_) | Reply::Evacuations(_) | Reply::Loan(_),
+                Reply::Snapshot(_)
+                | Reply::JobState(_)
+                | Reply::Evacuations(_)
+                | Reply::Loan(_)
+                | Reply::Pending(_),
             ) => (
                 "unknown",
                 Some(unknown("the peer sent a reply that does not fit an offer")),
--- a/crates/entry/src/scheduling.rs
+++ b/crates/entry/src/scheduling.rs
@@ -25,7 +25,7 @@
     },
     marigoldbend_scheduler::{
         control::{
-            Control, Event, GetEvacuations, GetJobState, GetLoan, HasResignedAll, TICK,
+            Control, Event, GetEvacuations, GetJobState, GetLoan, GetPending, HasResignedAll, TICK,
             deliver_urgent_event, send_event,
         },
         intake::Intake,
@@ -299,6 +299,10 @@
             let loan = actor.send(GetLoan(request)).await;
             Reply::Loan(loan.ok().flatten())
         }
+        Call::Pending { shard, queue } => {
+            let pending = actor.send(GetPending(shard, queue)).await;
+            Reply::Pending(pending.ok().flatten())
+        }
         Call::Offer(_) | Call::Snapshot(_) => Reply::NotRun {
             reason: "this instance schedules jobs only".to_owned(),
         },
--- a/crates/entry/tests/jobs/path.rs
+++ b/crates/entry/tests/jobs/path.rs
@@ -67,11 +67,12 @@
 }
 
 /// A leader with jobs in many queues with long names sent no heartbeats, so another took over each
-/// second.
+/// second; queues beyond the 40 that a heartbeat told of were counted as empty.
 #[test_case(60, 39; "review 13")]
+#[test_case(60, 9; "short names")]
 #[test_case(150, 150; "longer names than a heartbeat holds")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn leaders_changed_beside_many_queue_names(queues: usize, len: usize) {
+async fn leaders_changed_and_counts_were_zero_beside_many_queue_names(queues: usize, len: usize) {
     let deployment = start().await;
     let leader = deployment.wait_for_leader().await;
     let names = (0..queues).map(|i| format!("queue-{i:0width$}", width = len - 6));
@@ -88,6 +89,21 @@
         assert!(is_accepted.await, "{name}");
     }
     sleep(LEADERSHIP_CHECK).await;
+    for target in 0..INSTANCES.len() {
+        let mut wrong = names.clone();
+        let are_counted = wait_until(PENDING_LIMIT, async || {
+            let mut still_wrong = Vec::new();
+            for name in wrong.drain(..) {
+                if caller.pending_of(target, &name).await != Some(1) {
+                    still_wrong.push(name);
+                }
+            }
+            wrong = still_wrong;
+            wrong.is_empty()
+        });
+        let are_counted = are_counted.await;
+        assert!(are_counted, "instance {target}: {} wrong", wrong.len());
+    }
     for (index, instance) in deployment.instances.iter().enumerate() {
         let takeovers = instance.takeovers();
         let expected = usize::from(index == leader);
--- a/crates/peer/src/call.rs
+++ b/crates/peer/src/call.rs
@@ -99,6 +99,13 @@
     },
     /// Asks the leader of a shard for a loan.
     Loan(LoanRequest),
+    /// Asks for the number of jobs in a queue that have not started.
+    Pending {
+        /// The shard that they belong to.
+        shard: String,
+        /// The queue.
+        queue: String,
+    },
 }
 
 /// An evacuated failure domain, and what still runs there.
@@ -139,6 +146,8 @@
     Evacuations(Option<Vec<DomainEvacuation>>),
     /// The loan; `None` if the instance lends nothing.
     Loan(Option<Loan>),
+    /// The number of jobs; `None` if the instance does not lead the shard.
+    Pending(Option<u32>),
 }
 
 /// A call or a reply, with the id by which a reply is matched to its call.
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -11,7 +11,7 @@
 mod watches;
 
 pub use events::{
-    EvacuationUpdate, Event, GetEvacuations, GetJobState, GetLoan, HasResignedAll,
+    EvacuationUpdate, Event, GetEvacuations, GetJobState, GetLoan, GetPending, HasResignedAll,
     NextReportRequest, QueuedEvent, deliver_event, deliver_urgent_event, send_event,
 };
 
@@ -589,6 +589,19 @@
     }
 }
 
+impl Handler<GetPending> for Control {
+    type Return = Option<u32>;
+
+    async fn handle(
+        &mut self,
+        GetPending(shard, queue): GetPending,
+        _: &mut xtra::Context<Self>,
+    ) -> Option<u32> {
+        let pending = self.led_shards.get(&shard)?.shard.pending();
+        Some(pending.get(&queue).copied().unwrap_or(0))
+    }
+}
+
 impl Handler<GetEvacuations> for Control {
     type Return = Option<Vec<DomainEvacuation>>;
 
--- a/crates/scheduler/src/control/events.rs
+++ b/crates/scheduler/src/control/events.rs
@@ -119,6 +119,11 @@
 #[derive(Debug)]
 pub struct GetJobState(pub String, pub JobId);
 
+/// Asks for the number of jobs in a queue of a led shard that have not started; the reply is `None` if
+/// the shard is not led here.
+#[derive(Debug)]
+pub struct GetPending(pub String, pub String);
+
 /// Asks for the evacuated failure domains of a led shard; the reply is `None` if it is not led here.
 #[derive(Debug)]
 pub struct GetEvacuations(pub String);
--- a/crates/scheduler/src/intake.rs
+++ b/crates/scheduler/src/intake.rs
@@ -529,12 +529,7 @@
             let state = timeout(STATE_TIMEOUT, self.control.send(request)).await;
             return state.ok()?.ok().flatten();
         }
-        let link = {
-            let mut links = self.links.lock();
-            let address = leader.address;
-            let new = || Arc::new(Link::new(address, None));
-            links.entry(address).or_insert_with(new).clone()
-        };
+        let link = self.link(leader.address);
         let call = Call::JobState {
             shard: shard.to_owned(),
             job: id,
@@ -552,6 +547,13 @@
         }
     }
 
+    /// Returns the connection to a peer.
+    fn link(&self, address: SocketAddr) -> Arc<Link> {
+        let new = || Arc::new(Link::new(address, None));
+        let mut links = self.links.lock();
+        links.entry(address).or_insert_with(new).clone()
+    }
+
     /// Reads the shard of a job; `None` if there is no such job.
     async fn read_shard(
         &self,
--- a/crates/scheduler/src/intake/pending.rs
+++ b/crates/scheduler/src/intake/pending.rs
@@ -1,11 +1,13 @@
 //! Counts the jobs of a queue that have not started.
 //!
-//! The leader of a shard counts them and sends the counts in its heartbeats. Without heartbeats of
-//! a leader, its row in the store has the counts, but the row of a leader that has ended stays. So
+//! The leader of a shard counts them and sends the counts in its heartbeats. A count for which these
+//! have no room is requested from the leader. Without heartbeats of a leader, or its reply, its row in the store has the counts, but the row of a leader that has ended stays. So
 //! an instance answers from the row only while it changes, and refuses the call otherwise.
 
 use {
-    super::*, crate::takeover::StoreHeartbeat, marigoldbend_core::sched::heartbeat_age::Freshness,
+    super::*,
+    crate::{takeover::StoreHeartbeat, view::LeaderView},
+    marigoldbend_core::sched::heartbeat_age::Freshness,
 };
 
 /// The interval at which the heartbeat row is read until it changes.
@@ -21,18 +23,12 @@
     ) -> HttpResponse {
         let mut total = 0;
         for shard in &self.settings.shards {
-            let pending = match view.leaders.get(&shard.name) {
-                Some(leader) => {
-                    let pending = leader.pending.get(queue).copied().unwrap_or(0);
-                    log::info!(
-                        "intake: call=pending queue={queue} shard={} pending={pending} leader={} token={} age_ms={}.",
-                        shard.name,
-                        leader.name,
-                        leader.token,
-                        leader.last_heard.elapsed().as_millis(),
-                    );
-                    pending
-                }
+            let known = match view.leaders.get(&shard.name) {
+                Some(leader) => self.known_pending(leader, &shard.name, queue).await,
+                None => None,
+            };
+            let pending = match known {
+                Some(pending) => pending,
                 None => match self.stored_pending(&shard.name, queue, respond_by).await {
                     Some(pending) => pending,
                     None => return unavailable("the number of pending jobs is not known now"),
@@ -43,6 +39,44 @@
         respond(StatusCode::OK, wire::write_pending(total))
     }
 
+    /// Returns the number that the leader of a shard has told in its heartbeats, or tells now if these
+    /// may leave it out; `None` if it does not.
+    async fn known_pending(&self, leader: &LeaderView, shard: &str, queue: &str) -> Option<u32> {
+        let told = leader.pending.get(queue).copied();
+        let told = told.or((!leader.may_omit_pending).then_some(0));
+        let pending = match told {
+            Some(pending) => pending,
+            None => self.request_pending(leader, shard, queue).await?,
+        };
+        log::info!(
+            "intake: call=pending queue={queue} shard={shard} pending={pending} leader={} token={} age_ms={} requested={}.",
+            leader.name,
+            leader.token,
+            leader.last_heard.elapsed().as_millis(),
+            told.is_none(),
+        );
+        Some(pending)
+    }
+
+    /// Requests the number from the leader of a shard; `None` if it does not reply with one.
+    async fn request_pending(&self, leader: &LeaderView, shard: &str, queue: &str) -> Option<u32> {
+        let call = Call::Pending {
+            shard: shard.to_owned(),
+            queue: queue.to_owned(),
+        };
+        match self.link(leader.address).call(&call, STATE_TIMEOUT).await {
+            Ok(Reply::Pending(pending)) => pending,
+            Ok(_) => None,
+            Err(e) => {
+                log::info!(
+                    "intake: call=pending queue={queue} shard={shard} leader={} did not return the number: {e}.",
+                    leader.name
+                );
+                None
+            }
+        }
+    }
+
     /// Returns the number from the leader's heartbeat in the store; `None` if the heartbeat can't be
     /// read or does not change.
     async fn stored_pending(&self, shard: &str, queue: &str, respond_by: Instant) -> Option<u32> {
