Bound the heartbeat row in the store

With 350 names of 200 bytes it is longer than the 65,536 bytes that a row may have, so the store refuses each heartbeat.

An instance without a leader that doesn't find its queue there answers that the count is not known instead of 0.

--- a/crates/scheduler/src/control/leadership.rs
+++ b/crates/scheduler/src/control/leadership.rs
@@ -4,7 +4,10 @@
 //! unchanged. If the store applies the write, the leadership is confirmed as of the time at which the
 //! write was sent. A read that shows the lease row unchanged confirms it as well.
 
-use super::{restoring::confirm_lease, *};
+use {
+    super::{restoring::confirm_lease, *},
+    crate::store_heartbeat::StoreHeartbeat,
+};
 
 /// The interval of a leader's store heartbeats.
 const STORE_HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
@@ -247,14 +250,9 @@
         self.store_heartbeat_written = now;
         for leader in self.led_shards.values() {
             self.store_heartbeat_number += 1;
-            // Encoding plain data can't fail below.
-            let pending: Vec<_> = leader.shard.pending().into_iter().collect();
-            let heartbeat = takeover::StoreHeartbeat {
-                incarnation: self.incarnation,
-                number: self.store_heartbeat_number,
-                pending,
-            };
-            let value = postcard::to_stdvec(&heartbeat).unwrap_or_default();
+            let pending = leader.shard.pending().into_iter().collect();
+            let heartbeat =
+                StoreHeartbeat::new(self.incarnation, self.store_heartbeat_number, pending);
             let Some(to) = self.address.clone() else {
                 continue;
             };
@@ -262,7 +260,7 @@
             // conflict.
             let tx = Tx {
                 expect: vec![(keys::lease(&leader.name), leader.lease_version)],
-                puts: vec![(keys::heartbeat(&leader.name), value)],
+                puts: vec![(keys::heartbeat(&leader.name), heartbeat.encode())],
                 ..Tx::default()
             };
             let store = self.store.clone();
--- a/crates/scheduler/src/intake/pending.rs
+++ b/crates/scheduler/src/intake/pending.rs
@@ -6,7 +6,7 @@
 
 use {
     super::*,
-    crate::{takeover::StoreHeartbeat, view::LeaderView},
+    crate::{store_heartbeat::StoreHeartbeat, view::LeaderView},
     marigoldbend_core::sched::heartbeat_age::Freshness,
 };
 
@@ -83,7 +83,7 @@
         loop {
             let row = self.read_row(&keys::heartbeat(shard), respond_by).await;
             let row = row.ok()??;
-            let heartbeat = postcard::from_bytes::<StoreHeartbeat>(&row);
+            let heartbeat = StoreHeartbeat::decode(&row);
             let heartbeat = heartbeat
                 .inspect_err(|e| {
                     log::error!("intake: the heartbeat row of {shard} can't be decoded: {e}.")
@@ -100,13 +100,12 @@
                 sleep(POLL_INTERVAL).await;
                 continue;
             }
-            let counts = heartbeat.pending.iter().filter(|(name, _)| name == queue);
-            let pending = counts.map(|(_, pending)| pending).sum::<u32>();
+            let pending = heartbeat.pending_of(queue);
             log::info!(
-                "intake: call=pending queue={queue} shard={shard} pending={pending} leader=none number={} heartbeat={freshness:?}.",
+                "intake: call=pending queue={queue} shard={shard} pending={pending:?} leader=none number={} heartbeat={freshness:?}.",
                 heartbeat.number,
             );
-            return (freshness == Freshness::Recent).then_some(pending);
+            return pending.filter(|_| freshness == Freshness::Recent);
         }
     }
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod restoring_leader;
 pub mod settings;
 pub mod shard_leader;
+pub mod store_heartbeat;
 pub mod takeover;
 pub mod takeover_times;
 pub mod view;
--- a/crates/scheduler/src/takeover.rs
+++ b/crates/scheduler/src/takeover.rs
@@ -18,7 +18,7 @@
         rows::{Page, Range, Row, RowKey, Tx, TxOutcome},
         store::{Store, StoreError},
     },
-    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde::de::DeserializeOwned,
     snafu::Snafu,
     std::{
         collections::BTreeMap,
@@ -136,17 +136,6 @@
     pub watch_from: u64,
 }
 
-/// The value of the heartbeat row that a leader writes into the store, at least every second.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
-pub struct StoreHeartbeat {
-    /// The leader's incarnation.
-    pub incarnation: u64,
-    /// Grows with each heartbeat, so that each changes the row.
-    pub number: u64,
-    /// Name of each queue with jobs that have not started, and the number of these jobs.
-    pub pending: Vec<(String, u32)>,
-}
-
 /// Reads the lease row of a shard and its version, which is 0 if there is no row.
 ///
 /// # Errors
