Open no more occurrences than a row has room for

Cause: each open occurrence has a record for each of its tasks that is done or has a checkpoint, and as many occurrences are open as tasks may start.

Change: occurrences are added only while the records of all open ones have room for one more, 48,000 bytes in all. An occurrence of one task needs none.

Measured: open_occurrences_of_several_steps_outgrew_the_row, without the limit had rows of 122,894 bytes; with it both cases pass.

--- a/crates/core/src/sched/shard/occurrences.rs
+++ b/crates/core/src/sched/shard/occurrences.rs
@@ -32,6 +32,16 @@
 /// handles one request at a time.
 const MAX_STARTABLE_UNAPPROVED: usize = 8;
 
+/// The maximum length of the records of a scheduled job's open occurrences, in bytes, up to which more
+/// are added: a row that the store refuses holds up all jobs of the shard.
+const MAX_RECORD_BYTES: u64 = 48_000;
+
+/// The length of the record of a task that is done.
+const DONE_BYTES: u64 = 12;
+
+/// The length of the record of a task that has a checkpoint or a stored placement.
+const LONG_RECORD_BYTES: u64 = 40;
+
 /// The maximum CPU that the occurrences of one job that were not added count as demand, in thousandths
 /// of a core: more than any shard has, and small enough for sums over all jobs.
 const MAX_DEMAND: i64 = 1_000_000_000_000;
@@ -71,7 +81,11 @@
                 limit
             };
             let mut startable = job.startable_tasks(limit, now);
-            while startable < limit && job.unadded_occurrences() > 0 && job.add_next_occurrence() {
+            while startable < limit
+                && job.unadded_occurrences() > 0
+                && job.has_room_in_row()
+                && job.add_next_occurrence()
+            {
                 startable += job.tasks_ready_at_first();
                 self.changed = true;
             }
@@ -166,6 +180,25 @@
         startable.take(limit).count()
     }
 
+    /// Returns whether the row has room for the records of one more occurrence. There is always room
+    /// for one.
+    fn has_room_in_row(&self) -> bool {
+        let bytes_of = |step: &Step| {
+            let is_long = step.checkpoints || step.long_running;
+            let bytes = if is_long {
+                LONG_RECORD_BYTES
+            } else {
+                DONE_BYTES
+            };
+            u64::from(step.count) * bytes
+        };
+        // Once its last task is done, an occurrence needs no records.
+        let bytes: u64 = self.spec.steps.iter().map(bytes_of).sum();
+        let bytes = bytes - DONE_BYTES;
+        let open = self.occurrences.len() as u64;
+        open == 0 || bytes.saturating_mul(open + 1) <= MAX_RECORD_BYTES
+    }
+
     /// Returns the number of tasks of an occurrence that depend on no step.
     fn tasks_ready_at_first(&self) -> usize {
         let steps = self.spec.steps.iter();
--- a/crates/core/tests/due_occurrences.rs
+++ b/crates/core/tests/due_occurrences.rs
@@ -21,9 +21,10 @@
 
 const SMALL_JOB: JobId = JobId(8);
 
-/// The number of workers, with room for [`PLACES`] tasks each.
+/// The number of workers.
 const WORKERS: usize = 8;
 
+/// The number of tasks for which a worker usually has room.
 const PLACES: usize = 20;
 
 const TASK_CPU: i64 = 100;
@@ -86,10 +87,16 @@
     rows: BTreeMap<JobId, Vec<u8>>,
     longest_poll: Duration,
     longest_row: usize,
+    /// The number of tasks for which each worker has room.
+    places: usize,
 }
 
 impl Fleet {
     fn new(token: u64) -> Self {
+        Self::with_places(token, PLACES)
+    }
+
+    fn with_places(token: u64, places: usize) -> Self {
         let base = Instant::now();
         let mut fleet = Self {
             shard: Shard::new(Params::default(), token, base),
@@ -102,6 +109,7 @@
             rows: BTreeMap::new(),
             longest_poll: Duration::ZERO,
             longest_row: 0,
+            places,
         };
         fleet.list_workers();
         fleet
@@ -121,8 +129,8 @@
                 domain: "z".to_owned(),
                 availability: Availability::Ready,
                 capacity: Resources {
-                    cpu: TASK_CPU * PLACES as i64,
-                    mem_mb: 10_000,
+                    cpu: TASK_CPU * self.places as i64,
+                    mem_mb: 100_000,
                     gpu: 0,
                 },
                 labels: Vec::new(),
@@ -416,3 +424,28 @@
         Some(&[1][..])
     );
 }
+
+/// The records of tasks that were done in many open occurrences outgrew the row.
+#[test_case(false; "tasks")]
+#[test_case(true; "tasks with checkpoints")]
+fn open_occurrences_of_several_steps_outgrew_the_row(checkpoints: bool) {
+    let first = Step {
+        checkpoints,
+        ..step(4)
+    };
+    let second = Step {
+        after: vec![0],
+        ..first.clone()
+    };
+    let mut fleet = Fleet::with_places(1, 4_000);
+    fleet.add(JOB, all_due(100_000, vec![first, second]));
+    for _ in 0..12 {
+        for _ in 0..30 {
+            fleet.now_ms += 20;
+            fleet.poll();
+        }
+        fleet.advance();
+    }
+    assert!(fleet.done.len() > 5_000, "{}", fleet.done.len());
+    assert!(fleet.longest_row <= MAX_ROW, "{}", fleet.longest_row);
+}
