Wait for a silent worker that was reached while the rows were read

Found by reading the hand-over of silent workers: while it reads the rows, a new leader renews the leases of a worker that answers. If another address is then listed for the worker, that report is forgotten, the worker counts as one that never answered, and what the predecessor told of it applies, though its leases may end later. Tasks could then start elsewhere beside it.

Change: such a worker is waited for as if nothing had been told.

--- a/crates/core/src/sched/shard/restoring.rs
+++ b/crates/core/src/sched/shard/restoring.rs
@@ -37,8 +37,10 @@
     /// The number of restarts that this leader has observed; part of the fencing token.
     incarnations: u64,
     clock: LeaseClock,
-    /// The last report; `None` before the first.
+    /// The last report of the process at the address; `None` before the first.
     last: Option<KeptReport>,
+    /// Whether any process of the worker has reported, so that its leases may have been renewed.
+    has_reported: bool,
 }
 
 #[derive(Debug)]
@@ -91,6 +93,7 @@
             incarnations: 0,
             clock: LeaseClock::default(),
             last: None,
+            has_reported: false,
         };
         self.workers.insert(worker_id.to_owned(), worker);
         self.addresses_changed = true;
@@ -160,6 +163,7 @@
         worker
             .clock
             .on_report(report.clock_ms, sent_at, now, self.max_lease);
+        worker.has_reported = true;
         worker.last = Some(KeptReport {
             report,
             sent_at,
@@ -196,6 +200,10 @@
             let Some(last) = restored.last else {
                 if let Some(worker) = self.workers.get_mut(&id) {
                     worker.incarnations = restored.incarnations;
+                    // Its leases may end later than the predecessor knew.
+                    worker
+                        .earlier_leases_until
+                        .take_if(|_| restored.has_reported);
                 }
                 continue;
             };
--- a/crates/core/src/sched/shard/silences.rs
+++ b/crates/core/src/sched/shard/silences.rs
@@ -72,15 +72,17 @@
     /// Records that the heartbeat of a round is stored: the workers that only earlier ones named may be
     /// used again.
     pub fn on_silences_stored(&mut self, round: u64) {
-        let workers = &mut self.workers;
-        self.told_silences.retain(|id, told_in| {
-            let is_told = *told_in >= round;
-            if !is_told && let Some(worker) = workers.get_mut(id) {
+        let is_released = |told_in: u64| told_in < round;
+        for (id, told_in) in &self.told_silences {
+            if is_released(*told_in)
+                && let Some(worker) = self.workers.get_mut(id)
+            {
                 worker.is_told_silent = false;
             }
-            is_told
-        });
+        }
         self.changed = true;
+        self.told_silences
+            .retain(|_, told_in| !is_released(*told_in));
     }
 
     /// Returns whether a worker answers that the stored heartbeat may name as silent, so that the next
--- a/crates/core/tests/silences.rs
+++ b/crates/core/tests/silences.rs
@@ -4,7 +4,7 @@
     marigoldbend_core::sched::{
         job::{JobId, JobSpec, Resources, Step, TaskName},
         progress::Progress,
-        shard::{Command, JobOrigin, Params, Shard, Silences},
+        shard::{Command, JobOrigin, Params, RestoringShard, Shard, Silences},
         worker::{Availability, CommandReply, Report, WorkerInfo},
     },
     std::time::{Duration, Instant},
@@ -305,3 +305,35 @@
     fixture.run(100);
     assert_eq!(fixture.renewed, [true, true]);
 }
+
+/// While the rows are read the new leader renews the leases of a silent worker that answers, and then
+/// another process is listed at its id.
+#[test]
+fn a_worker_that_answered_before_the_rows_were_read_was_taken_for_silent() {
+    let mut fixture = Fixture::new();
+    fixture.run(10_000);
+    fixture.answering = vec!["sound"];
+    fixture.run(4_000);
+    fixture.store_heartbeat();
+    fixture.replace_leader();
+    let now = fixture.now();
+    let mut restoring = RestoringShard::new(fixture.token, &Params::default(), now, now);
+    restoring.add_worker_in_use("lost", &worker("lost").address);
+    let report = Report {
+        started_ms: 1,
+        clock_ms: fixture.now_ms,
+        ..Report::default()
+    };
+    restoring.on_report("lost", report, now, now);
+    let renewed = restoring.prepare_report_request("lost", now);
+    assert!(renewed.is_some_and(|(_, until_ms)| until_ms.is_some()));
+    restoring.add_worker("lost", "127.0.0.1:99");
+    fixture
+        .shard
+        .restore_workers(restoring, now, fixture.now_ms);
+    let lease = Params::default().lease.as_millis() as u64;
+    fixture.run(lease);
+    assert_eq!(fixture.starts, []);
+    fixture.run(lease);
+    assert_ne!(fixture.starts, []);
+}
